--- /dev/null
+++ b/milletsill/__init__.py
@@ -0,0 +1,1 @@
+"""milletsill: a scheduler of reads and writes before shared storage nodes."""
--- /dev/null
+++ b/milletsill/interface.py
@@ -0,0 +1,151 @@
+"""The types between the decision module and whatever hosts it.
+
+Times are whole tenths of a millisecond. Ids appear only here, at the door; inside the module objects
+point to each other. The host calls the methods of `Decisions` with what it is told, in order, then
+`settle` once when nothing more is known for now; the module acts through the `Port` that it was given.
+
+The facts given at the start are a plain map of names to values:
+  gateways, tick, categories, plans, writes, zone, meter, share_utility, spare_utility, unit_mean,
+  largest_units, cold_units, cells, tells_elsewhere,
+  may_probe, may_cancel, may_copy, most_dispatches, most_held, pause_told, longest_pause,
+  list_on_request, report_fields, report_by, waste_fee, probe_fee, list_fee,
+  drain_grace, ask_within, cold_from, warm_after, cold_multiple, cold_window,
+  further_free, further_ratio, further_window (None where no budget is stated), key_rest.
+A category is a map of: target_time, patience, utility, late_utility, repeats, group, repeat_window,
+in_order, streams.  A plan is a map of: usual_rate, reserve_rate, weight, price, limit_rate (0: none),
+limit_store, limit_slack; rates are units a second.
+"""
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, Mapping, Protocol, Sequence
+
+Facts = Mapping[str, Any]
+
+
+class Outcome(Enum):
+    """How one dispatch ended."""
+
+    SATISFIED = "satisfied"
+    ERROR = "error"
+    TURNED_AWAY = "turned away"
+    TIMED_OUT = "timed out"
+    UNREACHED = "unreached"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    MOOT = "moot"
+
+
+class Readiness(Enum):
+    """What the list of nodes says of one."""
+
+    GONE = "gone"
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class News(Enum):
+    """What kind of news the list brings."""
+
+    CHANGES = "changes"
+    WHOLE = "whole"
+    CACHED = "cached"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """One line of the list of nodes; `since` is the node's last start, None for long ago."""
+
+    node: int
+    readiness: Readiness
+    size: float
+    kind: int
+    zone: int
+    since: int | None
+    cell: int
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A transfer that the gateway has taken; `cell` is None for a new object, `ends` is a time of the clock."""
+
+    id: int
+    extent: int
+    volume: int
+    gateways: int
+    category: int
+    plan: int
+    repeat: bool
+    write: bool
+    cell: int | None
+    units: float
+    ends: int
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The end of one dispatch; `used` is the volume's use everywhere in units a second times 100 over its
+    usual rate, None where it is not told."""
+
+    id: int
+    number: int
+    node: int
+    outcome: Outcome
+    over: bool
+    latency: int
+    used: int | None
+    elsewhere: int
+    report: Mapping[str, float]
+
+
+class Port(Protocol):
+    """What the module may do."""
+
+    def send(self, transfer: int, node: int, timeout: int) -> None:
+        """Dispatch the transfer; a time-out of 0 means until the client gives up."""
+
+    def decline(self, transfer: int, pause: int) -> None:
+        """Final answer: trying again is harmless, best after the pause."""
+
+    def abort(self, transfer: int) -> None:
+        """Final answer: nothing is promised."""
+
+    def cancel(self, transfer: int, number: int) -> None:
+        """Stop waiting for one dispatch."""
+
+    def watch(self) -> None:
+        """Ask for changes of the list from now on."""
+
+    def fetch(self) -> None:
+        """Ask for the whole list once."""
+
+    def probe(self, node: int) -> None:
+        """Ask a node for its health."""
+
+    def wake(self, at: int, what: object) -> None:
+        """Call `woken` with `what` at that time or just after."""
+
+    def remark(self, text: str) -> None:
+        """Leave a line in the log."""
+
+
+class Decisions(Protocol):
+    """What a host calls."""
+
+    def listed(self, now: int, news: News, entries: Sequence[Listed]) -> None: ...
+
+    def taken(self, now: int, arrival: Arrival) -> None: ...
+
+    def flowing(self, now: int, transfer: int, number: int) -> None: ...
+
+    def returned(self, now: int, answer: Answer) -> None: ...
+
+    def abandoned(self, now: int, transfer: int) -> None: ...
+
+    def probed(self, now: int, node: int, outcome: Outcome, latency: int, report: Mapping[str, float]) -> None: ...
+
+    def woken(self, now: int, what: object) -> None: ...
+
+    def settle(self, now: int) -> None: ...
--- /dev/null
+++ b/milletsill/wirehost/__init__.py
@@ -0,0 +1,1 @@
+"""The bench's adapter: it hosts many instances of the decision module on one wire."""
--- /dev/null
+++ b/milletsill/wirehost/host.py
@@ -0,0 +1,163 @@
+"""Hosts instances of the decision module: turns events into calls and calls into actions."""
+from __future__ import annotations
+
+import traceback
+from typing import BinaryIO
+
+from milletsill.interface import Answer, Arrival, Listed, News
+from milletsill.policy import Scheduler
+from milletsill.wirehost import codec
+from milletsill.wirehost.codec import UNIT, Event, Malformed
+
+LONGEST_TIMER = 70 * 60 * 1_000_000_000  # the wire takes timers of up to 71 minutes
+
+
+class Instance:
+    """One gateway: its module, its timers and what it has said in this batch. It is the module's Port."""
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.module: Scheduler | None = None
+        self.fields: list[str] = []
+        self.clock = 0
+        self.said: list[bytes] = []
+        self.timers: dict[int, object] = {}
+        self.cookies = 0
+
+    def send(self, transfer: int, node: int, timeout: int) -> None:
+        self.said.append(codec.ATTEMPT(transfer, node, timeout * UNIT))
+
+    def decline(self, transfer: int, pause: int) -> None:
+        self.said.append(codec.REJECT(transfer, max(pause, 0) * UNIT))
+
+    def abort(self, transfer: int) -> None:
+        self.said.append(codec.FAILURE(transfer))
+
+    def cancel(self, transfer: int, number: int) -> None:
+        self.said.append(codec.CALL_OFF(transfer, number))
+
+    def watch(self) -> None:
+        self.said.append(codec.STREAM(1))
+
+    def fetch(self) -> None:
+        self.said.append(codec.QUERY())
+
+    def probe(self, node: int) -> None:
+        self.said.append(codec.PROBE(node))
+
+    def remark(self, text: str) -> None:
+        self.said.append(codec.text_action(4, text))
+
+    def wake(self, at: int, what: object) -> None:
+        self.cookies += 1
+        self.timers[self.cookies] = what
+        self.said.append(codec.NOTIFY(self.cookies, min(max(at * UNIT - self.clock, 0), LONGEST_TIMER)))
+
+    def hear(self, event: Event, now: int, banks: dict[int, tuple[Listed, ...]]) -> None:
+        """Hand one event to the module."""
+        fields = event.fields
+        if event.code == codec.BORN:
+            facts = codec.facts_of(event.tail)
+            self.fields = facts["report_fields"]
+            self.module = Scheduler(facts, fields[0], now, self)
+            return
+        module = self.module
+        if module is None:
+            raise Malformed(f"{codec.NAMES[event.code]} for instance {self.number}, which was never born")
+        if event.code == codec.UPDATE:
+            news = codec.pick(codec.NEWS, fields[0], "kind of Update")
+            if news is not News.FAILED and fields[2] not in banks:
+                raise Malformed(f"Update names list {fields[2]}, which never came")
+            module.listed(now, news, () if news is News.FAILED else banks[fields[2]])
+        elif event.code == codec.TAKEN:
+            tid, key, sharers, category, plan, flags, shard, units, volume, ends = fields
+            module.taken(now, Arrival(tid, key, volume, max(int(sharers), 1), category, plan, bool(flags & 2),
+                                      bool(flags & 4), int(shard) if shard >= 0 else None, units, ends // UNIT))
+        elif event.code == codec.RETURNED:
+            tid, outcome, node, others, used, over, number, lag, _ = fields
+            module.returned(now, Answer(tid, number, node, codec.pick(codec.OUTCOMES, outcome, "outcome"),
+                                        bool(over), lag // UNIT, used - 1 if used else None, others,
+                                        codec.report_of(event.tail, self.fields)))
+        elif event.code == codec.RING:
+            module.woken(now, self.timers.pop(fields[0], None))
+        elif event.code == codec.ABANDONED:
+            module.abandoned(now, fields[0])
+        elif event.code == codec.FLOWING:
+            module.flowing(now, fields[0], fields[1])
+        elif event.code == codec.PROBED:
+            module.probed(now, fields[0], codec.pick(codec.OUTCOMES, fields[2], "outcome"), fields[1] // UNIT,
+                          codec.report_of(event.tail, self.fields))
+
+
+def whereabouts(error: BaseException) -> str:
+    """The error and where it came from, on one line."""
+    frames = traceback.extract_tb(error.__traceback__)[-3:]
+    places = " < ".join(f"{frame.name}:{frame.lineno}" for frame in reversed(frames))
+    return f"{type(error).__name__}: {error} at {places}"
+
+
+class Host:
+    """All instances of this process; they share nothing but the wire's numbered lists."""
+
+    def __init__(self) -> None:
+        self.instances: dict[int, Instance] = {}
+        self.banks: dict[int, tuple[Listed, ...]] = {}
+
+    def answer(self, batch: codec.Batch) -> bytes:
+        """Play one batch and give the reply frame."""
+        now = -(-batch.clock // UNIT)
+        heard: dict[int, Instance] = {}
+        current: Instance | None = None
+        for event in batch.events:
+            if event.code == codec.ROSTER:
+                self.banks[event.fields[0]] = codec.entries_of(event.tail)
+            elif event.code == codec.INSTANCE:
+                number = event.fields[0]
+                current = self.instances.get(number) or self.instances.setdefault(number, Instance(number))
+                heard[number], current.clock = current, batch.clock
+            elif current is None:
+                raise Malformed(f"batch {batch.number}: {codec.NAMES[event.code]} before any Instance")
+            elif event.code in (codec.CRASH, codec.BORN) and current.module is not None:
+                current = self.fresh(current, heard)
+                if event.code == codec.BORN:
+                    self.guarded(current, lambda: current.hear(event, now, self.banks))
+            else:
+                self.guarded(current, lambda: current.hear(event, now, self.banks))
+        return codec.reply_to(batch.number, self.spoken(heard, now))
+
+    def fresh(self, old: Instance, heard: dict[int, Instance]) -> Instance:
+        """The instance after it was killed: what it held and had to say is void."""
+        new = Instance(old.number)
+        new.clock = old.clock
+        self.instances[old.number] = heard[old.number] = new
+        return new
+
+    def guarded(self, instance: Instance, call) -> None:
+        """Run the module; an exception in it is said on the wire."""
+        try:
+            call()
+        except Malformed:
+            raise
+        except Exception as error:
+            instance.said.append(codec.text_action(3, whereabouts(error)))
+
+    def spoken(self, heard: dict[int, Instance], now: int) -> list[bytes]:
+        """What the instances that heard something have to say."""
+        actions: list[bytes] = []
+        for number, instance in heard.items():
+            module = instance.module
+            if module is not None:
+                self.guarded(instance, lambda: module.settle(now))
+            if instance.said:
+                actions.append(codec.SOURCE(number))
+                actions += instance.said
+                instance.said = []
+        return actions
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> None:
+    """Answer batches until the input ends."""
+    host = Host()
+    while (batch := codec.read_batch(source)) is not None:
+        sink.write(host.answer(batch))
+        sink.flush()
