--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -10,7 +10,7 @@
 
 from bisect import bisect_left, insort
 from collections import deque
-from enum import Enum, auto
+from enum import Enum
 from random import Random
 from typing import Any, Mapping, Sequence
 
@@ -24,6 +24,8 @@
 FORGET = 1 / 200             # how fast the best pace is forgotten
 FIRST_M = 10                 # M starts at the target time over this
 HOPE = 0.6                   # share of the expected service that a transfer must still find before its target time
+PART = 0.5                   # part of a volume's reserve where its use is not told: its gateways to the minus this
+SHARE = 1.0                  # a volume's estimated share, against its usual rate
 FOLLOW_WAIT = 0.5            # longest wait for a follower, as a share of the expected service
 CREDITS = 4                  # new objects and further dispatches that a node may have unanswered at this gateway
 ENDING_TICKS = 2             # a held transfer is answered this many ticks before its client gives up
@@ -31,36 +33,13 @@
 REST = 2                     # a node that did not answer is left alone for this many smoothed latencies
 
 
-class Phase(Enum):
-    HELD = auto()
-    OUT = auto()
-    OVER = auto()
-
-
-class Cue(Enum):
-    SENT = auto()
-    CLOSED = auto()     # the client has its answer or has left
-    AGAIN = auto()      # the last dispatch out ended and another is lawful
-    LAST = auto()       # the last dispatch out ended and none is
-    HOPELESS = auto()   # nothing this gateway can still do would be of use
-    ENDING = auto()     # the client is about to give up
-
-
-class Health(Enum):
-    STEADY = auto()
-    SILENT = auto()     # did not answer; tried with one transfer at a time
-    RETURNED = auto()   # has answered again; proves itself
-    BARRED = auto()     # draining or gone by the list
-
-
-class Sign(Enum):
-    ANSWER = auto()
-    PROVEN = auto()
-    LAPSE = auto()
-    READY = auto()
-    FRESH = auto()
-    UNREADY = auto()
-
+Phase = Enum("Phase", "HELD OUT OVER")
+# SENT; CLOSED: the client has its answer or has left; AGAIN, LAST: no dispatch is out any more, and another is
+# lawful or not; HOPELESS: nothing this gateway can still do would be of use; ENDING: the client is about to leave.
+Cue = Enum("Cue", "SENT CLOSED AGAIN LAST HOPELESS ENDING")
+# SILENT: did not answer, tried with one transfer at a time; RETURNED: proves itself; BARRED: draining or gone.
+Health = Enum("Health", "STEADY SILENT RETURNED BARRED")
+Sign = Enum("Sign", "ANSWER PROVEN LAPSE READY FRESH UNREADY")
 
 TRANSFER_TABLE: Mapping[tuple[Phase, Cue], tuple[Phase, str]] = {
     (Phase.HELD, Cue.SENT): (Phase.OUT, ""),
@@ -92,6 +71,9 @@
 NEVER = 1 << 60
 
 
+Queue = list[tuple[int, int, "Transfer"]]  # (order, number, transfer)
+
+
 class Store:
     """A store of units that fills at a rate (units a second) up to a most."""
 
@@ -109,12 +91,11 @@
 
     def __init__(self, plan: Mapping[str, Any], gateways: int, now: int) -> None:
         self.plan, self.gateways = plan, gateways
-        self.reserve = Store(plan["reserve_rate"] / gateways, now)
+        self.reserve, self.share = Store(plan["reserve_rate"] / gateways, now), Store(0.0, now)
         self.limit = Store(0.0, now)  # guards rule 7: a former self may have spent all of it
         self.others = 0.0             # units a second that others seem to use, where it is told
         self.own = Store(0.0, now)
         self.told = False
-        self.queued = 0.0             # units in background queues
 
 
 class Transfer:
@@ -123,15 +104,14 @@
     def __init__(self, arrival: Arrival, category: Mapping[str, Any], volume: Volume, now: int) -> None:
         self.id, self.extent, self.volume, self.category = arrival.id, arrival.extent, volume, category
         self.cell, self.units, self.ends = arrival.cell, arrival.units, arrival.ends
-        self.kind = arrival.category
         # A client's repeat counts from its first try: its patience runs over all its tries.
         self.start = min(now, arrival.ends - category["patience"]) if arrival.repeat else now
         self.target = min(self.start + category["target_time"], arrival.ends)
         self.tag = self.target
-        self.reserved = False
+        self.utility = category["utility"] * volume.plan["price"]  # a unit, times its level below
         self.phase = Phase.HELD
         self.node: Node | None = None
-        self.queue: list[tuple[int, int, Transfer]] | None = None
+        self.queue: Queue | None = None
         self.spent = False
         self.dispatches: list[Dispatch] = []
 
@@ -161,10 +141,10 @@
     def __init__(self, entry: Listed) -> None:
         self.id, self.cell, self.zone, self.since = entry.node, entry.cell, entry.zone, entry.since
         self.health = Health.STEADY
-        self.due: list[tuple[int, int, Transfer]] = []         # deadline queue, by tag
-        self.background: list[tuple[int, int, Transfer]] = []  # by arrival
-        self.late: list[tuple[int, int, Transfer]] = []        # background past its target time
-        self.extents: list[tuple[int, int, Transfer]] = []     # all held ones, by extent
+        self.due: Queue = []         # deadline queue, by tag
+        self.background: Queue = []  # by arrival
+        self.late: Queue = []        # background past its target time
+        self.extents: Queue = []     # all held ones, by extent
         self.out: list[Dispatch] = []
         self.units_held = 0.0
         self.window = FIRST_WINDOW
@@ -179,13 +159,11 @@
         self.wake_at = NEVER
         self.sends: deque[tuple[int, float]] = deque()  # units sent within the window of rule 4
 
-    def put(self, queue: list[tuple[int, int, Transfer]], order: int, number: int, transfer: Transfer) -> None:
+    def put(self, queue: Queue, order: int, number: int, transfer: Transfer) -> None:
         transfer.node, transfer.queue = self, queue
         insort(queue, (order, number, transfer))
         insort(self.extents, (transfer.extent, number, transfer))
         self.units_held += transfer.units
-        if queue is self.background:
-            transfer.volume.queued += transfer.units
 
     def take(self, transfer: Transfer) -> None:
         """Take a held transfer out of every queue."""
@@ -198,8 +176,6 @@
             at += 1
         del self.extents[at]
         self.units_held -= transfer.units
-        if queue is self.background:
-            transfer.volume.queued -= transfer.units
         transfer.queue = None
 
 
@@ -217,7 +193,6 @@
         self.unplaced: list[Transfer] = []
         self.touched: dict[int, Node] = {}
         self.numbers = 0
-        self.costs = [1.0] * len(facts["categories"])  # latency a unit, category against category
         self.taken_at: deque[int] = deque()
         self.further_at: deque[int] = deque()
         self.asks, self.watched = 0, False
@@ -318,18 +293,21 @@
         if category["in_order"] and transfer.extent:
             self.keys.setdefault(transfer.extent, KeyLine()).line.append(transfer)
         self.port.wake(transfer.ends - ENDING_TICKS * self.facts["tick"], transfer)
-        transfer.reserved = self.within_reserve(volume, transfer.units, now)
+        transfer.level = self.level(volume, transfer.units, now)
+        transfer.utility *= (1.0, self.facts["share_utility"], self.facts["spare_utility"])[transfer.level]
         if not self.place(transfer, now):
             self.unplaced.append(transfer)
 
-    def within_reserve(self, volume: Volume, units: float, now: int) -> bool:
-        """Takes the units from this gateway's estimated part of the volume's reserve if they are there."""
-        rate = volume.plan["reserve_rate"]
-        part = max(rate / volume.gateways, rate - volume.others) if volume.told else rate / volume.gateways ** 0.5
-        if volume.reserve.fill(now, part, part + self.facts["largest_units"]) < units:
-            return False
-        volume.reserve.level -= units
-        return True
+    def level(self, volume: Volume, units: float, now: int) -> int:
+        """0 inside this gateway's estimated part of the volume's reserve, 1 inside that of its share, else 2."""
+        rate, even = volume.plan["reserve_rate"], volume.gateways ** -PART
+        reserve = max(rate / volume.gateways, rate - volume.others) if volume.told else rate * even
+        share = SHARE * volume.plan["usual_rate"] * even
+        for level, (store, part) in enumerate(((volume.reserve, reserve), (volume.share, share))):
+            if store.fill(now, part, part + self.facts["largest_units"]) >= units:
+                store.level -= units
+                return level
+        return 2
 
     def hold(self, transfer: Transfer, node: Node | None, now: int) -> None:
         """Queue a transfer at a node: by its tag, or behind as background."""
@@ -342,14 +320,14 @@
         transfer.tag = transfer.target - int(m)
         if self.missed(transfer, node, now):
             node.put(node.late, self.numbers, self.numbers, transfer)
-        elif transfer.reserved:
+        elif transfer.level == 0:
             node.put(node.due, transfer.tag, self.numbers, transfer)
         else:
             node.put(node.background, self.numbers, self.numbers, transfer)
 
     def service(self, transfer: Transfer, node: Node) -> float:
         """Expected time from a dispatch to its answer."""
-        return (node.pace or 0.0) * transfer.units * self.costs[transfer.kind]
+        return (node.pace or 0.0) * transfer.units
 
     def missed(self, transfer: Transfer, node: Node, now: int) -> bool:
         return now + HOPE * self.service(transfer, node) > transfer.target
@@ -364,21 +342,33 @@
                 if transfer.phase is Phase.HELD and not self.place(transfer, now):
                     self.unplaced.append(transfer)
         for node in list(self.touched.values()):
-            self.demote(node, now)
+            self.relieve(node, now)
             self.pump(node, now)
         self.touched.clear()
 
-    def demote(self, node: Node, now: int) -> None:
-        """Keeps an overdue backlog from making the node serve late work only, whatever made it overdue."""
-        while node.due and self.missed(node.due[0][2], node, now):
-            self.to_late(node, node.due[0][2])
-        while node.background and self.missed(node.background[0][2], node, now):
-            self.to_late(node, node.background[0][2])
-
-    def to_late(self, node: Node, transfer: Transfer) -> None:
-        node.take(transfer)
-        self.numbers += 1
-        node.put(node.late, self.numbers, self.numbers, transfer)
+    def relieve(self, node: Node, now: int) -> None:
+        """Where a queue cannot all leave in time, its least useful transfers go behind, and from the last queue away.
+
+        Keeps any overdue backlog (surge, slow node, stall, lost nodes) from making EDF serve late work only.
+        """
+        clock, step = float(now), (node.pace or 0.0) / node.window
+        for queue, onward in ((node.due, node.background), (node.background, node.late), (node.late, None)):
+            while (found := self.crowded(node, queue, clock, step, onward is None)) is not None:
+                node.take(found)
+                if onward is None:
+                    self.cue(found, Cue.HOPELESS, now)
+                else:
+                    self.numbers += 1
+                    node.put(onward, self.numbers, self.numbers, found)
+            clock += step * sum(each[2].units for each in queue)
+
+    def crowded(self, node: Node, queue: Queue, clock: float, step: float, last: bool) -> Transfer | None:
+        """The least useful of those up to the first that would leave too late, if one would."""
+        for place, (_, _, transfer) in enumerate(queue):
+            if clock + HOPE * self.service(transfer, node) > (transfer.ends if last else transfer.target):
+                return min(queue[:place + 1], key=lambda each: (each[2].utility, each[0]))[2]
+            clock += step * transfer.units
+        return None
 
     def pump(self, node: Node, now: int) -> None:
         if node.health is Health.BARRED:
@@ -397,7 +387,7 @@
             node.wake_at = at
             self.port.wake(at, node)
 
-    def lawful(self, node: Node, queue: list[tuple[int, int, Transfer]], now: int) -> Transfer | None:
+    def lawful(self, node: Node, queue: Queue, now: int) -> Transfer | None:
         """The first of a queue that every rule lets go now; else a wake for when one may."""
         soonest = NEVER
         for each in queue:
@@ -413,7 +403,7 @@
         """The ordinary path: a follower while the head is not due, then the head, then background."""
         if node.health is not Health.STEADY:
             # A node that comes back gets a little of the work that is worth most first.
-            queue = sorted(node.due, key=lambda each: -self.utility(each[2])) or node.background or node.late
+            queue = sorted(node.due, key=lambda each: -each[2].utility) or node.background or node.late
             return self.lawful(node, queue, now)
         head = self.lawful(node, node.due, now)
         if head is not None and head.tag > now and node.follow is not None:
@@ -426,9 +416,6 @@
                 return None
         return head or self.lawful(node, node.background, now) or self.lawful(node, node.late, now)
 
-    def utility(self, transfer: Transfer) -> float:
-        return transfer.category["utility"] * transfer.volume.plan["price"] / self.costs[transfer.kind]
-
     def follower(self, node: Node, last: Transfer, head: Transfer, now: int) -> Transfer | None:
         """The next held transfer of the extent just finished, else of its volume, if the head can bear its cost."""
         slack = head.tag - now
@@ -582,12 +569,10 @@
         node.follow = transfer
         node.follow_until = now + int(FOLLOW_WAIT * self.service(transfer, node))
         transfer.volume.own.level += transfer.units
-        pace = answer.latency / (transfer.units * self.costs[transfer.kind])
+        pace = answer.latency / transfer.units
         if node.pace is None or node.latency is None:
             node.latency, node.pace, node.best = float(answer.latency), pace, pace
             return
-        cost = self.costs[transfer.kind] * (1 + SMOOTH / 4 * (min(pace / node.pace, 4.0) - 1))
-        self.costs[transfer.kind] = min(max(cost, 1 / 8), 8.0)
         node.latency += SMOOTH * (answer.latency - node.latency)
         node.pace += SMOOTH * (pace - node.pace)
         node.best = min(node.best + FORGET * (node.pace - node.best), node.pace)
