--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -51,19 +51,12 @@
     (Phase.OUT, Cue.LAST): (Phase.OVER, "give_up"),
 }
 NODE_TABLE: Mapping[tuple[Health, Sign], tuple[Health, str]] = {
-    (Health.STEADY, Sign.LAPSE): (Health.SILENT, "rest"),
-    (Health.STEADY, Sign.FRESH): (Health.RETURNED, "restart"),
-    (Health.STEADY, Sign.UNREADY): (Health.BARRED, "empty"),
-    (Health.SILENT, Sign.LAPSE): (Health.SILENT, "rest"),
+    **{(health, Sign.LAPSE): (Health.SILENT, "rest") for health in Health if health is not Health.BARRED},
+    **{(health, Sign.UNREADY): (Health.BARRED, "empty") for health in Health if health is not Health.BARRED},
+    **{(health, Sign.FRESH): (Health.RETURNED, "restart") for health in Health},
+    (Health.BARRED, Sign.READY): (Health.RETURNED, "restart"),
     (Health.SILENT, Sign.ANSWER): (Health.RETURNED, "restart"),
-    (Health.SILENT, Sign.FRESH): (Health.RETURNED, "restart"),
-    (Health.SILENT, Sign.UNREADY): (Health.BARRED, "empty"),
     (Health.RETURNED, Sign.PROVEN): (Health.STEADY, ""),
-    (Health.RETURNED, Sign.LAPSE): (Health.SILENT, "rest"),
-    (Health.RETURNED, Sign.FRESH): (Health.RETURNED, "restart"),
-    (Health.RETURNED, Sign.UNREADY): (Health.BARRED, "empty"),
-    (Health.BARRED, Sign.READY): (Health.RETURNED, "restart"),
-    (Health.BARRED, Sign.FRESH): (Health.RETURNED, "restart"),
 }
 NEVER_RAN = (Outcome.TURNED_AWAY, Outcome.UNREACHED, Outcome.MOOT)
 NO_WORD = (Outcome.TIMED_OUT, Outcome.UNREACHED, Outcome.RESET)
@@ -93,9 +86,7 @@
         self.plan, self.gateways = plan, gateways
         self.reserve, self.share = Store(plan["reserve_rate"] / gateways, now), Store(0.0, now)
         self.limit = Store(0.0, now)  # guards rule 7: a former self may have spent all of it
-        self.others = 0.0             # units a second that others seem to use, where it is told
-        self.own = Store(0.0, now)
-        self.told = False
+        self.own, self.others = Store(0.0, now), -1.0  # units a second that others seem to use; below 0: not told
 
 
 class Transfer:
@@ -123,9 +114,6 @@
         self.transfer, self.node, self.sent, self.full = transfer, node, now, full
         self.outcome: Outcome | None = None
 
-    def may_have_run(self) -> bool:
-        return self.outcome not in NEVER_RAN
-
 
 class KeyLine:
     """Transfers of one key whose order is kept (rule 5)."""
@@ -195,13 +183,13 @@
         self.numbers = 0
         self.taken_at: deque[int] = deque()
         self.further_at: deque[int] = deque()
-        self.asks, self.watched = 0, False
+        self.asks = 0
         if facts["list_on_request"]:
-            self.ask(now)
+            self.ask()
 
     # ---- the list of nodes ------------------------------------------------------------------------------
 
-    def ask(self, now: int) -> None:
+    def ask(self) -> None:
         self.asks += 1
         self.port.watch()
 
@@ -247,26 +235,21 @@
         elif effect == "restart":
             node.window, node.credit, node.rest_until = LEAST_WINDOW, 1, now
         elif effect == "empty":
-            held = [each[2] for each in node.extents]
+            self.unplaced += (held := [each[2] for each in node.extents])
             for transfer in held:
                 node.take(transfer)
-                transfer.node = None
-            self.unplaced += held
 
     def place(self, transfer: Transfer, now: int) -> bool:
         """Give a transfer to the node of its cell; a new object goes where credit is left and the wait is least."""
-        ready = [node for node in self.nodes.values() if node.health is not Health.BARRED]
-        if transfer.cell is None:
-            ready = [node for node in ready if node.credit > 0]
-            near = [node for node in ready if node.follow and node.follow.extent == transfer.extent]
-            paces = [node.pace for node in ready if node.pace]
-            usual = sum(paces) / len(paces) if paces else 1.0
-            ready = near or sorted(ready, key=lambda node: self.backlog(node, now, usual, transfer.units))
-        else:
-            ready = [node for node in ready if node.cell == transfer.cell]
+        ready = [node for node in self.nodes.values() if node.health is not Health.BARRED
+                 and (node.cell == transfer.cell if transfer.cell is not None else node.credit > 0)]
         if not ready:
             return False
         if transfer.cell is None:
+            paces = [node.pace for node in ready if node.pace]
+            usual = sum(paces) / len(paces) if paces else 1.0
+            near = [node for node in ready if node.follow and node.follow.extent == transfer.extent]
+            ready = near or [min(ready, key=lambda node: self.backlog(node, now, usual, transfer.units))]
             ready[0].credit -= 1
             transfer.spent = True
         self.hold(transfer, ready[0], now)
@@ -295,13 +278,12 @@
         self.port.wake(transfer.ends - ENDING_TICKS * self.facts["tick"], transfer)
         transfer.level = self.level(volume, transfer.units, now)
         transfer.utility *= (1.0, self.facts["share_utility"], self.facts["spare_utility"])[transfer.level]
-        if not self.place(transfer, now):
-            self.unplaced.append(transfer)
+        self.unplaced.append(transfer)
 
     def level(self, volume: Volume, units: float, now: int) -> int:
         """0 inside this gateway's estimated part of the volume's reserve, 1 inside that of its share, else 2."""
         rate, even = volume.plan["reserve_rate"], volume.gateways ** -PART
-        reserve = max(rate / volume.gateways, rate - volume.others) if volume.told else rate * even
+        reserve = max(rate / volume.gateways, rate - volume.others) if volume.others >= 0 else rate * even
         share = SHARE * volume.plan["usual_rate"] * even
         for level, (store, part) in enumerate(((volume.reserve, reserve), (volume.share, share))):
             if store.fill(now, part, part + self.facts["largest_units"]) >= units:
@@ -309,38 +291,30 @@
                 return level
         return 2
 
-    def hold(self, transfer: Transfer, node: Node | None, now: int) -> None:
+    def hold(self, transfer: Transfer, node: Node, now: int) -> None:
         """Queue a transfer at a node: by its tag, or behind as background."""
-        if node is None:
-            self.unplaced.append(transfer)
-            return
-        self.numbers += 1
         self.touched[node.id] = node
         m = node.latency if node.latency is not None else transfer.category["target_time"] / FIRST_M
         transfer.tag = transfer.target - int(m)
-        if self.missed(transfer, node, now):
-            node.put(node.late, self.numbers, self.numbers, transfer)
-        elif transfer.level == 0:
-            node.put(node.due, transfer.tag, self.numbers, transfer)
-        else:
-            node.put(node.background, self.numbers, self.numbers, transfer)
+        missed = now + HOPE * self.service(transfer, node) > transfer.target
+        queue = node.late if missed else node.background if transfer.level else node.due
+        self.put(transfer, node, queue)
+
+    def put(self, transfer: Transfer, node: Node, queue: Queue) -> None:
+        self.numbers += 1
+        node.put(queue, transfer.tag if queue is node.due else self.numbers, self.numbers, transfer)
 
     def service(self, transfer: Transfer, node: Node) -> float:
         """Expected time from a dispatch to its answer."""
         return (node.pace or 0.0) * transfer.units
 
-    def missed(self, transfer: Transfer, node: Node, now: int) -> bool:
-        return now + HOPE * self.service(transfer, node) > transfer.target
-
     # ---- choosing ---------------------------------------------------------------------------------------
 
     def settle(self, now: int) -> None:
         """Place what has no node, then fill every node's window that something happened to."""
         if self.unplaced:
-            waiting, self.unplaced = self.unplaced, []
-            for transfer in waiting:
-                if transfer.phase is Phase.HELD and not self.place(transfer, now):
-                    self.unplaced.append(transfer)
+            self.unplaced = [each for each in self.unplaced
+                             if each.phase is Phase.HELD and not self.place(each, now)]
         for node in list(self.touched.values()):
             self.relieve(node, now)
             self.pump(node, now)
@@ -358,8 +332,7 @@
                 if onward is None:
                     self.cue(found, Cue.HOPELESS, now)
                 else:
-                    self.numbers += 1
-                    node.put(onward, self.numbers, self.numbers, found)
+                    self.put(found, node, onward)
             clock += step * sum(each[2].units for each in queue)
 
     def crowded(self, node: Node, queue: Queue, clock: float, step: float, last: bool) -> Transfer | None:
@@ -371,12 +344,9 @@
         return None
 
     def pump(self, node: Node, now: int) -> None:
-        if node.health is Health.BARRED:
-            return
         if now < node.rest_until:
             self.wake(node, node.rest_until, now)
-            return
-        while len(node.out) < int(node.window) and node.extents:
+        while now >= node.rest_until and len(node.out) < int(node.window) and node.extents:
             transfer = self.choose(node, now)
             if transfer is None:
                 return
@@ -450,7 +420,7 @@
             return NEVER
         if any(each.outcome is None for each in transfer.dispatches) and not facts["may_copy"]:
             return NEVER
-        ran = [each for each in transfer.dispatches if each.may_have_run()]
+        ran = [each for each in transfer.dispatches if each.outcome not in NEVER_RAN]
         if ran and category["repeats"] == "exclusive":
             return NEVER
         if ran and category["repeats"] == "ticketed":
@@ -591,19 +561,13 @@
             return
         own = volume.own.level * 10_000 / span
         others = max(total - own, 0.0)
-        volume.others = others if not volume.told else (volume.others + others) / 2
-        volume.told, volume.own = True, Store(0.0, now)
+        volume.others = others if volume.others < 0 else (volume.others + others) / 2
+        volume.own = Store(0.0, now)
 
     def abandoned(self, now: int, transfer: int) -> None:
         if transfer in self.transfers:
             self.cue(self.transfers[transfer], Cue.CLOSED, now)
 
-    def flowing(self, now: int, transfer: int, number: int) -> None:
-        """A stream that flows is bound to its dispatch: only its end matters then."""
-
-    def probed(self, now: int, node: int, outcome: Outcome, latency: int, report: Mapping[str, float]) -> None:
-        """No probe is sent."""
-
     def woken(self, now: int, what: object) -> None:
         if isinstance(what, Transfer):
             self.cue(what, Cue.ENDING, now)
@@ -611,7 +575,7 @@
             what.wake_at = NEVER
             self.touched[what.id] = what
         elif what == "ask":
-            self.ask(now)
+            self.ask()
 
     def cue(self, transfer: Transfer, cue: Cue, now: int) -> None:
         """One step of a transfer by the table."""
@@ -630,7 +594,7 @@
         if transfer.node is not None and transfer.queue is not None:
             transfer.node.take(transfer)
             transfer.node.credit += transfer.spent
-        ran = [each for each in transfer.dispatches if each.may_have_run()]
+        ran = [each for each in transfer.dispatches if each.outcome not in NEVER_RAN]
         category = transfer.category
         if answer and (not ran or category["repeats"] == "rerunnable"
                        or (category["repeats"] == "ticketed" and category["group"] == "all")):
--- a/milletsill/wirehost/host.py
+++ b/milletsill/wirehost/host.py
@@ -82,11 +82,8 @@
             module.woken(now, self.timers.pop(fields[0], None))
         elif event.code == codec.ABANDONED:
             module.abandoned(now, fields[0])
-        elif event.code == codec.FLOWING:
-            module.flowing(now, fields[0], fields[1])
-        elif event.code == codec.PROBED:
-            module.probed(now, fields[0], codec.pick(codec.OUTCOMES, fields[2], "outcome"), fields[1] // UNIT,
-                          codec.report_of(event.tail, self.fields))
+        # Flowing needs no decision: a transfer that is out is left alone until its dispatch ends. Probed and
+        # NoteFrom answer what the module never asks for.
 
 
 def whereabouts(error: BaseException) -> str:
