--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -18,15 +18,15 @@
 
 # Tuned values. Shares and counts only: every span comes from the facts or from what is seen.
 FIRST_WINDOW, LEAST_WINDOW, MOST_WINDOW = 2.0, 1.0, 32.0
-NEAR, FAR = 1.15, 1.5         # the window widens below, narrows above this multiple of the best pace
+NEAR, FAR = 1.1, 1.4         # the window widens below, narrows above this multiple of the best pace
 NARROWER = 0.95              # what an answer of a slow node leaves of the window
 SMOOTH = 1 / 8               # weight of a new latency
-FORGET = 1 / 200             # how fast the best pace is forgotten
+FORGET = 1 / 800             # how fast the best pace is forgotten
 FIRST_M = 10                 # M starts at the target time over this
 HOPE = 0.6                   # share of the expected service that a transfer must still find before its target time
 PART = 0.5                   # part of a volume's reserve where its use is not told: its gateways to the minus this
 SHARE = 1.0                  # a volume's estimated share, against its usual rate
-RUN, RUN_SLACK, HIT = 8, 0.5, 0.5
+RUN, HIT = 4, 0.5
 FOLLOW_WAIT = 0.5            # longest wait for a follower, as a share of the expected service
 CREDITS = 4                  # new objects and further dispatches that a node may have unanswered at this gateway
 ENDING_TICKS = 2             # a held transfer is answered this many ticks before its client gives up
@@ -356,7 +356,7 @@
 
     def run_on(self, node: Node, first: Transfer, now: int) -> None:
         """The rest of a run leaves behind its first transfer, before another extent comes between them."""
-        slack = min((each[2].tag - now for each in node.due[:1]), default=NEVER) * RUN_SLACK
+        slack = min((each[2].tag - now for each in node.due[:1]), default=NEVER)
         spent = 0.0
         at = bisect_left(node.extents, (first.extent,))
         run = [each[2] for each in node.extents[at:at + RUN] if each[0] == first.extent]
