--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -1,10 +1,10 @@
 """Every decision of milletsill: what leaves when, for which storage node, and what is given up.
 
 A host makes one Scheduler per gateway with the facts, the seed, the time and a Port, tells it each event by
-`listed`, `taken`, `returned`, `woken` and so on, and calls `settle` when it has told all it knows for now; the
-module answers through the Port. The types are in interface.py, which also names the facts. Times are whole
-tenths of a millisecond. The design is batch-and-delay EDF (docs/design.md): each Node has an extent-sorted queue,
-a deadline queue and a background queue; `choose` is its ordinary path, `wait_for` the gate of the seven rules.
+`listed`, `taken`, `returned`, `abandoned` and `woken`, and calls `settle` when it has told all it knows for now;
+the module acts through the Port. Types and the names of the facts are in interface.py. Times are whole tenths of
+a millisecond. The design is batch-and-delay EDF (docs/design.md): each Node has an extent-sorted queue, a deadline
+queue and a background queue; `choose` is the ordinary path, `wait_for` the gate of the seven rules.
 """
 from __future__ import annotations
 
@@ -18,25 +18,24 @@
 
 # Tuned values. Shares and counts only: every span comes from the facts or from what is seen.
 FIRST_WINDOW, LEAST_WINDOW, MOST_WINDOW = 2.0, 1.0, 32.0
-NEAR, FAR = 1.1, 1.4         # the window widens below, narrows above this multiple of the best pace
-NARROWER = 0.95              # what an answer of a slow node leaves of the window
-SMOOTH = 1 / 8               # weight of a new latency
-FORGET = 1 / 800             # how fast the best pace is forgotten
-FIRST_M = 10                 # M starts at the target time over this
-HOPE = 0.6                   # share of the expected service that a transfer must still find before its target time
-PART = 0.5                   # part of a volume's reserve where its use is not told: its gateways to the minus this
-SHARE = 1.0                  # a volume's estimated share, against its usual rate
-RUN, HIT = 4, 0.5
-FOLLOW_WAIT = 0.5            # longest wait for a follower, as a share of the expected service
-CREDITS = 4                  # new objects and further dispatches that a node may have unanswered at this gateway
-ENDING_TICKS = 2             # a held transfer is answered this many ticks before its client gives up
-ASK_AGAIN = 1 / 8            # share of the stated time after which a failed watch is asked for again
-REST = 2                     # a node that did not answer is left alone for this many smoothed latencies
-
+NEAR, FAR = 1.1, 1.4  # the window widens below, narrows above this multiple of the best pace
+NARROWER = 0.95       # what an answer above it leaves of the window
+SMOOTH = 1 / 8        # weight of a new latency
+FORGET = 1 / 800      # how fast the best pace is forgotten, an answer
+FIRST_M = 10          # M starts at the target time over this
+HOPE = 0.6            # a transfer is still in time with this share of its expected service left
+PART = 0.5            # where no use is told, a gateway's part of a reserve is one over its gateways to this power
+SHARE = 1.0           # a volume's estimated share, against its usual rate
+RUN, HIT = 4, 0.5     # most transfers that leave at once behind the first of their extent; what each costs of a service
+FOLLOW_WAIT = 0.5     # longest wait for a follower, as a share of the expected service
+CREDITS = 4           # new objects and further dispatches that a node may have unanswered at this gateway
+ENDING_TICKS = 2      # a held transfer is answered this many ticks before its client gives up
+ASK_AGAIN = 1 / 8     # share of the stated time after which a failed watch is asked for again
+REST = 2              # a node that turned away or lapsed is left alone for this many smoothed latencies
 
 Phase = Enum("Phase", "HELD OUT OVER")
-# SENT; CLOSED: the client has its answer or has left; AGAIN, LAST: no dispatch is out any more, and another is
-# lawful or not; HOPELESS: nothing this gateway can still do would be of use; ENDING: the client is about to leave.
+# CLOSED: the client has its answer or has left; AGAIN, LAST: no dispatch is out any more, and another is lawful
+# or not; HOPELESS: nothing this gateway can still do would be of use; ENDING: the client is about to leave.
 Cue = Enum("Cue", "SENT CLOSED AGAIN LAST HOPELESS ENDING")
 # SILENT: did not answer, tried with one transfer at a time; RETURNED: proves itself; BARRED: draining or gone.
 Health = Enum("Health", "STEADY SILENT RETURNED BARRED")
@@ -63,8 +62,6 @@
 NO_WORD = (Outcome.TIMED_OUT, Outcome.UNREACHED, Outcome.RESET)
 UNSETTLED = (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)
 NEVER = 1 << 60
-
-
 Queue = list[tuple[int, int, "Transfer"]]  # (order, number, transfer)
 
 
@@ -75,8 +72,7 @@
         self.level, self.at = level, now
 
     def fill(self, now: int, rate: float, most: float) -> float:
-        self.level = min(self.level + rate * (now - self.at) / 10_000, most)
-        self.at = now
+        self.level, self.at = min(self.level + rate * (now - self.at) / 10_000, most), now
         return self.level
 
 
@@ -95,24 +91,27 @@
 
     def __init__(self, arrival: Arrival, category: Mapping[str, Any], volume: Volume, now: int) -> None:
         self.id, self.extent, self.volume, self.category = arrival.id, arrival.extent, volume, category
-        self.cell, self.units, self.ends = arrival.cell, arrival.units, arrival.ends
+        self.cell, self.units, self.ends, self.level = arrival.cell, arrival.units, arrival.ends, 0
         # A client's repeat counts from its first try: its patience runs over all its tries.
-        self.start = min(now, arrival.ends - category["patience"]) if arrival.repeat else now
-        self.target = min(self.start + category["target_time"], arrival.ends)
-        self.tag = self.target
-        self.utility = category["utility"] * volume.plan["price"]  # a unit, times its level below
-        self.phase = Phase.HELD
+        start = min(now, arrival.ends - category["patience"]) if arrival.repeat else now
+        self.target = self.tag = min(start + category["target_time"], arrival.ends)
+        self.utility = category["utility"] * volume.plan["price"]  # of a unit
+        self.phase, self.spent = Phase.HELD, False
         self.node: Node | None = None
         self.queue: Queue | None = None
-        self.spent = False
         self.dispatches: list[Dispatch] = []
 
+    def ran(self) -> list[Dispatch]:
+        """The dispatches that may have run."""
+        return [each for each in self.dispatches if each.outcome not in NEVER_RAN]
+
 
 class Dispatch:
     """One sending of a transfer; `outcome` is None while it is out."""
 
-    def __init__(self, transfer: Transfer, node: Node, now: int, full: bool) -> None:
-        self.transfer, self.node, self.sent, self.full = transfer, node, now, full
+    def __init__(self, transfer: Transfer, node: Node, now: int) -> None:
+        self.transfer, self.node, self.sent = transfer, node, now
+        self.full = len(node.out) + 1 >= int(node.window)
         self.outcome: Outcome | None = None
 
 
@@ -131,41 +130,24 @@
         self.id, self.cell, self.zone, self.since = entry.node, entry.cell, entry.zone, entry.since
         self.health = Health.STEADY
         self.due: Queue = []         # deadline queue, by tag
-        self.background: Queue = []  # by arrival
+        self.background: Queue = []  # first in, first out
         self.late: Queue = []        # background past its target time
-        self.extents: Queue = []     # all held ones, by extent
+        self.extents: Queue = []     # all of these, by extent
         self.out: list[Dispatch] = []
-        self.units_held = 0.0
-        self.window = FIRST_WINDOW
-        self.latency: float | None = None  # M, smoothed
-        self.pace: float | None = None     # smoothed latency a unit of cost
-        self.best = 0.0
-        self.credit = CREDITS
+        self.window, self.credit = FIRST_WINDOW, CREDITS
+        self.latency: float | None = None  # M
+        self.pace, self.best = 0.0, 0.0    # smoothed latency a unit, and its recent best
         self.follow: Transfer | None = None
-        self.follow_until = 0
-        self.heard = 0                     # when it last answered
-        self.rest_until = 0
+        self.follow_until = self.heard = self.rest_until = 0
         self.wake_at = NEVER
         self.sends: deque[tuple[int, float]] = deque()  # units sent within the window of rule 4
 
-    def put(self, queue: Queue, order: int, number: int, transfer: Transfer) -> None:
-        transfer.node, transfer.queue = self, queue
-        insort(queue, (order, number, transfer))
-        insort(self.extents, (transfer.extent, number, transfer))
-        self.units_held += transfer.units
-
     def take(self, transfer: Transfer) -> None:
-        """Take a held transfer out of every queue."""
-        queue = transfer.queue
-        if queue is None:
-            return
-        queue[:] = [each for each in queue if each[2] is not transfer]
-        at = bisect_left(self.extents, (transfer.extent,))
-        while self.extents[at][2] is not transfer:
-            at += 1
-        del self.extents[at]
-        self.units_held -= transfer.units
-        transfer.queue = None
+        """Take a held transfer out of its queues."""
+        if transfer.queue is not None:
+            for queue in (transfer.queue, self.extents):
+                queue[:] = [each for each in queue if each[2] is not transfer]
+            transfer.queue = None
 
 
 class Scheduler:
@@ -181,54 +163,42 @@
         self.keys: dict[int, KeyLine] = {}
         self.unplaced: list[Transfer] = []
         self.touched: dict[int, Node] = {}
-        self.numbers = 0
         self.taken_at: deque[int] = deque()
         self.further_at: deque[int] = deque()
-        self.asks = 0
+        self.numbers = self.asks = 0
         if facts["list_on_request"]:
             self.ask()
 
-    # ---- the list of nodes ------------------------------------------------------------------------------
-
     def ask(self) -> None:
         self.asks += 1
         self.port.watch()
 
     def listed(self, now: int, news: News, entries: Sequence[Listed]) -> None:
         if news is News.FAILED:
-            # Guards rule 3 against a lost or refused subscription, whatever the cause; each asking costs
-            # list lines, so it harms if the list is slow for long: the pause then doubles.
-            pause = self.facts["ask_within"] * min(ASK_AGAIN * 2 ** min(self.asks, 2), 1 / 2)
-            self.port.wake(now + int(pause * self.uniform(0.3, 1)), "ask")
+            # Guards rule 3 against a lost or refused subscription, whatever the cause. Each asking costs list
+            # lines, so it could harm a list that is slow for long: the pause then grows.
+            pause = self.facts["ask_within"] * min(ASK_AGAIN * self.asks, 1 / 2)
+            self.port.wake(now + int(pause * self.uniform(0.5, 1)), "ask")
             return
-        self.asks = 0 if news is not News.CACHED else self.asks
-        named = {entry.node for entry in entries}
+        self.asks = self.asks if news is News.CACHED else 0
         for entry in entries:
-            self.told_of(entry, now, news)
-        if news is not News.CHANGES:
-            for node in self.nodes.values():
-                if node.id not in named:
-                    self.sign(node, Sign.UNREADY, now)
-
-    def told_of(self, entry: Listed, now: int, news: News) -> None:
-        node = self.nodes.get(entry.node)
-        if node is None:
-            node = self.nodes[entry.node] = Node(entry)
-            if news is News.CACHED:
+            node = self.nodes.get(entry.node)
+            fresh = entry.since is not None and (node is None or entry.since != node.since)
+            if node is None:
+                node = self.nodes[entry.node] = Node(entry)
+            node.cell, node.zone, node.since = entry.cell, entry.zone, entry.since
+            if fresh and now - self.born <= self.facts["cold_window"]:
                 # Guards rule 4: a former self may have spent this gateway's part of a cold node's budget.
                 node.sends.append((now, self.cold_part(node, now)))
-        node.cell, node.zone = entry.cell, entry.zone
-        fresh = entry.since is not None and entry.since != node.since
-        node.since = entry.since
-        ready = entry.readiness is Readiness.READY
-        self.sign(node, Sign.UNREADY if not ready else Sign.FRESH if fresh else Sign.READY, now)
+            ready = entry.readiness is Readiness.READY
+            self.sign(node, Sign.UNREADY if not ready else Sign.FRESH if fresh else Sign.READY, now)
+        for node in self.nodes.values():
+            if news is not News.CHANGES and node.id not in {entry.node for entry in entries}:
+                self.sign(node, Sign.UNREADY, now)
 
     def sign(self, node: Node, sign: Sign, now: int) -> None:
         """One step of a node's health by the table."""
-        step = NODE_TABLE.get((node.health, sign))
-        if step is None:
-            return
-        node.health, effect = step
+        node.health, effect = NODE_TABLE.get((node.health, sign), (node.health, ""))
         self.touched[node.id] = node
         if effect == "rest":
             node.window, node.credit = LEAST_WINDOW, 0
@@ -240,10 +210,36 @@
             for transfer in held:
                 node.take(transfer)
 
+    def taken(self, now: int, arrival: Arrival) -> None:
+        category, plan = self.facts["categories"][arrival.category], self.facts["plans"][arrival.plan]
+        volume = self.volumes.get(arrival.volume)
+        if volume is None:
+            volume = self.volumes[arrival.volume] = Volume(plan, arrival.gateways, self.born)
+        volume.gateways = max(volume.gateways, arrival.gateways)
+        transfer = self.transfers[arrival.id] = Transfer(arrival, category, volume, now)
+        transfer.level = self.level(volume, transfer.units, now)
+        transfer.utility *= (1.0, self.facts["share_utility"], self.facts["spare_utility"])[transfer.level]
+        self.taken_at.append(now)
+        if category["in_order"] and transfer.extent:
+            self.keys.setdefault(transfer.extent, KeyLine()).line.append(transfer)
+        self.port.wake(transfer.ends - ENDING_TICKS * self.facts["tick"], transfer)
+        self.unplaced.append(transfer)
+
+    def level(self, volume: Volume, units: float, now: int) -> int:
+        """0 inside this gateway's estimated part of the volume's reserve, 1 inside that of its share, else 2."""
+        rate, part = volume.plan["reserve_rate"], volume.gateways ** -PART
+        reserve = max(rate / volume.gateways, rate - volume.others) if volume.others >= 0 else rate * part
+        share = SHARE * volume.plan["usual_rate"] * part
+        for level, (store, fill) in enumerate(((volume.reserve, reserve), (volume.share, share))):
+            if store.fill(now, fill, fill + self.facts["largest_units"]) >= units:
+                store.level -= units
+                return level
+        return 2
+
     def place(self, transfer: Transfer, now: int) -> bool:
         """Give a transfer to the node of its cell; a new object goes where credit is left and the wait is least."""
         ready = [node for node in self.nodes.values() if node.health is not Health.BARRED
-                 and (node.cell == transfer.cell if transfer.cell is not None else node.credit > 0)]
+                 and (node.cell == transfer.cell if transfer.cell is not None else self.credit(node, now) > 0)]
         if not ready:
             return False
         if transfer.cell is None:
@@ -256,63 +252,36 @@
         self.hold(transfer, ready[0], now)
         return True
 
+    def credit(self, node: Node, now: int) -> int:
+        """A node without credit that has nothing to answer is tried with one, else it could earn none."""
+        return max(node.credit, int(not node.out and not node.extents and now >= node.rest_until))
+
     def backlog(self, node: Node, now: int, usual: float, more: float) -> float:
-        """How long some more units would take at a node; an answer long due counts as the node's pace."""
-        ahead = sum(each.transfer.units for each in node.out) + node.units_held + more
+        """How long some more units would take at a node; an answer that is overdue counts in full."""
+        ahead = sum(each.transfer.units for each in node.out) + sum(each[2].units for each in node.extents) + more
         overdue = max((now - max(each.sent, node.heard) for each in node.out), default=0)
         return ahead * (node.pace or usual) / node.window + max(overdue - (node.latency or 0.0), 0.0)
 
-    # ---- taking and classifying -------------------------------------------------------------------------
-
-    def taken(self, now: int, arrival: Arrival) -> None:
-        category = self.facts["categories"][arrival.category]
-        volume = self.volumes.get(arrival.volume)
-        if volume is None:
-            plan = self.facts["plans"][arrival.plan]
-            volume = self.volumes[arrival.volume] = Volume(plan, arrival.gateways, self.born)
-        volume.gateways = max(volume.gateways, arrival.gateways)
-        transfer = Transfer(arrival, category, volume, now)
-        self.transfers[transfer.id] = transfer
-        self.taken_at.append(now)
-        if category["in_order"] and transfer.extent:
-            self.keys.setdefault(transfer.extent, KeyLine()).line.append(transfer)
-        self.port.wake(transfer.ends - ENDING_TICKS * self.facts["tick"], transfer)
-        transfer.level = self.level(volume, transfer.units, now)
-        transfer.utility *= (1.0, self.facts["share_utility"], self.facts["spare_utility"])[transfer.level]
-        self.unplaced.append(transfer)
-
-    def level(self, volume: Volume, units: float, now: int) -> int:
-        """0 inside this gateway's estimated part of the volume's reserve, 1 inside that of its share, else 2."""
-        rate, even = volume.plan["reserve_rate"], volume.gateways ** -PART
-        reserve = max(rate / volume.gateways, rate - volume.others) if volume.others >= 0 else rate * even
-        share = SHARE * volume.plan["usual_rate"] * even
-        for level, (store, part) in enumerate(((volume.reserve, reserve), (volume.share, share))):
-            if store.fill(now, part, part + self.facts["largest_units"]) >= units:
-                store.level -= units
-                return level
-        return 2
-
     def hold(self, transfer: Transfer, node: Node, now: int) -> None:
         """Queue a transfer at a node: by its tag, or behind as background."""
-        self.touched[node.id] = node
+        self.touched[node.id] = transfer.node = node
         m = node.latency if node.latency is not None else transfer.category["target_time"] / FIRST_M
         transfer.tag = transfer.target - int(m)
         missed = now + HOPE * self.service(transfer, node) > transfer.target
-        queue = node.late if missed else node.background if transfer.level else node.due
-        self.put(transfer, node, queue)
+        self.put(transfer, node, node.late if missed else node.background if transfer.level else node.due)
 
     def put(self, transfer: Transfer, node: Node, queue: Queue) -> None:
         self.numbers += 1
-        node.put(queue, transfer.tag if queue is node.due else self.numbers, self.numbers, transfer)
+        transfer.queue = queue
+        insort(queue, (transfer.tag if queue is node.due else self.numbers, self.numbers, transfer))
+        insort(node.extents, (transfer.extent, self.numbers, transfer))
 
     def service(self, transfer: Transfer, node: Node) -> float:
         """Expected time from a dispatch to its answer."""
-        return (node.pace or 0.0) * transfer.units
-
-    # ---- choosing ---------------------------------------------------------------------------------------
+        return node.pace * transfer.units
 
     def settle(self, now: int) -> None:
-        """Place what has no node, then fill every node's window that something happened to."""
+        """Place what has no node, then fill the window of every node that something happened to."""
         if self.unplaced:
             self.unplaced = [each for each in self.unplaced
                              if each.phase is Phase.HELD and not self.place(each, now)]
@@ -322,11 +291,12 @@
         self.touched.clear()
 
     def relieve(self, node: Node, now: int) -> None:
-        """Where a queue cannot all leave in time, its least useful transfers go behind, and from the last queue away.
+        """Where a queue cannot all leave in time its least useful go behind, and from the last queue away.
 
-        Keeps any overdue backlog (surge, slow node, stall, lost nodes) from making EDF serve late work only.
+        Keeps any overdue backlog (surge, slow or stalled node, lost nodes) from making EDF serve late work only.
+        It could harm where the pace misleads: then work is declined that a quicker node would still have done.
         """
-        clock, step = float(now), (node.pace or 0.0) / node.window
+        clock, step = float(now), node.pace / node.window
         for queue, onward in ((node.due, node.background), (node.background, node.late), (node.late, None)):
             while (found := self.crowded(node, queue, clock, step, onward is None)) is not None:
                 node.take(found)
@@ -354,74 +324,65 @@
             self.dispatch(transfer, node, now)
             self.run_on(node, transfer, now)
 
-    def run_on(self, node: Node, first: Transfer, now: int) -> None:
-        """The rest of a run leaves behind its first transfer, before another extent comes between them."""
-        slack = min((each[2].tag - now for each in node.due[:1]), default=NEVER)
-        spent = 0.0
-        at = bisect_left(node.extents, (first.extent,))
-        run = [each[2] for each in node.extents[at:at + RUN] if each[0] == first.extent]
-        for transfer in run:
-            spent += self.service(transfer, node) * HIT
-            if spent > slack or len(node.out) >= MOST_WINDOW or self.wait_for(transfer, node, now):
-                return
-            self.dispatch(transfer, node, now)
-
-    def wake(self, node: Node, at: int, now: int) -> None:
-        if at < node.wake_at or node.wake_at <= now:
-            node.wake_at = at
-            self.port.wake(at, node)
-
-    def lawful(self, node: Node, queue: Queue, now: int) -> Transfer | None:
-        """The first of a queue that every rule lets go now; else a wake for when one may."""
-        soonest = NEVER
-        for each in queue:
-            wait = self.wait_for(each[2], node, now)
-            if wait == 0:
-                return each[2]
-            soonest = min(soonest, now + wait)
-        if soonest < NEVER:
-            self.wake(node, soonest, now)
-        return None
-
     def choose(self, node: Node, now: int) -> Transfer | None:
         """The ordinary path: a follower while the head is not due, then the head, then background."""
-        if node.health is not Health.STEADY:
-            # A node that comes back gets a little of the work that is worth most first.
-            queue = sorted(node.due, key=lambda each: -each[2].utility) or node.background or node.late
-            return self.lawful(node, queue, now)
+        if node.health is not Health.STEADY:  # a returned node gets a little of the work that is worth most
+            useful = sorted(node.due, key=lambda each: -each[2].utility)
+            return self.lawful(node, useful or node.background or node.late, now)
         head = self.lawful(node, node.due, now)
         if head is not None and head.tag > now and node.follow is not None:
-            follower = self.follower(node, node.follow, head, now)
-            if follower is not None:
-                return follower
+            near = self.run_of(node, node.follow) + [each[2] for each in node.due if
+                                                     each[2].volume is node.follow.volume]
+            for transfer in near:  # its cost is charged to the head's slack
+                if self.service(transfer, node) <= head.tag - now and not self.wait_for(transfer, node, now):
+                    return transfer
             bound = min(node.follow_until, head.tag - int(self.service(head, node)))
             if node.out and now < bound and int(node.window) - len(node.out) == 1:
                 self.wake(node, bound, now)
                 return None
         return head or self.lawful(node, node.background, now) or self.lawful(node, node.late, now)
 
-    def follower(self, node: Node, last: Transfer, head: Transfer, now: int) -> Transfer | None:
-        """The next held transfer of the extent just finished, else of its volume, if the head can bear its cost."""
-        slack = head.tag - now
+    def run_of(self, node: Node, last: Transfer) -> list[Transfer]:
+        """The held transfers of the same extent."""
         at = bisect_left(node.extents, (last.extent,))
-        same = []
-        while at < len(node.extents) and node.extents[at][0] == last.extent:
-            same.append(node.extents[at][2])
-            at += 1
-        same += [each[2] for each in node.due if each[2].volume is last.volume]
-        for transfer in same:
-            if self.service(transfer, node) <= slack and self.wait_for(transfer, node, now) == 0:
+        return [each[2] for each in node.extents[at:at + RUN] if each[0] == last.extent]
+
+    def run_on(self, node: Node, first: Transfer, now: int) -> None:
+        """The rest of a run leaves behind its first, as far as the head's slack bears it and beyond the window.
+
+        Guards against others' sends coming between, which make the node forget the extent. It could harm short
+        work behind a long run: hence the bounds.
+        """
+        slack = min((each[2].tag - now for each in node.due[:1]), default=NEVER)
+        for transfer in self.run_of(node, first):
+            slack -= self.service(transfer, node) * HIT
+            if slack < 0 or len(node.out) >= MOST_WINDOW or self.wait_for(transfer, node, now):
+                return
+            self.dispatch(transfer, node, now)
+
+    def lawful(self, node: Node, queue: Queue, now: int) -> Transfer | None:
+        """The first of a queue that every rule lets go now; else a wake for when one may."""
+        soonest = NEVER
+        for _, _, transfer in queue:
+            wait = self.wait_for(transfer, node, now)
+            if not wait:
                 return transfer
+            soonest = min(soonest, wait)
+        if soonest < NEVER:
+            self.wake(node, now + soonest, now)
         return None
 
-    # ---- the gate: every send passes here ---------------------------------------------------------------
+    def wake(self, node: Node, at: int, now: int) -> None:
+        if at < node.wake_at or node.wake_at <= now:
+            node.wake_at = at
+            self.port.wake(at, node)
+
+    # The gate: every send passes `wait_for` and then `dispatch`, and nothing else sends.
 
     def wait_for(self, transfer: Transfer, node: Node, now: int) -> int:
         """0 if the transfer may go to the node now, else how long to wait before asking again."""
-        if transfer.phase is Phase.OVER or now >= transfer.ends:
-            return NEVER  # rule 1
-        if node.health is Health.BARRED:
-            return NEVER  # rule 3: no grace is used
+        if transfer.phase is Phase.OVER or now >= transfer.ends or node.health is Health.BARRED:
+            return NEVER  # rules 1 and 3; no grace is used
         return max(self.repeat_wait(transfer, node, now), self.cold_wait(transfer, node, now),
                    self.key_wait(transfer, now), self.limit_wait(transfer, now))
 
@@ -429,19 +390,16 @@
         """Rules 2 and 6, and credit: whether and when a further dispatch is lawful."""
         if not transfer.dispatches:
             return 0
-        facts, category = self.facts, transfer.category
-        if len(transfer.dispatches) >= facts["most_dispatches"] or (node.credit <= 0 and not transfer.spent):
-            return NEVER
-        if any(each.outcome is None for each in transfer.dispatches) and not facts["may_copy"]:
-            return NEVER
-        ran = [each for each in transfer.dispatches if each.outcome not in NEVER_RAN]
-        if ran and category["repeats"] == "exclusive":
+        facts, category, ran = self.facts, transfer.category, transfer.ran()
+        places = {"all": lambda other: True, "zone": lambda other: other.zone == node.zone}
+        same = places.get(category["group"], lambda other: other.cell == node.cell)
+        if (len(transfer.dispatches) >= facts["most_dispatches"]
+                or not (transfer.spent or self.credit(node, now) > 0)
+                or any(each.outcome is None for each in transfer.dispatches) and not facts["may_copy"]
+                or ran and category["repeats"] == "exclusive"
+                or ran and category["repeats"] == "ticketed" and (
+                    now >= ran[0].sent + category["repeat_window"] or not all(same(each.node) for each in ran))):
             return NEVER
-        if ran and category["repeats"] == "ticketed":
-            if now >= ran[0].sent + category["repeat_window"] or not all(
-                    category["group"] == "all" or (category["group"] == "zone" and each.node.zone == node.zone)
-                    or (category["group"] == "cell" and each.node.cell == node.cell) for each in ran):
-                return NEVER
         span = facts["further_window"]
         if span is None:
             return 0
@@ -449,26 +407,27 @@
             self.further_at.popleft()
         while self.taken_at and self.taken_at[0] <= now - span + 1:
             self.taken_at.popleft()
-        most = facts["further_free"] + facts["further_ratio"] * len(self.taken_at)
-        return 0 if len(self.further_at) + 1 <= most else max(self.further_at[0] + span + 2 - now, 1)
+        if len(self.further_at) + 1 <= facts["further_free"] + facts["further_ratio"] * len(self.taken_at):
+            return 0
+        return max(self.further_at[0] + span + 2 - now, 1) if self.further_at else span
 
     def cold_part(self, node: Node, now: int) -> float:
-        """This gateway's part of what a cold node bears within the window of rule 4, from the least it can be."""
-        if node.since is None or now - node.since >= self.facts["warm_after"]:
+        """This gateway's part of what a cold node bears within the window of rule 4, at the least; 0: warm."""
+        age, warm = now - (node.since or 0), self.facts["warm_after"]
+        if node.since is None or age >= warm:
             return 0.0
         least = self.facts["cold_from"] or 1.0
-        grown = least + (1 - least) * max(now - node.since, 0) / self.facts["warm_after"]
-        return self.facts["cold_units"] / self.facts["gateways"] * grown / least
+        return self.facts["cold_units"] / self.facts["gateways"] * (1 + (1 / least - 1) * max(age, 0) / warm)
 
     def cold_wait(self, transfer: Transfer, node: Node, now: int) -> int:
         """Rule 4."""
-        span = self.facts["cold_window"]
-        while node.sends and node.sends[0][0] < now - span - 1:
+        span = self.facts["cold_window"] + 2
+        while node.sends and node.sends[0][0] + span <= now:
             node.sends.popleft()
         part = self.cold_part(node, now)
         if not part or sum(units for _, units in node.sends) + transfer.units <= part:
             return 0
-        return max(node.sends[0][0] + span + 2 - now, 1) if node.sends else int(self.facts["tick"]) * 50
+        return node.sends[0][0] + span - now if node.sends else span
 
     def key_wait(self, transfer: Transfer, now: int) -> int:
         """Rule 5."""
@@ -479,7 +438,7 @@
                 each.outcome is not None for each in keyed.line[0].dispatches):
             keyed.line.popleft()
         if keyed.line[0] is not transfer:
-            return NEVER
+            return self.facts["tick"]
         return 0 if transfer.dispatches else max(keyed.rest_until - now, 0)
 
     def limit_wait(self, transfer: Transfer, now: int) -> int:
@@ -496,67 +455,58 @@
         number = len(transfer.dispatches)
         if number and not transfer.spent:
             node.credit -= 1
-            transfer.spent = True
         if number:
             self.further_at.append(now)
         elif transfer.volume.plan["limit_rate"]:
             transfer.volume.limit.level -= transfer.units
         node.take(transfer)
-        sent = Dispatch(transfer, node, now, len(node.out) + 1 >= int(node.window))
+        sent = self.outstanding[transfer.id, number] = Dispatch(transfer, node, now)
         transfer.dispatches.append(sent)
-        self.outstanding[transfer.id, number] = sent
         node.out.append(sent)
         node.sends.append((now, transfer.units))
+        # A silent node is tried for a target time only, so that its window is not held for a whole patience.
         trial = node.health is Health.SILENT
         self.port.send(transfer.id, node.id, transfer.category["target_time"] if trial else 0)
         self.cue(transfer, Cue.SENT, now)
 
-    # ---- answers ----------------------------------------------------------------------------------------
-
     def returned(self, now: int, answer: Answer) -> None:
         sent = self.outstanding.pop((answer.id, answer.number), None)
         if sent is None:
             return
-        sent.outcome = answer.outcome
-        node, transfer = sent.node, sent.transfer
+        sent.outcome, node, transfer = answer.outcome, sent.node, sent.transfer
         node.out.remove(sent)
         self.touched[node.id] = node
-        if answer.outcome is Outcome.MOOT:
-            node.credit += transfer.spent
-        elif answer.outcome in NO_WORD:
-            if node.heard <= sent.sent:
-                self.sign(node, Sign.LAPSE, now)
-        elif answer.outcome is not Outcome.CANCELLED:
-            self.heard_from(node, sent, answer, now)
+        if answer.outcome in NO_WORD and node.heard <= sent.sent:
+            self.sign(node, Sign.LAPSE, now)
+        elif answer.outcome not in UNSETTLED + (Outcome.MOOT,):
+            self.heard_from(sent, answer, now)
         if answer.outcome in UNSETTLED and transfer.extent in self.keys:
             self.keys[transfer.extent].rest_until = now + self.facts["key_rest"]
         if answer.used is not None:
-            self.told_use(transfer.volume, answer, now)
+            self.told_use(transfer.volume, answer.used, now)
         if answer.over or answer.outcome is Outcome.SATISFIED:
             self.cue(transfer, Cue.CLOSED, now)
-        elif transfer.phase is Phase.OUT and not any(each.outcome is None for each in transfer.dispatches):
+        elif not any(each.outcome is None for each in transfer.dispatches):
             transfer.spent = False
             late = now >= transfer.ends - ENDING_TICKS * self.facts["tick"]
-            self.cue(transfer, Cue.LAST if late or self.repeat_wait(transfer, node, now) >= NEVER else Cue.AGAIN, now)
+            never = late or self.repeat_wait(transfer, node, now) >= NEVER
+            self.cue(transfer, Cue.LAST if never else Cue.AGAIN, now)
 
-    def heard_from(self, node: Node, sent: Dispatch, answer: Answer, now: int) -> None:
+    def heard_from(self, sent: Dispatch, answer: Answer, now: int) -> None:
         """An answer earns credit and moves M and the window."""
-        node.heard, transfer = now, sent.transfer
-        node.credit = min(node.credit + 1, CREDITS)
+        node, transfer = sent.node, sent.transfer
+        node.heard, node.credit = now, min(node.credit + 1, CREDITS)
         self.sign(node, Sign.ANSWER, now)
         if answer.outcome is Outcome.TURNED_AWAY:
             node.window = max(node.window / 2, LEAST_WINDOW)
             node.rest_until = now + int(REST * (node.latency or self.facts["tick"]))
-            return
         if answer.outcome is not Outcome.SATISFIED:
             return
-        node.follow = transfer
-        node.follow_until = now + int(FOLLOW_WAIT * self.service(transfer, node))
+        node.follow, node.follow_until = transfer, now + int(FOLLOW_WAIT * self.service(transfer, node))
         transfer.volume.own.level += transfer.units
         pace = answer.latency / transfer.units
-        if node.pace is None or node.latency is None:
+        if node.latency is None:
             node.latency, node.pace, node.best = float(answer.latency), pace, pace
-            return
         node.latency += SMOOTH * (answer.latency - node.latency)
         node.pace += SMOOTH * (pace - node.pace)
         node.best = min(node.best + FORGET * (node.pace - node.best), node.pace)
@@ -564,19 +514,15 @@
             node.window = max(node.window * NARROWER, LEAST_WINDOW)
         elif node.pace < NEAR * node.best and sent.full:
             node.window = min(node.window + 1 / node.window, MOST_WINDOW)
-            if node.window >= FIRST_WINDOW:
-                self.sign(node, Sign.PROVEN, now)
+            self.sign(node, Sign.PROVEN, now)
 
-    def told_use(self, volume: Volume, answer: Answer, now: int) -> None:
-        """From what the volume used everywhere, estimate what others use of it; own use is what was answered here."""
-        total = (answer.used or 0) / 100 * volume.plan["usual_rate"]
+    def told_use(self, volume: Volume, used: int, now: int) -> None:
+        """What others use of a volume: its use everywhere less what was satisfied here, once a period."""
         span = max(now - volume.own.at, 1)
-        if span < max(self.facts["meter"], self.facts["tick"]):
-            return
-        own = volume.own.level * 10_000 / span
-        others = max(total - own, 0.0)
-        volume.others = others if volume.others < 0 else (volume.others + others) / 2
-        volume.own = Store(0.0, now)
+        if span >= max(self.facts["meter"], self.facts["tick"]):
+            others = max(used / 100 * volume.plan["usual_rate"] - volume.own.level * 10_000 / span, 0.0)
+            volume.others = others if volume.others < 0 else (volume.others + others) / 2
+            volume.own = Store(0.0, now)
 
     def abandoned(self, now: int, transfer: int) -> None:
         if transfer in self.transfers:
@@ -593,25 +539,24 @@
 
     def cue(self, transfer: Transfer, cue: Cue, now: int) -> None:
         """One step of a transfer by the table."""
-        step = TRANSFER_TABLE.get((transfer.phase, cue))
-        if step is None:
-            return
-        transfer.phase, effect = step
-        if effect == "hold":
+        transfer.phase, effect = TRANSFER_TABLE.get((transfer.phase, cue), (transfer.phase, ""))
+        if effect == "hold" and transfer.cell is None and not transfer.ran():
+            self.unplaced.append(transfer)
+        elif effect == "hold" and transfer.node is not None:
             self.hold(transfer, transfer.node, now)
         elif effect:
-            self.end(transfer, effect == "give_up", now)
+            self.end(transfer, effect == "give_up")
 
-    def end(self, transfer: Transfer, answer: bool, now: int) -> None:
-        """Take a transfer that is over out of every place; where its client has no answer yet, give it."""
+    def end(self, transfer: Transfer, answer: bool) -> None:
+        """Take a transfer that is over out of every place; where its client has no answer yet, give it at once."""
         del self.transfers[transfer.id]
         if transfer.node is not None and transfer.queue is not None:
-            transfer.node.take(transfer)
             transfer.node.credit += transfer.spent
-        ran = [each for each in transfer.dispatches if each.outcome not in NEVER_RAN]
+            transfer.node.take(transfer)
         category = transfer.category
-        if answer and (not ran or category["repeats"] == "rerunnable"
-                       or (category["repeats"] == "ticketed" and category["group"] == "all")):
+        harmless = category["repeats"] == "rerunnable" or (
+            category["repeats"] == "ticketed" and category["group"] == "all")
+        if answer and (harmless or not transfer.ran()):
             self.port.decline(transfer.id, self.facts["longest_pause"] if self.facts["pause_told"] else 0)
         elif answer:
             self.port.abort(transfer.id)
