--- a/milletsill/interface.py
+++ b/milletsill/interface.py
@@ -69,7 +69,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """A transfer that the gateway has taken; `cell` is None for a new object, `ends` is a time of the clock."""
+    """A transfer that the gateway has taken; `cell` is None for a new object; `ends` is a clock time."""
 
     id: int
     extent: int
--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -1,10 +1,10 @@
 """Every decision of milletsill: what leaves when, for which storage node, and what is given up.
 
 A host makes one Scheduler per gateway with the facts, the seed, the time and a Port, tells it each event by
-`listed`, `taken`, `returned`, `abandoned` and `woken`, and calls `settle` when it has told all it knows for now;
-the module acts through the Port. Types and the names of the facts are in interface.py. Times are whole tenths of
-a millisecond. The design is batch-and-delay EDF (docs/design.md): each Node has an extent-sorted queue, a deadline
-queue and a background queue; `choose` is the ordinary path, `wait_for` the gate of the seven rules.
+`listed`, `taken`, `returned`, `abandoned` and `woken`, and calls `settle` when it has told all it knows for
+now; the module acts through the Port. Types and the names of the facts are in interface.py. Times are whole
+tenths of a millisecond. The design is batch-and-delay EDF (docs/design.md): each Node has an extent-sorted
+queue, a deadline queue and a background queue; `choose` is the ordinary path, `wait_for` the rules' gate.
 """
 from __future__ import annotations
 
@@ -24,9 +24,8 @@
 FORGET = 1 / 800      # how fast the best pace is forgotten, an answer
 FIRST_M = 10          # M starts at the target time over this
 HOPE = 0.6            # a transfer is still in time with this share of its expected service left
-PART = 0.5            # where no use is told, a gateway's part of a reserve is one over its gateways to this power
-SHARE = 1.0           # a volume's estimated share, against its usual rate
-RUN, HIT = 4, 0.5     # most transfers that leave at once behind the first of their extent; what each costs of a service
+PART = 0.5            # a gateway's part of a volume's reserve is one over its gateways to this power
+RUN, HIT = 4, 0.5     # most transfers that leave at once behind the first of their extent, and their cost
 FOLLOW_WAIT = 0.5     # longest wait for a follower, as a share of the expected service
 CREDITS = 4           # new objects and further dispatches that a node may have unanswered at this gateway
 ENDING_TICKS = 2      # a held transfer is answered this many ticks before its client gives up
@@ -34,10 +33,10 @@
 REST = 2              # a node that turned away or lapsed is left alone for this many smoothed latencies
 
 Phase = Enum("Phase", "HELD OUT OVER")
-# CLOSED: the client has its answer or has left; AGAIN, LAST: no dispatch is out any more, and another is lawful
-# or not; HOPELESS: nothing this gateway can still do would be of use; ENDING: the client is about to leave.
+# CLOSED: the client has its answer or has left; AGAIN, LAST: no dispatch is out, and another is lawful or
+# not; HOPELESS: nothing this gateway can still do would be of use; ENDING: the client is about to leave.
 Cue = Enum("Cue", "SENT CLOSED AGAIN LAST HOPELESS ENDING")
-# SILENT: did not answer, tried with one transfer at a time; RETURNED: proves itself; BARRED: draining or gone.
+# SILENT: did not answer, is tried one at a time; RETURNED: proves itself; BARRED: draining or gone.
 Health = Enum("Health", "STEADY SILENT RETURNED BARRED")
 Sign = Enum("Sign", "ANSWER PROVEN LAPSE READY FRESH UNREADY")
 
@@ -81,9 +80,8 @@
 
     def __init__(self, plan: Mapping[str, Any], gateways: int, now: int) -> None:
         self.plan, self.gateways = plan, gateways
-        self.reserve, self.share = Store(plan["reserve_rate"] / gateways, now), Store(0.0, now)
+        self.reserve = Store(plan["reserve_rate"] / gateways, now)
         self.limit = Store(0.0, now)  # guards rule 7: a former self may have spent all of it
-        self.own, self.others = Store(0.0, now), -1.0  # units a second that others seem to use; below 0: not told
 
 
 class Transfer:
@@ -91,7 +89,7 @@
 
     def __init__(self, arrival: Arrival, category: Mapping[str, Any], volume: Volume, now: int) -> None:
         self.id, self.extent, self.volume, self.category = arrival.id, arrival.extent, volume, category
-        self.cell, self.units, self.ends, self.level = arrival.cell, arrival.units, arrival.ends, 0
+        self.cell, self.units, self.ends, self.reserved = arrival.cell, arrival.units, arrival.ends, True
         # A client's repeat counts from its first try: its patience runs over all its tries.
         start = min(now, arrival.ends - category["patience"]) if arrival.repeat else now
         self.target = self.tag = min(start + category["target_time"], arrival.ends)
@@ -115,12 +113,10 @@
         self.outcome: Outcome | None = None
 
 
-class KeyLine:
+class KeyLine(deque["Transfer"]):
     """Transfers of one key whose order is kept (rule 5)."""
 
-    def __init__(self) -> None:
-        self.line: deque[Transfer] = deque()
-        self.rest_until = 0
+    rest_until = 0
 
 
 class Node:
@@ -206,9 +202,9 @@
         elif effect == "restart":
             node.window, node.credit, node.rest_until = LEAST_WINDOW, 1, now
         elif effect == "empty":
-            self.unplaced += (held := [each[2] for each in node.extents])
-            for transfer in held:
+            for _, _, transfer in list(node.extents):
                 node.take(transfer)
+                self.unplaced.append(transfer)
 
     def taken(self, now: int, arrival: Arrival) -> None:
         category, plan = self.facts["categories"][arrival.category], self.facts["plans"][arrival.plan]
@@ -217,29 +213,27 @@
             volume = self.volumes[arrival.volume] = Volume(plan, arrival.gateways, self.born)
         volume.gateways = max(volume.gateways, arrival.gateways)
         transfer = self.transfers[arrival.id] = Transfer(arrival, category, volume, now)
-        transfer.level = self.level(volume, transfer.units, now)
-        transfer.utility *= (1.0, self.facts["share_utility"], self.facts["spare_utility"])[transfer.level]
+        transfer.reserved = self.within_reserve(volume, transfer.units, now)
+        transfer.utility *= 1.0 if transfer.reserved else self.facts["share_utility"]
         self.taken_at.append(now)
         if category["in_order"] and transfer.extent:
-            self.keys.setdefault(transfer.extent, KeyLine()).line.append(transfer)
+            self.keys.setdefault(transfer.extent, KeyLine()).append(transfer)
         self.port.wake(transfer.ends - ENDING_TICKS * self.facts["tick"], transfer)
         self.unplaced.append(transfer)
 
-    def level(self, volume: Volume, units: float, now: int) -> int:
-        """0 inside this gateway's estimated part of the volume's reserve, 1 inside that of its share, else 2."""
-        rate, part = volume.plan["reserve_rate"], volume.gateways ** -PART
-        reserve = max(rate / volume.gateways, rate - volume.others) if volume.others >= 0 else rate * part
-        share = SHARE * volume.plan["usual_rate"] * part
-        for level, (store, fill) in enumerate(((volume.reserve, reserve), (volume.share, share))):
-            if store.fill(now, fill, fill + self.facts["largest_units"]) >= units:
-                store.level -= units
-                return level
-        return 2
+    def within_reserve(self, volume: Volume, units: float, now: int) -> bool:
+        """Takes the units from this gateway's estimated part of the volume's reserve, if they are there."""
+        rate = volume.plan["reserve_rate"] * volume.gateways ** -PART
+        if volume.reserve.fill(now, rate, rate + self.facts["largest_units"]) < units:
+            return False
+        volume.reserve.level -= units
+        return True
 
     def place(self, transfer: Transfer, now: int) -> bool:
-        """Give a transfer to the node of its cell; a new object goes where credit is left and the wait is least."""
-        ready = [node for node in self.nodes.values() if node.health is not Health.BARRED
-                 and (node.cell == transfer.cell if transfer.cell is not None else self.credit(node, now) > 0)]
+        """To the node of its cell; a new object to one with credit left, where the wait is least."""
+        fits = (lambda node: node.cell == transfer.cell) if transfer.cell is not None else (
+            lambda node: self.credit(node, now) > 0)
+        ready = [node for node in self.nodes.values() if node.health is not Health.BARRED and fits(node)]
         if not ready:
             return False
         if transfer.cell is None:
@@ -258,7 +252,8 @@
 
     def backlog(self, node: Node, now: int, usual: float, more: float) -> float:
         """How long some more units would take at a node; an answer that is overdue counts in full."""
-        ahead = sum(each.transfer.units for each in node.out) + sum(each[2].units for each in node.extents) + more
+        out = sum(each.transfer.units for each in node.out)
+        ahead = out + sum(each[2].units for each in node.extents) + more
         overdue = max((now - max(each.sent, node.heard) for each in node.out), default=0)
         return ahead * (node.pace or usual) / node.window + max(overdue - (node.latency or 0.0), 0.0)
 
@@ -268,7 +263,7 @@
         m = node.latency if node.latency is not None else transfer.category["target_time"] / FIRST_M
         transfer.tag = transfer.target - int(m)
         missed = now + HOPE * self.service(transfer, node) > transfer.target
-        self.put(transfer, node, node.late if missed else node.background if transfer.level else node.due)
+        self.put(transfer, node, node.late if missed else node.due if transfer.reserved else node.background)
 
     def put(self, transfer: Transfer, node: Node, queue: Queue) -> None:
         self.numbers += 1
@@ -293,8 +288,8 @@
     def relieve(self, node: Node, now: int) -> None:
         """Where a queue cannot all leave in time its least useful go behind, and from the last queue away.
 
-        Keeps any overdue backlog (surge, slow or stalled node, lost nodes) from making EDF serve late work only.
-        It could harm where the pace misleads: then work is declined that a quicker node would still have done.
+        Keeps any overdue backlog (surge, slow, stalled or lost node) from making EDF serve late work only. It
+        could harm where the pace misleads: work is declined that a quicker node would still have done.
         """
         clock, step = float(now), node.pace / node.window
         for queue, onward in ((node.due, node.background), (node.background, node.late), (node.late, None)):
@@ -348,9 +343,9 @@
         return [each[2] for each in node.extents[at:at + RUN] if each[0] == last.extent]
 
     def run_on(self, node: Node, first: Transfer, now: int) -> None:
-        """The rest of a run leaves behind its first, as far as the head's slack bears it and beyond the window.
+        """The rest of a run leaves behind its first, beyond the window, as far as the head's slack bears it.
 
-        Guards against others' sends coming between, which make the node forget the extent. It could harm short
+        Guards against others' sends coming between, which make a node forget the extent. It could harm short
         work behind a long run: hence the bounds.
         """
         slack = min((each[2].tag - now for each in node.due[:1]), default=NEVER)
@@ -394,11 +389,11 @@
         places = {"all": lambda other: True, "zone": lambda other: other.zone == node.zone}
         same = places.get(category["group"], lambda other: other.cell == node.cell)
         if (len(transfer.dispatches) >= facts["most_dispatches"]
-                or not (transfer.spent or self.credit(node, now) > 0)
+                or not transfer.spent and self.credit(node, now) <= 0
                 or any(each.outcome is None for each in transfer.dispatches) and not facts["may_copy"]
                 or ran and category["repeats"] == "exclusive"
-                or ran and category["repeats"] == "ticketed" and (
-                    now >= ran[0].sent + category["repeat_window"] or not all(same(each.node) for each in ran))):
+                or ran and category["repeats"] == "ticketed" and not (
+                    now < ran[0].sent + category["repeat_window"] and all(same(each.node) for each in ran))):
             return NEVER
         span = facts["further_window"]
         if span is None:
@@ -412,7 +407,7 @@
         return max(self.further_at[0] + span + 2 - now, 1) if self.further_at else span
 
     def cold_part(self, node: Node, now: int) -> float:
-        """This gateway's part of what a cold node bears within the window of rule 4, at the least; 0: warm."""
+        """This gateway's part of what a cold node bears in the window of rule 4, at the least; 0: warm."""
         age, warm = now - (node.since or 0), self.facts["warm_after"]
         if node.since is None or age >= warm:
             return 0.0
@@ -434,10 +429,9 @@
         if not transfer.category["in_order"] or not transfer.extent:
             return 0
         keyed = self.keys[transfer.extent]
-        while keyed.line[0] is not transfer and keyed.line[0].phase is Phase.OVER and all(
-                each.outcome is not None for each in keyed.line[0].dispatches):
-            keyed.line.popleft()
-        if keyed.line[0] is not transfer:
+        while keyed[0].phase is Phase.OVER and all(each.outcome is not None for each in keyed[0].dispatches):
+            keyed.popleft()
+        if keyed[0] is not transfer:
             return self.facts["tick"]
         return 0 if transfer.dispatches else max(keyed.rest_until - now, 0)
 
@@ -453,9 +447,8 @@
     def dispatch(self, transfer: Transfer, node: Node, now: int) -> None:
         """The one place that sends; `wait_for` has let it pass."""
         number = len(transfer.dispatches)
-        if number and not transfer.spent:
-            node.credit -= 1
         if number:
+            node.credit -= not transfer.spent
             self.further_at.append(now)
         elif transfer.volume.plan["limit_rate"]:
             transfer.volume.limit.level -= transfer.units
@@ -482,8 +475,6 @@
             self.heard_from(sent, answer, now)
         if answer.outcome in UNSETTLED and transfer.extent in self.keys:
             self.keys[transfer.extent].rest_until = now + self.facts["key_rest"]
-        if answer.used is not None:
-            self.told_use(transfer.volume, answer.used, now)
         if answer.over or answer.outcome is Outcome.SATISFIED:
             self.cue(transfer, Cue.CLOSED, now)
         elif not any(each.outcome is None for each in transfer.dispatches):
@@ -503,7 +494,6 @@
         if answer.outcome is not Outcome.SATISFIED:
             return
         node.follow, node.follow_until = transfer, now + int(FOLLOW_WAIT * self.service(transfer, node))
-        transfer.volume.own.level += transfer.units
         pace = answer.latency / transfer.units
         if node.latency is None:
             node.latency, node.pace, node.best = float(answer.latency), pace, pace
@@ -516,14 +506,6 @@
             node.window = min(node.window + 1 / node.window, MOST_WINDOW)
             self.sign(node, Sign.PROVEN, now)
 
-    def told_use(self, volume: Volume, used: int, now: int) -> None:
-        """What others use of a volume: its use everywhere less what was satisfied here, once a period."""
-        span = max(now - volume.own.at, 1)
-        if span >= max(self.facts["meter"], self.facts["tick"]):
-            others = max(used / 100 * volume.plan["usual_rate"] - volume.own.level * 10_000 / span, 0.0)
-            volume.others = others if volume.others < 0 else (volume.others + others) / 2
-            volume.own = Store(0.0, now)
-
     def abandoned(self, now: int, transfer: int) -> None:
         if transfer in self.transfers:
             self.cue(self.transfers[transfer], Cue.CLOSED, now)
@@ -540,15 +522,15 @@
     def cue(self, transfer: Transfer, cue: Cue, now: int) -> None:
         """One step of a transfer by the table."""
         transfer.phase, effect = TRANSFER_TABLE.get((transfer.phase, cue), (transfer.phase, ""))
-        if effect == "hold" and transfer.cell is None and not transfer.ran():
+        if effect == "hold" and (transfer.node is None or transfer.cell is None and not transfer.ran()):
             self.unplaced.append(transfer)
-        elif effect == "hold" and transfer.node is not None:
+        elif effect == "hold":
             self.hold(transfer, transfer.node, now)
         elif effect:
             self.end(transfer, effect == "give_up")
 
     def end(self, transfer: Transfer, answer: bool) -> None:
-        """Take a transfer that is over out of every place; where its client has no answer yet, give it at once."""
+        """Take a transfer that is over out of every place; answer its client at once if that is owed."""
         del self.transfers[transfer.id]
         if transfer.node is not None and transfer.queue is not None:
             transfer.node.credit += transfer.spent
--- a/milletsill/wirehost/codec.py
+++ b/milletsill/wirehost/codec.py
@@ -94,7 +94,7 @@
         fields = fixed.unpack_from(body, start)
         counted = fields[-1] * TAIL[code] if code in TAIL else 0
         if size != fixed.size + counted:
-            raise Malformed(f"batch {number}: {NAMES[code]} has a length of {size}, not {fixed.size + counted}")
+            raise Malformed(f"batch {number}: {NAMES[code]} is {size} bytes long, not {fixed.size + counted}")
         yield Event(code, fields, body[start + fixed.size:at])
 
 
@@ -175,10 +175,10 @@
         "probe_fee": fees.get("probe", 0.0), "list_fee": fees.get("membership_mode", 0.0),
         "drain_grace": at_most(rules.get("stop_sending_within_ns", 0)),
         "ask_within": at_most(rules.get("ask_within_ns", 0)), "cold_from": rules.get("cold_from", 0.0),
-        "warm_after": at_least(rules.get("warm_after_ns", 0)), "cold_multiple": rules.get("fall_multiple", 0.0),
-        "cold_window": at_least(rules.get("fall_ns", 0)),
+        "warm_after": at_least(rules.get("warm_after_ns", 0)),
+        "cold_multiple": rules.get("fall_multiple", 0.0), "cold_window": at_least(rules.get("fall_ns", 0)),
         "further_free": rules.get("extra_free", 0), "further_ratio": rules.get("further_ratio", 0.0),
-        "further_window": None if budget is None and "further_ratio" not in rules else int(budget or 0) // UNIT,
+        "further_window": None if budget is None else int(budget) // UNIT,
         "key_rest": at_least(rules.get("order_settle_ns", 0)),
     }
 
--- a/milletsill/wirehost/host.py
+++ b/milletsill/wirehost/host.py
@@ -71,8 +71,9 @@
             module.listed(now, news, () if news is News.FAILED else banks[fields[2]])
         elif event.code == codec.TAKEN:
             tid, key, sharers, category, plan, flags, shard, units, volume, ends = fields
+            cell = int(shard) if shard >= 0 else None
             module.taken(now, Arrival(tid, key, volume, max(int(sharers), 1), category, plan, bool(flags & 2),
-                                      bool(flags & 4), int(shard) if shard >= 0 else None, units, ends // UNIT))
+                                      bool(flags & 4), cell, units, ends // UNIT))
         elif event.code == codec.RETURNED:
             tid, outcome, node, others, used, over, number, lag, _ = fields
             module.returned(now, Answer(tid, number, node, codec.pick(codec.OUTCOMES, outcome, "outcome"),
