--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,309 @@
+"""Each test builds the state that it needs and calls one function of the module."""
+import unittest
+
+from milletsill.interface import News, Outcome, Readiness
+from milletsill.policy import CREDITS, NEVER, Health, Phase, Sign, Store
+from tests.helpers import answer, arrival, line, node, scheduler, transfer
+
+
+class Rules(unittest.TestCase):
+    """The gate and the final answers."""
+
+    def test_nothing_is_sent_after_the_clients_time(self):
+        of, _ = scheduler()
+        at, one = node(of), transfer(of, 1)
+        self.assertEqual(of.wait_for(one, at, one.ends), NEVER)
+
+    def test_a_held_transfer_is_declined_before_its_client_leaves(self):
+        of, port = scheduler()
+        one = transfer(of, 1)
+        of.woken(one.ends - 40, one)
+        self.assertEqual(port.of("decline"), [(1, 5000)])
+
+    def test_a_timeout_at_the_clients_time_is_answered_at_once(self):
+        of, port = scheduler({"repeats": "ticketed", "group": "cell"})
+        at, one = node(of), transfer(of, 1)
+        of.dispatch(one, at, 0)
+        of.returned(one.ends, answer(1, Outcome.TIMED_OUT))
+        self.assertEqual(port.of("abort"), [(1,)])
+
+    def test_a_late_answer_for_a_transfer_that_is_over_changes_nothing(self):
+        of, port = scheduler()
+        at, one = node(of), transfer(of, 1)
+        of.dispatch(one, at, 0)
+        of.abandoned(10, 1)
+        of.returned(20, answer(1, Outcome.SATISFIED, over=True))
+        self.assertEqual([port.of("decline"), port.of("abort"), at.out], [[], [], []])
+
+    def test_an_exclusive_transfer_that_may_have_run_is_aborted_not_declined(self):
+        of, port = scheduler({"repeats": "exclusive"})
+        one = transfer(of, 1)
+        of.dispatch(one, node(of), 0)
+        of.returned(100, answer(1, Outcome.RESET))
+        self.assertEqual([port.of("abort"), port.of("decline")], [[(1,)], []])
+
+    def test_an_exclusive_transfer_that_never_ran_may_go_again(self):
+        of, _ = scheduler({"repeats": "exclusive"})
+        at, one = node(of), transfer(of, 1)
+        of.dispatch(one, at, 0)
+        of.returned(100, answer(1, Outcome.TURNED_AWAY))
+        self.assertEqual((one.phase, of.repeat_wait(one, at, 100)), (Phase.HELD, 0))
+
+    def test_a_ticketed_transfer_keeps_to_its_group_and_window(self):
+        for group, cell, zone, now, lawful in (("cell", 0, 1, 5, True), ("cell", 1, 0, 5, False),
+                                               ("zone", 1, 0, 5, True), ("zone", 0, 1, 5, False),
+                                               ("all", 1, 1, 5, True), ("all", 0, 0, 20_000, False)):
+            of, _ = scheduler({"repeats": "ticketed", "group": group})
+            one, other = transfer(of, 1, ends=90_000), node(of, 8, cell=cell, zone=zone)
+            of.dispatch(one, node(of), 0)
+            one.dispatches[0].outcome = Outcome.TIMED_OUT
+            self.assertEqual(of.repeat_wait(one, other, now) == 0, lawful, (group, cell, zone, now))
+
+    def test_no_second_copy_where_copies_are_not_allowed(self):
+        of, _ = scheduler(may_copy=False)
+        at, one = node(of), transfer(of, 1)
+        of.dispatch(one, at, 0)
+        self.assertEqual(of.repeat_wait(one, at, 5), NEVER)
+
+    def test_a_further_dispatch_goes_only_where_there_is_credit(self):
+        of, _ = scheduler()
+        at, one = node(of), transfer(of, 1)
+        of.dispatch(one, at, 0)
+        at.credit = 0
+        self.assertEqual(of.repeat_wait(one, at, 5), NEVER)
+
+    def test_further_dispatches_stay_within_their_budget_even_before_the_first(self):
+        of, _ = scheduler(further_window=50_000, further_ratio=0.15)
+        at, one = node(of), transfer(of, 1)
+        of.dispatch(one, at, 0)
+        self.assertGreater(of.repeat_wait(one, at, 5), 0)
+        of.taken_at.extend([5] * 6)
+        self.assertEqual(of.repeat_wait(one, at, 5), 0)
+
+    def test_a_node_that_drains_or_is_gone_gives_back_what_it_holds(self):
+        for readiness in (Readiness.DRAINING, Readiness.GONE):
+            of, _ = scheduler()
+            at, one = node(of), transfer(of, 1)
+            of.hold(one, at, 0)
+            of.listed(5, News.CHANGES, [line(7, readiness=readiness)])
+            self.assertEqual((of.wait_for(one, at, 5), of.unplaced[-1], at.extents), (NEVER, one, []))
+
+    def test_a_node_missing_from_a_whole_list_is_barred(self):
+        of, _ = scheduler()
+        at = node(of)
+        of.listed(5, News.WHOLE, [line(8)])
+        self.assertIs(at.health, Health.BARRED)
+
+    def test_a_failed_watch_is_asked_for_again_within_the_stated_time(self):
+        of, port = scheduler()
+        for _ in range(9):
+            of.listed(0, News.FAILED, [])
+            self.assertTrue(0 < port.of("wake")[-1][0] <= 50_000)
+            of.woken(1, "ask")
+        self.assertEqual(len(port.of("watch")), 10)
+
+    def test_a_cold_node_gets_this_gateways_part_and_more_as_it_warms(self):
+        of, _ = scheduler()
+        at = node(of, since=0)
+        self.assertEqual([of.cold_part(at, now) for now in (0, 50_000, 100_000)], [10.0, 25.0, 0.0])
+        at.sends.append((100, 9.0))
+        self.assertEqual(of.cold_wait(transfer(of, 1), at, 200), 10_002 - 100)
+
+    def test_a_restarted_gateway_takes_a_cold_nodes_part_for_spent(self):
+        of, _ = scheduler()
+        of.listed(1000, News.CACHED, [line(7, since=900)])
+        self.assertGreater(of.cold_wait(transfer(of, 1), of.nodes[7], 1000), 0)
+
+    def test_one_key_runs_in_order_and_rests_after_an_unsure_end(self):
+        of, _ = scheduler({"in_order": True})
+        at = node(of)
+        one, two = transfer(of, 1, extent=5), transfer(of, 2, extent=5)
+        self.assertEqual([of.key_wait(one, 0), of.key_wait(two, 0) > 0], [0, True])
+        of.dispatch(one, at, 0)
+        of.abandoned(10, 1)
+        self.assertGreater(of.key_wait(two, 10), 0)
+        of.returned(20, answer(1, Outcome.TIMED_OUT))
+        self.assertEqual(of.key_wait(two, 20), 3000)
+
+    def test_the_limit_store_starts_empty_and_is_charged_once(self):
+        of, _ = scheduler(plan={"limit_rate": 10.0, "limit_store": 20.0})
+        at, one = node(of), transfer(of, 1)
+        self.assertGreater(of.limit_wait(one, 0), 0)
+        self.assertEqual(of.limit_wait(one, 2000), 0)
+        of.dispatch(one, at, 2000)
+        self.assertAlmostEqual(one.volume.limit.level, 0.0)
+
+    def test_a_store_fills_to_its_most(self):
+        store = Store(1.0, 0)
+        self.assertEqual([store.fill(5_000, 4.0, 10.0), store.fill(90_000, 4.0, 10.0)], [3.0, 10.0])
+
+
+class Path(unittest.TestCase):
+    """The design's ordinary path and where it is extended."""
+
+    def test_held_transfers_leave_by_tag(self):
+        of, _ = scheduler()
+        at = node(of)
+        late, soon = transfer(of, 1, volume=1), transfer(of, 2, volume=2)
+        soon.target -= 1000
+        of.hold(late, at, 0)
+        of.hold(soon, at, 0)
+        self.assertIs(of.choose(at, 0), soon)
+
+    def test_m_is_a_tenth_of_the_target_time_until_latency_is_known(self):
+        of, _ = scheduler()
+        at, one = node(of), transfer(of, 1)
+        at.latency = None
+        of.hold(one, at, 0)
+        self.assertEqual(one.tag, 3000 - 300)
+
+    def follower_of(self, slack, units=2.0, extent=5, volume=1):
+        of, _ = scheduler()
+        at, last = node(of), transfer(of, 9, extent=5, volume=1)
+        at.follow = last
+        head, follower = transfer(of, 1, volume=2), transfer(of, 2, extent=extent, volume=volume, units=units)
+        for each in (head, follower):
+            of.hold(each, at, 0)
+        return of.choose(at, head.tag - slack), head, follower
+
+    def test_a_follower_of_extent_or_volume_goes_before_a_head_that_is_not_due(self):
+        for extent, volume in ((5, 3), (6, 1)):
+            chosen, _, follower = self.follower_of(1000, extent=extent, volume=volume)
+            self.assertIs(chosen, follower)
+
+    def test_a_costly_follower_does_not_push_the_head_past_its_tag(self):
+        chosen, head, _ = self.follower_of(1000, units=8.0)
+        self.assertIs(chosen, head)
+
+    def test_one_slot_waits_for_a_follower_only_with_others_out(self):
+        of, port = scheduler()
+        at = node(of)
+        of.dispatch(transfer(of, 8, volume=3), at, 0)
+        at.window, at.follow, at.follow_until = 2.0, transfer(of, 9, extent=5), 200
+        head = transfer(of, 1, volume=2)
+        of.hold(head, at, 0)
+        self.assertIsNone(of.choose(at, 0))
+        self.assertEqual(port.of("wake")[-1], (200, at))
+        at.out.clear()
+        self.assertIs(of.choose(at, 0), head)
+
+    def test_background_leaves_while_the_deadline_queue_is_empty(self):
+        of, _ = scheduler()
+        at, extra, due = node(of), transfer(of, 1, volume=1), transfer(of, 2, volume=2)
+        extra.reserved = False
+        of.hold(extra, at, 0)
+        self.assertIs(of.choose(at, 0), extra)
+        of.hold(due, at, 0)
+        self.assertIs(of.choose(at, 0), due)
+
+    def test_units_beyond_the_reserve_are_not_reserved(self):
+        of, _ = scheduler()
+        volume = transfer(of, 1).volume
+        volume.reserve.level = 3.0
+        self.assertEqual([of.within_reserve(volume, 2.0, 0), of.within_reserve(volume, 2.0, 0)], [True, False])
+
+    def test_the_rest_of_a_run_leaves_at_once_within_the_heads_slack(self):
+        of, port = scheduler()
+        at = node(of)
+        run = [transfer(of, number, extent=5) for number in range(4)]
+        head = transfer(of, 9, volume=2)
+        for each in run[1:] + [head]:
+            of.hold(each, at, 0)
+        of.run_on(at, run[0], head.tag - 500)
+        self.assertEqual([sent[0] for sent in port.of("send")], [1, 2])
+
+    def test_what_cannot_leave_in_time_goes_behind_least_useful_first(self):
+        of, port = scheduler()
+        at = node(of)
+        held = [transfer(of, number, units=8.0) for number in range(3)]
+        for each, utility in zip(held, (1.0, 0.5, 1.0)):
+            each.reserved, each.utility = True, utility
+            of.hold(each, at, 0)
+        of.relieve(at, 0)
+        self.assertEqual([held[0].queue, held[1].queue], [at.due, at.late])
+        self.assertEqual(port.of("decline"), [])
+
+    def test_what_cannot_leave_within_patience_is_declined_at_once(self):
+        of, port = scheduler()
+        at = node(of)
+        at.pace = 2000.0
+        for number in range(3):
+            of.hold(transfer(of, number, units=4.0), at, 0)
+        of.relieve(at, 0)
+        self.assertEqual(len(port.of("decline")), 1)
+
+    def test_a_clients_repeat_counts_from_its_first_try(self):
+        of, _ = scheduler()
+        self.assertEqual(transfer(of, 1, now=2000, ends=15_000, repeat=True).target, 3000)
+
+    def test_the_window_widens_near_the_best_pace_and_narrows_far_from_it(self):
+        for latency, wider in ((380, True), (4000, False)):
+            of, _ = scheduler()
+            at, one = node(of), transfer(of, 1)
+            at.window = 2.0
+            of.dispatch(one, at, 0)
+            at.out[0].full = True
+            of.heard_from(at.out[0], answer(1, Outcome.SATISFIED, latency=latency), 400)
+            self.assertEqual(at.window > 2.0, wider)
+
+
+class Nodes(unittest.TestCase):
+    """Health, credit and where a new object goes."""
+
+    def test_a_new_object_goes_where_credit_is_left_and_the_wait_is_least(self):
+        of, _ = scheduler()
+        slow, quick, spent = node(of, 1), node(of, 2), node(of, 3)
+        slow.pace, spent.pace, spent.credit = 900.0, 10.0, 0
+        of.dispatch(transfer(of, 8, cell=0), spent, 0)
+        one = transfer(of, 1, cell=None)
+        self.assertTrue(of.place(one, 0))
+        self.assertEqual((one.node, quick.credit), (quick, CREDITS - 1))
+
+    def test_an_unanswered_node_counts_its_overdue_answer_as_wait(self):
+        of, _ = scheduler()
+        at = node(of)
+        of.dispatch(transfer(of, 1), at, 0)
+        self.assertGreater(of.backlog(at, 9000, 1.0, 1.0), 8000)
+
+    def test_a_node_without_word_is_left_alone_and_then_proves_itself(self):
+        of, _ = scheduler()
+        at = node(of)
+        at.window = 9.0
+        of.sign(at, Sign.LAPSE, 100)
+        self.assertEqual((at.health, at.window, at.credit, at.rest_until), (Health.SILENT, 1.0, 0, 900))
+        of.sign(at, Sign.ANSWER, 1000)
+        self.assertEqual((at.health, at.window, at.credit), (Health.RETURNED, 1.0, 1))
+
+    def test_a_returned_node_gets_the_most_useful_first(self):
+        of, _ = scheduler()
+        at = node(of)
+        at.health = Health.RETURNED
+        first, second = transfer(of, 1), transfer(of, 2, volume=2)
+        second.utility = 5.0
+        for each in (first, second):
+            of.hold(each, at, 0)
+        self.assertIs(of.choose(at, 0), second)
+
+    def test_a_silent_node_is_tried_for_a_target_time_only(self):
+        of, port = scheduler()
+        at = node(of)
+        at.health = Health.SILENT
+        of.dispatch(transfer(of, 1), at, 0)
+        self.assertEqual(port.of("send"), [(1, 7, 3000)])
+
+    def test_a_cell_without_a_node_waits_for_the_one_that_replaces_it(self):
+        of, _ = scheduler()
+        one = transfer(of, 1, cell=4)
+        self.assertFalse(of.place(one, 0))
+        node(of, 5, cell=4)
+        self.assertTrue(of.place(one, 10))
+
+    def test_taking_a_transfer_sends_nothing_before_settling(self):
+        of, port = scheduler()
+        node(of)
+        of.taken(0, arrival(1))
+        self.assertEqual(port.of("send"), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
