--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -34,8 +34,8 @@
 
 Phase = Enum("Phase", "HELD OUT OVER")
 # CLOSED: the client has its answer or has left; AGAIN, LAST: no dispatch is out, and another is lawful or
-# not; HOPELESS: nothing this gateway can still do would be of use; ENDING: the client is about to leave.
-Cue = Enum("Cue", "SENT CLOSED AGAIN LAST HOPELESS ENDING")
+# not; HOPELESS: the client is about to leave, or nothing this gateway can still do would be of use.
+Cue = Enum("Cue", "SENT CLOSED AGAIN LAST HOPELESS")
 # SILENT: did not answer, is tried one at a time; RETURNED: proves itself; BARRED: draining or gone.
 Health = Enum("Health", "STEADY SILENT RETURNED BARRED")
 Sign = Enum("Sign", "ANSWER PROVEN LAPSE READY FRESH UNREADY")
@@ -44,7 +44,6 @@
     (Phase.HELD, Cue.SENT): (Phase.OUT, ""),
     (Phase.HELD, Cue.CLOSED): (Phase.OVER, "forget"),
     (Phase.HELD, Cue.HOPELESS): (Phase.OVER, "give_up"),
-    (Phase.HELD, Cue.ENDING): (Phase.OVER, "give_up"),
     (Phase.OUT, Cue.CLOSED): (Phase.OVER, "forget"),
     (Phase.OUT, Cue.AGAIN): (Phase.HELD, "hold"),
     (Phase.OUT, Cue.LAST): (Phase.OVER, "give_up"),
@@ -138,6 +137,14 @@
         self.wake_at = NEVER
         self.sends: deque[tuple[int, float]] = deque()  # units sent within the window of rule 4
 
+    def service(self, transfer: Transfer) -> float:
+        """Expected time from a dispatch to its answer."""
+        return self.pace * transfer.units
+
+    def crowded(self) -> bool:
+        """Whether answers take so long that work of little use would delay what others have there."""
+        return self.pace > FAR * self.best
+
     def take(self, transfer: Transfer) -> None:
         """Take a held transfer out of its queues."""
         if transfer.queue is not None:
@@ -186,8 +193,8 @@
             if fresh and now - self.born <= self.facts["cold_window"]:
                 # Guards rule 4: a former self may have spent this gateway's part of a cold node's budget.
                 node.sends.append((now, self.cold_part(node, now)))
-            ready = entry.readiness is Readiness.READY
-            self.sign(node, Sign.UNREADY if not ready else Sign.FRESH if fresh else Sign.READY, now)
+            ready = Sign.FRESH if fresh else Sign.READY
+            self.sign(node, ready if entry.readiness is Readiness.READY else Sign.UNREADY, now)
         for node in self.nodes.values():
             if news is not News.CHANGES and node.id not in {entry.node for entry in entries}:
                 self.sign(node, Sign.UNREADY, now)
@@ -208,9 +215,7 @@
 
     def taken(self, now: int, arrival: Arrival) -> None:
         category, plan = self.facts["categories"][arrival.category], self.facts["plans"][arrival.plan]
-        volume = self.volumes.get(arrival.volume)
-        if volume is None:
-            volume = self.volumes[arrival.volume] = Volume(plan, arrival.gateways, self.born)
+        volume = self.volumes.setdefault(arrival.volume, Volume(plan, arrival.gateways, self.born))
         volume.gateways = max(volume.gateways, arrival.gateways)
         transfer = self.transfers[arrival.id] = Transfer(arrival, category, volume, now)
         transfer.reserved = self.within_reserve(volume, transfer.units, now)
@@ -262,7 +267,7 @@
         self.touched[node.id] = transfer.node = node
         m = node.latency if node.latency is not None else transfer.category["target_time"] / FIRST_M
         transfer.tag = transfer.target - int(m)
-        missed = now + HOPE * self.service(transfer, node) > transfer.target
+        missed = now + HOPE * node.service(transfer) > transfer.target
         self.put(transfer, node, node.late if missed else node.due if transfer.reserved else node.background)
 
     def put(self, transfer: Transfer, node: Node, queue: Queue) -> None:
@@ -271,15 +276,10 @@
         insort(queue, (transfer.tag if queue is node.due else self.numbers, self.numbers, transfer))
         insort(node.extents, (transfer.extent, self.numbers, transfer))
 
-    def service(self, transfer: Transfer, node: Node) -> float:
-        """Expected time from a dispatch to its answer."""
-        return node.pace * transfer.units
-
     def settle(self, now: int) -> None:
         """Place what has no node, then fill the window of every node that something happened to."""
-        if self.unplaced:
-            self.unplaced = [each for each in self.unplaced
-                             if each.phase is Phase.HELD and not self.place(each, now)]
+        held = [each for each in self.unplaced if each.phase is Phase.HELD]
+        self.unplaced = [each for each in held if not self.place(each, now)]
         for node in list(self.touched.values()):
             self.relieve(node, now)
             self.pump(node, now)
@@ -287,13 +287,13 @@
 
     def relieve(self, node: Node, now: int) -> None:
         """Where a queue cannot all leave in time its least useful go behind, and from the last queue away.
-
         Keeps any overdue backlog (surge, slow, stalled or lost node) from making EDF serve late work only. It
         could harm where the pace misleads: work is declined that a quicker node would still have done.
         """
         clock, step = float(now), node.pace / node.window
         for queue, onward in ((node.due, node.background), (node.background, node.late), (node.late, None)):
-            while (found := self.crowded(node, queue, clock, step, onward is None)) is not None:
+            clock += NEVER if onward is None and node.crowded() else 0
+            while (found := self.surplus(node, queue, clock, step, onward is None)) is not None:
                 node.take(found)
                 if onward is None:
                     self.cue(found, Cue.HOPELESS, now)
@@ -301,10 +301,10 @@
                     self.put(found, node, onward)
             clock += step * sum(each[2].units for each in queue)
 
-    def crowded(self, node: Node, queue: Queue, clock: float, step: float, last: bool) -> Transfer | None:
+    def surplus(self, node: Node, queue: Queue, clock: float, step: float, last: bool) -> Transfer | None:
         """The least useful of those up to the first that would leave too late, if one would."""
         for place, (_, _, transfer) in enumerate(queue):
-            if clock + HOPE * self.service(transfer, node) > (transfer.ends if last else transfer.target):
+            if clock + HOPE * node.service(transfer) > (transfer.ends if last else transfer.target):
                 return min(queue[:place + 1], key=lambda each: (each[2].utility, each[0]))[2]
             clock += step * transfer.units
         return None
@@ -312,12 +312,10 @@
     def pump(self, node: Node, now: int) -> None:
         if now < node.rest_until:
             self.wake(node, node.rest_until, now)
-        while now >= node.rest_until and len(node.out) < int(node.window) and node.extents:
-            transfer = self.choose(node, now)
-            if transfer is None:
-                return
-            self.dispatch(transfer, node, now)
-            self.run_on(node, transfer, now)
+        while now >= node.rest_until and len(node.out) < int(node.window) and (
+                chosen := self.choose(node, now)) is not None:
+            self.dispatch(chosen, node, now)
+            self.run_on(node, chosen, now)
 
     def choose(self, node: Node, now: int) -> Transfer | None:
         """The ordinary path: a follower while the head is not due, then the head, then background."""
@@ -329,13 +327,15 @@
             near = self.run_of(node, node.follow) + [each[2] for each in node.due if
                                                      each[2].volume is node.follow.volume]
             for transfer in near:  # its cost is charged to the head's slack
-                if self.service(transfer, node) <= head.tag - now and not self.wait_for(transfer, node, now):
+                if node.service(transfer) <= head.tag - now and not self.wait_for(transfer, node, now):
                     return transfer
-            bound = min(node.follow_until, head.tag - int(self.service(head, node)))
+            bound = min(node.follow_until, head.tag - int(node.service(head)))
             if node.out and now < bound and int(node.window) - len(node.out) == 1:
                 self.wake(node, bound, now)
                 return None
-        return head or self.lawful(node, node.background, now) or self.lawful(node, node.late, now)
+        if head is not None or node.out and node.crowded():
+            return head
+        return self.lawful(node, node.background, now) or self.lawful(node, node.late, now)
 
     def run_of(self, node: Node, last: Transfer) -> list[Transfer]:
         """The held transfers of the same extent."""
@@ -344,13 +344,12 @@
 
     def run_on(self, node: Node, first: Transfer, now: int) -> None:
         """The rest of a run leaves behind its first, beyond the window, as far as the head's slack bears it.
-
         Guards against others' sends coming between, which make a node forget the extent. It could harm short
         work behind a long run: hence the bounds.
         """
         slack = min((each[2].tag - now for each in node.due[:1]), default=NEVER)
         for transfer in self.run_of(node, first):
-            slack -= self.service(transfer, node) * HIT
+            slack -= node.service(transfer) * HIT
             if slack < 0 or len(node.out) >= MOST_WINDOW or self.wait_for(transfer, node, now):
                 return
             self.dispatch(transfer, node, now)
@@ -493,14 +492,14 @@
             node.rest_until = now + int(REST * (node.latency or self.facts["tick"]))
         if answer.outcome is not Outcome.SATISFIED:
             return
-        node.follow, node.follow_until = transfer, now + int(FOLLOW_WAIT * self.service(transfer, node))
+        node.follow, node.follow_until = transfer, now + int(FOLLOW_WAIT * node.service(transfer))
         pace = answer.latency / transfer.units
         if node.latency is None:
             node.latency, node.pace, node.best = float(answer.latency), pace, pace
         node.latency += SMOOTH * (answer.latency - node.latency)
         node.pace += SMOOTH * (pace - node.pace)
         node.best = min(node.best + FORGET * (node.pace - node.best), node.pace)
-        if node.pace > FAR * node.best:
+        if node.crowded():
             node.window = max(node.window * NARROWER, LEAST_WINDOW)
         elif node.pace < NEAR * node.best and sent.full:
             node.window = min(node.window + 1 / node.window, MOST_WINDOW)
@@ -512,7 +511,7 @@
 
     def woken(self, now: int, what: object) -> None:
         if isinstance(what, Transfer):
-            self.cue(what, Cue.ENDING, now)
+            self.cue(what, Cue.HOPELESS, now)
         elif isinstance(what, Node):
             what.wake_at = NEVER
             self.touched[what.id] = what
@@ -536,9 +535,8 @@
             transfer.node.credit += transfer.spent
             transfer.node.take(transfer)
         category = transfer.category
-        harmless = category["repeats"] == "rerunnable" or (
-            category["repeats"] == "ticketed" and category["group"] == "all")
-        if answer and (harmless or not transfer.ran()):
+        harmless = (category["repeats"], category["group"]) == ("ticketed", "all")
+        if answer and (harmless or category["repeats"] == "rerunnable" or not transfer.ran()):
             self.port.decline(transfer.id, self.facts["longest_pause"] if self.facts["pause_told"] else 0)
         elif answer:
             self.port.abort(transfer.id)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -200,7 +200,7 @@
         of, _ = scheduler()
         volume = transfer(of, 1).volume
         volume.reserve.level = 3.0
-        self.assertEqual([of.within_reserve(volume, 2.0, 0), of.within_reserve(volume, 2.0, 0)], [True, False])
+        self.assertEqual([of.within_reserve(volume, 2.0, 0) for _ in range(2)], [True, False])
 
     def test_the_rest_of_a_run_leaves_at_once_within_the_heads_slack(self):
         of, port = scheduler()
@@ -224,13 +224,23 @@
         self.assertEqual(port.of("decline"), [])
 
     def test_what_cannot_leave_within_patience_is_declined_at_once(self):
-        of, port = scheduler()
-        at = node(of)
-        at.pace = 2000.0
-        for number in range(3):
-            of.hold(transfer(of, number, units=4.0), at, 0)
-        of.relieve(at, 0)
-        self.assertEqual(len(port.of("decline")), 1)
+        for best, declined in ((2000.0, 1), (200.0, 3)):  # a crowded node keeps nothing late
+            of, port = scheduler()
+            at = node(of)
+            at.pace, at.best = 2000.0, best
+            for number in range(3):
+                of.hold(transfer(of, number, units=4.0), at, 0)
+            of.relieve(at, 0)
+            self.assertEqual(len(port.of("decline")), declined)
+
+    def test_background_leaves_a_crowded_node_one_at_a_time(self):
+        of, _ = scheduler()
+        at, extra = node(of), transfer(of, 1)
+        extra.reserved, at.window, at.best = False, 3.0, 100.0
+        of.hold(extra, at, 0)
+        self.assertIs(of.choose(at, 0), extra)
+        of.dispatch(transfer(of, 2), at, 0)
+        self.assertIsNone(of.choose(at, 0))
 
     def test_a_clients_repeat_counts_from_its_first_try(self):
         of, _ = scheduler()
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -8,8 +8,9 @@
 from milletsill.wirehost.codec import Batch, Event, Malformed
 from milletsill.wirehost.host import Host, serve
 
-FACTS = json.dumps({"peers_total": 2, "resolution_ns": 2_000_000, "membership_mode": "on_request", "unknown": 1,
-                    "rules": {"ask_within_ns": 10_000_000_000}, "classes": [], "plans": []}).encode()
+FACTS = json.dumps({"peers_total": 2, "resolution_ns": 2_000_000, "membership_mode": "on_request",
+                    "unknown": 1, "rules": {"ask_within_ns": 10_000_000_000}, "classes": [],
+                    "plans": []}).encode()
 
 
 def event(code, *fields, tail=b""):
@@ -56,8 +57,10 @@
     def test_a_list_number_is_reused_within_a_batch(self):
         host, heard = Host(), []
         host.answer(Batch(1, 0, list(codec.events_of(BORN, 1))))
-        host.instances[3].module.listed = lambda now, news, entries: heard.append((news, [e.node for e in entries]))
-        rosters = [event(codec.ROSTER, 0, 1, tail=codec.ENTRY.pack(node, 1, 1.0, 0, 0, 0, 0)) for node in (5, 6)]
+        host.instances[3].module.listed = lambda now, news, entries: heard.append(
+            (news, [entry.node for entry in entries]))
+        rosters = [event(codec.ROSTER, 0, 1, tail=codec.ENTRY.pack(node, 1, 1.0, 0, 0, 0, 0))
+                   for node in (5, 6)]
         update = event(codec.UPDATE, 1, 9, 0)
         body = event(codec.INSTANCE, 3) + rosters[0] + update + rosters[1] + update
         host.answer(Batch(2, 0, list(codec.events_of(body, 2))))
@@ -76,7 +79,8 @@
         host = Host()
         host.answer(Batch(1, 0, list(codec.events_of(BORN, 1))))
         host.instances[3].module.abandoned = lambda now, tid: 1 // 0
-        reply = host.answer(Batch(2, 0, [Event(codec.INSTANCE, (3,), b""), Event(codec.ABANDONED, (1,), b"")]))
+        events = [Event(codec.INSTANCE, (3,), b""), Event(codec.ABANDONED, (1,), b"")]
+        reply = host.answer(Batch(2, 0, events))
         self.assertIn(b"ZeroDivisionError", reply)
 
     def test_an_answer_comes_in_our_words(self):
