--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -20,13 +20,13 @@
 FIRST_WINDOW, LEAST_WINDOW, MOST_WINDOW = 2.0, 1.0, 32.0
 NEAR, FAR = 1.1, 1.4  # the window widens below, narrows above this multiple of the best pace
 NARROWER = 0.95       # what an answer above it leaves of the window
-SMOOTH = 1 / 8        # weight of a new latency
-FORGET = 1 / 800      # how fast the best pace is forgotten, an answer
+SMOOTH, FORGET = 1 / 8, 1 / 800  # weight of a new latency; how fast the best pace is forgotten
 FIRST_M = 10          # M starts at the target time over this
 HOPE = 0.6            # a transfer is still in time with this share of its expected service left
 PART = 0.5            # a gateway's part of a volume's reserve is one over its gateways to this power
 RUN, HIT = 4, 0.5     # most transfers that leave at once behind the first of their extent, and their cost
 FOLLOW_WAIT = 0.5     # longest wait for a follower, as a share of the expected service
+LOST = 6              # a dispatch without an answer for this many expected latencies is taken for lost
 CREDITS = 4           # new objects and further dispatches that a node may have unanswered at this gateway
 ENDING_TICKS = 2      # a held transfer is answered this many ticks before its client gives up
 ASK_AGAIN = 1 / 8     # share of the stated time after which a failed watch is asked for again
@@ -49,7 +49,9 @@
     (Phase.OUT, Cue.LAST): (Phase.OVER, "give_up"),
 }
 NODE_TABLE: Mapping[tuple[Health, Sign], tuple[Health, str]] = {
-    **{(health, Sign.LAPSE): (Health.SILENT, "rest") for health in Health if health is not Health.BARRED},
+    (Health.STEADY, Sign.LAPSE): (Health.SILENT, "narrow"),
+    (Health.RETURNED, Sign.LAPSE): (Health.SILENT, "narrow"),
+    (Health.SILENT, Sign.LAPSE): (Health.SILENT, "rest"),
     **{(health, Sign.UNREADY): (Health.BARRED, "empty") for health in Health if health is not Health.BARRED},
     **{(health, Sign.FRESH): (Health.RETURNED, "restart") for health in Health},
     (Health.BARRED, Sign.READY): (Health.RETURNED, "restart"),
@@ -203,8 +205,9 @@
         """One step of a node's health by the table."""
         node.health, effect = NODE_TABLE.get((node.health, sign), (node.health, ""))
         self.touched[node.id] = node
-        if effect == "rest":
-            node.window, node.credit = LEAST_WINDOW, 0
+        if effect == "narrow":
+            node.window = LEAST_WINDOW
+        elif effect == "rest":
             node.rest_until = now + int(REST * (node.latency or self.facts["tick"]))
         elif effect == "restart":
             node.window, node.credit, node.rest_until = LEAST_WINDOW, 1, now
@@ -229,10 +232,9 @@
     def within_reserve(self, volume: Volume, units: float, now: int) -> bool:
         """Takes the units from this gateway's estimated part of the volume's reserve, if they are there."""
         rate = volume.plan["reserve_rate"] * volume.gateways ** -PART
-        if volume.reserve.fill(now, rate, rate + self.facts["largest_units"]) < units:
-            return False
-        volume.reserve.level -= units
-        return True
+        there = volume.reserve.fill(now, rate, rate + self.facts["largest_units"]) >= units
+        volume.reserve.level -= units if there else 0
+        return there
 
     def place(self, transfer: Transfer, now: int) -> bool:
         """To the node of its cell; a new object to one with credit left, where the wait is least."""
@@ -242,10 +244,8 @@
         if not ready:
             return False
         if transfer.cell is None:
-            paces = [node.pace for node in ready if node.pace]
-            usual = sum(paces) / len(paces) if paces else 1.0
             near = [node for node in ready if node.follow and node.follow.extent == transfer.extent]
-            ready = near or [min(ready, key=lambda node: self.backlog(node, now, usual, transfer.units))]
+            ready = near or [min(ready, key=lambda node: self.backlog(node, now, transfer.units))]
             ready[0].credit -= 1
             transfer.spent = True
         self.hold(transfer, ready[0], now)
@@ -255,12 +255,12 @@
         """A node without credit that has nothing to answer is tried with one, else it could earn none."""
         return max(node.credit, int(not node.out and not node.extents and now >= node.rest_until))
 
-    def backlog(self, node: Node, now: int, usual: float, more: float) -> float:
+    def backlog(self, node: Node, now: int, more: float) -> float:
         """How long some more units would take at a node; an answer that is overdue counts in full."""
         out = sum(each.transfer.units for each in node.out)
         ahead = out + sum(each[2].units for each in node.extents) + more
         overdue = max((now - max(each.sent, node.heard) for each in node.out), default=0)
-        return ahead * (node.pace or usual) / node.window + max(overdue - (node.latency or 0.0), 0.0)
+        return ahead * (node.pace or 1.0) / node.window + max(overdue - (node.latency or 0.0), 0.0)
 
     def hold(self, transfer: Transfer, node: Node, now: int) -> None:
         """Queue a transfer at a node: by its tag, or behind as background."""
@@ -430,9 +430,8 @@
         keyed = self.keys[transfer.extent]
         while keyed[0].phase is Phase.OVER and all(each.outcome is not None for each in keyed[0].dispatches):
             keyed.popleft()
-        if keyed[0] is not transfer:
-            return self.facts["tick"]
-        return 0 if transfer.dispatches else max(keyed.rest_until - now, 0)
+        rest = 0 if transfer.dispatches else max(keyed.rest_until - now, 0)
+        return rest if keyed[0] is transfer else self.facts["tick"]
 
     def limit_wait(self, transfer: Transfer, now: int) -> int:
         """Rule 7: an even part of the volume's store, for the first dispatch."""
@@ -456,9 +455,10 @@
         transfer.dispatches.append(sent)
         node.out.append(sent)
         node.sends.append((now, transfer.units))
-        # A silent node is tried for a target time only, so that its window is not held for a whole patience.
-        trial = node.health is Health.SILENT
-        self.port.send(transfer.id, node.id, transfer.category["target_time"] if trial else 0)
+        # Guards against dispatches lost without a word, by link or node, that would hold the window for a
+        # patience. Harm: a node that slows at once does work twice; credit and rule 6 bound that.
+        lost = LOST * max(node.latency or 0, node.service(transfer))
+        self.port.send(transfer.id, node.id, 0 if transfer.category["repeats"] == "exclusive" else int(lost))
         self.cue(transfer, Cue.SENT, now)
 
     def returned(self, now: int, answer: Answer) -> None:
