--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -1,10 +1,10 @@
 """Every decision of milletsill: what leaves when, for which storage node, and what is given up.
 
 A host makes one Scheduler per gateway with the facts, the seed, the time and a Port, tells it each event by
-`listed`, `taken`, `returned`, `abandoned` and `woken`, and calls `settle` when it has told all it knows for
-now; the module acts through the Port. Types and the names of the facts are in interface.py. Times are whole
-tenths of a millisecond. The design is batch-and-delay EDF (docs/design.md): each Node has an extent-sorted
-queue, a deadline queue and a background queue; `choose` is the ordinary path, `wait_for` the rules' gate.
+`listed`, `taken`, `returned`, `abandoned`, `woken`, then calls `settle`; the module answers through the Port.
+Types and the names of the facts are in interface.py. Times are whole tenths of a millisecond. The design is
+batch-and-delay EDF (docs/design.md): each Node has an extent-sorted, a deadline and a background queue;
+`choose` is the ordinary path, `wait_for` the rules' gate.
 """
 from __future__ import annotations
 
@@ -414,11 +414,11 @@
         return self.facts["cold_units"] / self.facts["gateways"] * (1 + (1 / least - 1) * max(age, 0) / warm)
 
     def cold_wait(self, transfer: Transfer, node: Node, now: int) -> int:
-        """Rule 4."""
+        """Rule 4: sends less answers stay under a part that leaves room for once what the node can do."""
         span = self.facts["cold_window"] + 2
         while node.sends and node.sends[0][0] + span <= now:
             node.sends.popleft()
-        part = self.cold_part(node, now)
+        part = self.cold_part(node, now) * (1 - 1 / max(self.facts["cold_multiple"], 1))
         if not part or sum(units for _, units in node.sends) + transfer.units <= part:
             return 0
         return node.sends[0][0] + span - now if node.sends else span
@@ -488,11 +488,11 @@
         node.heard, node.credit = now, min(node.credit + 1, CREDITS)
         self.sign(node, Sign.ANSWER, now)
         if answer.outcome is Outcome.TURNED_AWAY:
-            node.window = max(node.window / 2, LEAST_WINDOW)
             node.rest_until = now + int(REST * (node.latency or self.facts["tick"]))
         if answer.outcome is not Outcome.SATISFIED:
             return
         node.follow, node.follow_until = transfer, now + int(FOLLOW_WAIT * node.service(transfer))
+        node.sends.append((now, -transfer.units))
         pace = answer.latency / transfer.units
         if node.latency is None:
             node.latency, node.pace, node.best = float(answer.latency), pace, pace
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -109,6 +109,14 @@
         at.sends.append((100, 9.0))
         self.assertEqual(of.cold_wait(transfer(of, 1), at, 200), 10_002 - 100)
 
+    def test_what_a_cold_node_answered_may_be_sent_to_it_again(self):
+        of, _ = scheduler()
+        at, one = node(of, since=0), transfer(of, 1, units=5.0)
+        of.dispatch(one, at, 0)
+        self.assertGreater(of.cold_wait(transfer(of, 2), at, 500), 0)
+        of.heard_from(at.out[0], answer(1, Outcome.SATISFIED), 600)
+        self.assertEqual(of.cold_wait(transfer(of, 3), at, 600), 0)
+
     def test_a_restarted_gateway_takes_a_cold_nodes_part_for_spent(self):
         of, _ = scheduler()
         of.listed(1000, News.CACHED, [line(7, since=900)])
