--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -292,7 +292,7 @@
         """
         clock, step = float(now), node.pace / node.window
         for queue, onward in ((node.due, node.background), (node.background, node.late), (node.late, None)):
-            clock += NEVER if onward is None and node.crowded() and (node.due or node.background) else 0
+            clock += NEVER if onward is None and node.crowded() else 0
             while (found := self.surplus(node, queue, clock, step, onward is None)) is not None:
                 node.take(found)
                 if onward is None:
