A window for each volume's surplus over all nodes of this gateway

Cause: a volume that surges over many nodes through many gateways never fills a node's window at any of them, so nothing held its surplus back. Its surplus now has a window of its own, cut when answers of the volume waited for more than a share of the shortest target time or came to nothing, below one by pauses.

--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -30,6 +30,9 @@
 CREDITS = 4           # new objects and further dispatches that a node may have unanswered at this gateway
 ENDING_TICKS = 2      # a held transfer is answered this many ticks before its client gives up
 ASK_AGAIN = 1 / 8     # share of the stated time after which a failed watch is asked for again
+EASE, LEAST_SURPLUS = 0.7, 1 / 16
+CROWDED = 0.25
+BASE, LOW = 0.05, 0.3
 REST = 2              # a node that turned away or lapsed is left alone for this many smoothed latencies
 
 Phase = Enum("Phase", "HELD OUT OVER")
@@ -82,6 +85,8 @@
     def __init__(self, plan: Mapping[str, Any], gateways: int, now: int) -> None:
         self.plan, self.gateways = plan, gateways
         self.reserve = Store(plan["reserve_rate"] / gateways, now)
+        self.window, self.out, self.cut_at, self.rest_until = 1.0, 0, 0, 0  # of the surplus
+        self.waiting: dict[int, Node] = {}  # nodes where surplus waits for the window
         self.limit = Store(0.0, now)  # guards rule 7: a former self may have spent all of it
 
 
@@ -112,6 +117,7 @@
     def __init__(self, transfer: Transfer, node: Node, now: int) -> None:
         self.transfer, self.node, self.sent = transfer, node, now
         self.full = len(node.out) + 1 >= int(node.window)
+        self.surplus = transfer.queue is not None and transfer.queue is not node.due
         self.outcome: Outcome | None = None
 
 
@@ -173,6 +179,8 @@
         self.taken_at: deque[int] = deque()
         self.further_at: deque[int] = deque()
         self.numbers = self.asks = 0
+        self.base: float | None = None
+        self.shortest = min((each["target_time"] for each in facts["categories"]), default=1)
         if facts["list_on_request"]:
             self.ask()
 
@@ -279,6 +287,8 @@
         self.put(transfer, node, node.late if missed else node.due if transfer.reserved else node.background)
 
     def put(self, transfer: Transfer, node: Node, queue: Queue) -> None:
+        if queue is node.background:
+            self.port.wake(transfer.target - int(HOPE * node.service(transfer)), node)
         self.numbers += 1
         transfer.queue, transfer.number = queue, self.numbers
         transfer.order = transfer.tag if queue is node.due else self.numbers
@@ -304,7 +314,7 @@
             clock += NEVER if onward is None and node.crowded() else 0
             while (found := self.surplus(node, queue, clock, step, onward is None)) is not None:
                 node.take(found)
-                if onward is None:
+                if onward is None or queue is node.background and not found.reserved:
                     self.cue(found, Cue.HOPELESS, now)
                 else:
                     self.put(found, node, onward)
@@ -367,7 +377,7 @@
         """The first of a queue that every rule lets go now; else a wake for when one may."""
         soonest = NEVER
         for _, _, transfer in queue:
-            wait = self.wait_for(transfer, node, now)
+            wait = max(self.wait_for(transfer, node, now), self.surplus_wait(transfer, node, now))
             if not wait:
                 return transfer
             soonest = min(soonest, wait)
@@ -375,6 +385,29 @@
             self.wake(node, now + soonest, now)
         return None
 
+    def surplus_wait(self, transfer: Transfer, node: Node, now: int) -> int:
+        volume = transfer.volume
+        if transfer.queue is node.due:
+            return 0
+        if volume.out >= max(int(volume.window), 1):
+            volume.waiting[node.id] = node
+            return NEVER
+        return max(volume.rest_until - now, 0)
+
+    def ease(self, sent: Dispatch, now: int, crowded: bool) -> None:
+        volume = sent.transfer.volume
+        if crowded and sent.sent >= volume.cut_at:
+            volume.window, volume.cut_at = max(volume.window * EASE, LEAST_SURPLUS), now
+        elif not crowded and volume.out + 1 >= int(volume.window):
+            volume.window = min(volume.window + min(volume.window, 1 / volume.window), MOST_WINDOW)
+        if sent.surplus:
+            volume.out -= 1
+            if volume.window < 1:
+                span = (now - sent.sent) * (1 / volume.window - 1) * self.uniform(0.5, 1.5)
+                volume.rest_until = now + int(span)
+            self.touched.update(volume.waiting)
+            volume.waiting.clear()
+
     def wake(self, node: Node, at: int, now: int) -> None:
         if at < node.wake_at or node.wake_at <= now:
             node.wake_at = at
@@ -459,8 +492,9 @@
             self.further_at.append(now)
         elif transfer.volume.plan["limit_rate"]:
             transfer.volume.limit.level -= transfer.units
-        node.take(transfer)
         sent = self.outstanding[transfer.id, number] = Dispatch(transfer, node, now)
+        transfer.volume.out += sent.surplus
+        node.take(transfer)
         transfer.dispatches.append(sent)
         node.out.append(sent)
         node.sends.append((now, transfer.units))
@@ -478,6 +512,8 @@
         sent.outcome, node, transfer = answer.outcome, sent.node, sent.transfer
         node.out.remove(sent)
         self.touched[node.id] = node
+        spent = answer.latency - transfer.units * (self.base or 0.0)
+        self.ease(sent, now, answer.outcome is not Outcome.SATISFIED or spent > CROWDED * self.shortest)
         if answer.outcome in NO_WORD and node.heard <= sent.sent:
             self.sign(node, Sign.LAPSE, now)
         elif answer.outcome not in UNSETTLED + (Outcome.MOOT,):
@@ -504,6 +540,7 @@
         node.follow, node.follow_until = transfer, now + int(FOLLOW_WAIT * node.service(transfer))
         node.sends.append((now, -transfer.units))
         pace = answer.latency / transfer.units
+        self.base = pace if self.base is None else self.base * (1 + BASE * (LOW - (pace < self.base)))
         if node.latency is None:
             node.latency, node.pace, node.best = float(answer.latency), pace, pace
         node.latency += SMOOTH * (answer.latency - node.latency)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -304,10 +304,10 @@
             of.hold(each, at, 0)
         self.assertIs(of.choose(at, 0), second)
 
-    def test_a_dispatch_is_taken_for_lost_after_some_latencies_unless_it_is_exclusive(self):
-        for repeats, timeout in (("rerunnable", 2400), ("exclusive", 0)):
+    def test_a_dispatch_is_taken_for_lost_after_some_latencies_but_not_before_its_target(self):
+        for repeats, now, timeout in (("rerunnable", 0, 3000), ("rerunnable", 1000, 2400), ("exclusive", 0, 0)):
             of, port = scheduler({"repeats": repeats})
-            of.dispatch(transfer(of, 1), node(of), 0)
+            of.dispatch(transfer(of, 1), node(of), now)
             self.assertEqual(port.of("send"), [(1, 7, timeout)])
 
     def test_a_lost_dispatch_frees_its_slot_and_may_go_again(self):
