--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -246,9 +246,8 @@
 
     def within_reserve(self, volume: Volume, units: float, now: int) -> bool:
         """Takes the units from this gateway's estimated part of the volume's reserve, if they are there."""
-        part = volume.gateways ** -PART
-        rate = volume.plan["reserve_rate"] * part
-        there = volume.reserve.fill(now, rate, rate + self.facts["largest_units"] * part) > 0
+        rate = volume.plan["reserve_rate"] * volume.gateways ** -PART
+        there = volume.reserve.fill(now, rate, rate + self.facts["largest_units"]) >= units
         volume.reserve.level -= units if there else 0
         return there
 
