--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -33,7 +33,6 @@
 EASE, LEAST_SURPLUS = 0.7, 1 / 16
 CROWDED = 0.25
 BASE, LOW = 0.05, 0.3
-PATIENT = 8
 REST = 2              # a node that turned away or lapsed is left alone for this many smoothed latencies
 
 Phase = Enum("Phase", "HELD OUT OVER")
@@ -343,9 +342,6 @@
             useful = sorted(node.due, key=lambda each: -each[2].utility)
             return self.lawful(node, useful or node.background or node.late, now)
         head = self.lawful(node, node.due, now)
-        if head is not None and node.out and head.tag - now > PATIENT * node.service(head):
-            self.wake(node, head.tag - int(PATIENT * node.service(head)), now)
-            return None
         if head is not None and head.tag > now and node.follow is not None:
             near = self.run_of(node, node.follow) + [each[2] for each in node.due if
                                                      each[2].volume is node.follow.volume]
