New objects go to the least strained of four nodes drawn by chance

Strain is smoothed from waits and the reported load, with the mean of all nodes as prior; no scan of the fleet.

--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -33,6 +33,7 @@
 EASE, LEAST_SURPLUS = 0.7, 1 / 16
 CROWDED = 0.25
 BASE, LOW = 0.05, 0.3
+DRAWN, STRAIN = 4, 0.25
 REST = 2              # a node that turned away or lapsed is left alone for this many smoothed latencies
 
 Phase = Enum("Phase", "HELD OUT OVER")
@@ -86,6 +87,7 @@
         self.plan, self.gateways = plan, gateways
         self.reserve = Store(plan["reserve_rate"] / gateways, now)
         self.window, self.out, self.cut_at, self.rest_until = 1.0, 0, 0, 0  # of the surplus
+        self.newest: Transfer | None = None
         self.waiting: dict[int, Node] = {}  # nodes where surplus waits for the window
         self.limit = Store(0.0, now)  # guards rule 7: a former self may have spent all of it
 
@@ -140,6 +142,7 @@
         self.out: list[Dispatch] = []
         self.window, self.credit = FIRST_WINDOW, CREDITS
         self.latency: float | None = None  # M
+        self.strain: float | None = None
         self.pace, self.best = 0.0, 0.0    # smoothed latency a unit, and its recent best
         self.follow: Transfer | None = None
         self.follow_until = self.heard = self.rest_until = 0
@@ -167,7 +170,10 @@
 
     def __init__(self, facts: Facts, seed: int, now: int, port: Port) -> None:
         self.facts, self.port, self.born = facts, port, now
-        self.uniform = Random(seed).uniform
+        chance = Random(seed)
+        self.uniform, self.choices = chance.uniform, chance.choices
+        self.serving: list[Node] = []
+        self.mean_strain = 0.0
         self.nodes: dict[int, Node] = {}
         self.cells: dict[int, list[Node]] = {}  # the nodes in service that hold a cell
         self.volumes: dict[int, Volume] = {}
@@ -212,6 +218,7 @@
             if node.id not in named:
                 self.sign(node, Sign.UNREADY, now)
         self.cells = {}
+        self.serving = [node for node in self.nodes.values() if node.health is not Health.BARRED]
         for node in self.nodes.values():
             if node.health is not Health.BARRED:
                 self.cells.setdefault(node.cell, []).append(node)
@@ -256,14 +263,19 @@
         if transfer.cell is not None:
             ready = self.cells.get(transfer.cell)
         else:
-            ready = [node for cell in self.cells.values() for node in cell if self.credit(node, now) > 0]
+            last = transfer.volume.newest
+            drawn = self.choices(self.serving, k=DRAWN) if self.serving else []
+            if last is not None and last.extent == transfer.extent and last.node.health is not Health.BARRED:
+                drawn = [last.node]
+            ready = [node for node in drawn if self.credit(node, now) > 0] or [
+                node for node in self.serving if self.credit(node, now) > 0]
         if not ready:
             return False
         if transfer.cell is None:
-            near = [node for node in ready if node.follow and node.follow.extent == transfer.extent]
-            ready = near or [min(ready, key=lambda node: self.backlog(node, now, transfer.units))]
+            ready = [min(ready, key=lambda node: self.strain(node, now))]
             ready[0].credit -= 1
             transfer.spent = True
+            transfer.volume.newest = transfer
         self.hold(transfer, ready[0], now)
         return True
 
@@ -271,12 +283,12 @@
         """A node without credit that has nothing to answer is tried with one, else it could earn none."""
         return max(node.credit, int(not node.out and not node.extents and now >= node.rest_until))
 
-    def backlog(self, node: Node, now: int, more: float) -> float:
-        """How long some more units would take at a node; an answer that is overdue counts in full."""
-        out = sum(each.transfer.units for each in node.out)
-        ahead = out + sum(each[2].units for each in node.extents) + more
+    def strain(self, node: Node, now: int) -> float:
+        """How much a node has to do, in shortest target times; an answer that is overdue counts in full."""
+        units = sum(each.transfer.units for each in node.out) + sum(each[2].units for each in node.extents)
         overdue = max((now - max(each.sent, node.heard) for each in node.out), default=0)
-        return ahead * (node.pace or 1.0) / node.window + max(overdue - (node.latency or 0.0), 0.0)
+        late = max(overdue - (node.latency or 0.0), 0.0) + units * (self.base or 0.0)
+        return (self.mean_strain if node.strain is None else node.strain) + late / self.shortest
 
     def hold(self, transfer: Transfer, node: Node, now: int) -> None:
         """Queue a transfer at a node: by its tag, or behind as background."""
@@ -541,6 +553,12 @@
         node.follow, node.follow_until = transfer, now + int(FOLLOW_WAIT * node.service(transfer))
         node.sends.append((now, -transfer.units))
         pace = answer.latency / transfer.units
+        strain = max(answer.latency - transfer.units * (self.base or pace), 0) / self.shortest
+        strain += answer.report.get("busy", 0.0)
+        if node.strain is None:
+            node.strain = self.mean_strain
+        node.strain += STRAIN * (strain - node.strain)
+        self.mean_strain += STRAIN / 4 * (strain - self.mean_strain)
         self.base = pace if self.base is None else self.base * (1 + BASE * (LOW - (pace < self.base)))
         if node.latency is None:
             node.latency, node.pace, node.best = float(answer.latency), pace, pace
