--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -33,7 +33,7 @@
 EASE, LEAST_SURPLUS = 0.7, 1 / 16
 CROWDED = 0.25
 BASE, LOW = 0.05, 0.3
-DRAWN, STRAIN = 4, 0.25
+DRAWN, STRAIN = 8, 0.25
 REST = 2              # a node that turned away or lapsed is left alone for this many smoothed latencies
 
 Phase = Enum("Phase", "HELD OUT OVER")
