Rests at a node double with each dispatch that came to nothing; nothing late there

Cause: in a crowd every gateway tried every node again as soon as a time-out had passed; a hundred of them kept the queues full of work that could only be late. Rest after the first is one span, then three, then seven, by chance half to one and a half; an answer takes one step back. Guards against any node that many gateways crowd, that is slow, hangs or is gone; harm: after a short fault a gateway may stay away for two seconds. Folds the former rests after a lapse and after being turned away.

--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -34,6 +34,7 @@
 CROWDED = 0.25
 BASE, LOW = 0.05, 0.3
 DRAWN, STRAIN = 8, 0.25
+MOST_LAPSES = 3
 REST = 2              # a node that turned away or lapsed is left alone for this many smoothed latencies
 
 Phase = Enum("Phase", "HELD OUT OVER")
@@ -147,6 +148,7 @@
         self.follow: Transfer | None = None
         self.follow_until = self.heard = self.rest_until = 0
         self.wake_at = NEVER
+        self.lapses = self.struck = 0
         self.sends: deque[tuple[int, float]] = deque()  # units sent within the window of rule 4
 
     def service(self, transfer: Transfer) -> float:
@@ -155,7 +157,7 @@
 
     def crowded(self) -> bool:
         """Whether answers take so long that work of little use would delay what others have there."""
-        return self.pace > FAR * self.best
+        return self.lapses > 0 or self.pace > FAR * self.best
 
     def take(self, transfer: Transfer) -> None:
         """Take a held transfer out of its queues."""
@@ -230,7 +232,7 @@
         if effect == "narrow":
             node.window = LEAST_WINDOW
         elif effect == "rest":
-            node.rest_until = now + int(REST * (node.latency or self.facts["tick"]))
+            pass
         elif effect == "restart":
             node.window, node.credit, node.rest_until = LEAST_WINDOW, 1, now
         elif effect == "empty":
@@ -321,7 +323,7 @@
         Keeps any overdue backlog (surge, slow, stalled or lost node) from making EDF serve late work only. It
         could harm where the pace misleads: work is declined that a quicker node would still have done.
         """
-        clock, step = float(now), node.pace / node.window
+        clock, step = float(max(now, node.rest_until)), node.pace / node.window
         for queue, onward in ((node.due, node.background), (node.background, node.late), (node.late, None)):
             clock += NEVER if onward is None and node.crowded() else 0
             while (found := self.surplus(node, queue, clock, step, onward is None)) is not None:
@@ -526,6 +528,10 @@
         self.touched[node.id] = node
         spent = answer.latency - transfer.units * (self.base or 0.0)
         self.ease(sent, now, answer.outcome is not Outcome.SATISFIED or spent > CROWDED * self.shortest)
+        if answer.outcome in NO_WORD + (Outcome.TURNED_AWAY,) and sent.sent >= node.struck:
+            node.lapses, node.struck = min(node.lapses + 1, MOST_LAPSES), now
+            span = max(answer.latency, int(node.latency or self.facts["tick"]))
+            node.rest_until = now + int(span * (2 ** node.lapses - 1) * self.uniform(0.5, 1.5))
         if answer.outcome in NO_WORD and node.heard <= sent.sent:
             self.sign(node, Sign.LAPSE, now)
         elif answer.outcome not in UNSETTLED + (Outcome.MOOT,):
@@ -546,10 +552,9 @@
         node, transfer = sent.node, sent.transfer
         node.heard, node.credit = now, min(node.credit + 1, CREDITS)
         self.sign(node, Sign.ANSWER, now)
-        if answer.outcome is Outcome.TURNED_AWAY:
-            node.rest_until = now + int(REST * (node.latency or self.facts["tick"]))
         if answer.outcome is not Outcome.SATISFIED:
             return
+        node.lapses = max(node.lapses - 1, 0)
         node.follow, node.follow_until = transfer, now + int(FOLLOW_WAIT * node.service(transfer))
         node.sends.append((now, -transfer.units))
         pace = answer.latency / transfer.units
