--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -34,7 +34,7 @@
 CROWDED = 0.25
 BASE, LOW = 0.05, 0.3
 DRAWN, STRAIN = 8, 0.25
-MOST_LAPSES = 3
+MOST_LAPSES = 4
 REST = 2              # a node that turned away or lapsed is left alone for this many smoothed latencies
 
 Phase = Enum("Phase", "HELD OUT OVER")
