--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -34,7 +34,7 @@
 CROWDED = 0.25
 BASE, LOW = 0.05, 0.3
 DRAWN, STRAIN = 8, 0.25
-MOST_LAPSES = 4
+MOST_LAPSES = 3
 REST = 2              # a node that turned away or lapsed is left alone for this many smoothed latencies
 
 Phase = Enum("Phase", "HELD OUT OVER")
@@ -99,8 +99,10 @@
     def __init__(self, arrival: Arrival, category: Mapping[str, Any], volume: Volume, now: int) -> None:
         self.id, self.extent, self.volume, self.category = arrival.id, arrival.extent, volume, category
         self.cell, self.units, self.ends, self.reserved = arrival.cell, arrival.units, arrival.ends, True
-        # A client's repeat counts from its first try: its patience runs over all its tries.
-        start = min(now, arrival.ends - category["patience"]) if arrival.repeat else now
+        # A client's repeat counts from its first try: its patience runs over all its tries. One with less time
+        # left than its target time is taken for a short try: dated back, its target would be long past.
+        short = arrival.ends - now < category["target_time"]
+        start = min(now, arrival.ends - category["patience"]) if arrival.repeat and not short else now
         self.target = self.tag = min(start + category["target_time"], arrival.ends)
         self.utility = category["utility"] * volume.plan["price"]  # of a unit
         self.phase, self.spent = Phase.HELD, False
