--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -146,6 +146,7 @@
         self.window, self.credit = FIRST_WINDOW, CREDITS
         self.latency: float | None = None  # M
         self.strain: float | None = None
+        self.wait = 0.0
         self.pace, self.best = 0.0, 0.0    # smoothed latency a unit, and its recent best
         self.follow: Transfer | None = None
         self.follow_until = self.heard = self.rest_until = 0
@@ -153,10 +154,6 @@
         self.lapses = self.struck = 0
         self.sends: deque[tuple[int, float]] = deque()  # units sent within the window of rule 4
 
-    def service(self, transfer: Transfer) -> float:
-        """Expected time from a dispatch to its answer."""
-        return self.pace * transfer.units
-
     def crowded(self) -> bool:
         """Whether answers take so long that work of little use would delay what others have there."""
         return self.lapses > 0 or self.pace > FAR * self.best
@@ -287,6 +284,10 @@
         """A node without credit that has nothing to answer is tried with one, else it could earn none."""
         return max(node.credit, int(not node.out and not node.extents and now >= node.rest_until))
 
+    def service(self, node: Node, transfer: Transfer) -> float:
+        """Expected time from a dispatch to its answer."""
+        return node.wait + transfer.units * (self.base or 0.0)
+
     def strain(self, node: Node, now: int) -> float:
         """How much a node has to do, in shortest target times; an answer that is overdue counts in full."""
         units = sum(each.transfer.units for each in node.out) + sum(each[2].units for each in node.extents)
@@ -299,12 +300,12 @@
         self.touched[node.id] = transfer.node = node
         m = node.latency if node.latency is not None else transfer.category["target_time"] / FIRST_M
         transfer.tag = transfer.target - int(m)
-        missed = now + HOPE * node.service(transfer) > transfer.target
+        missed = now + HOPE * self.service(node, transfer) > transfer.target
         self.put(transfer, node, node.late if missed else node.due if transfer.reserved else node.background)
 
     def put(self, transfer: Transfer, node: Node, queue: Queue) -> None:
         if queue is node.background:
-            self.port.wake(transfer.target - int(HOPE * node.service(transfer)), node)
+            self.port.wake(transfer.target - int(HOPE * self.service(node, transfer)), node)
         self.numbers += 1
         transfer.queue, transfer.number = queue, self.numbers
         transfer.order = transfer.tag if queue is node.due else self.numbers
@@ -339,7 +340,7 @@
     def surplus(self, node: Node, queue: Queue, clock: float, step: float, last: bool) -> Transfer | None:
         """The least useful of those up to the first that would leave too late, if one would."""
         for place, (_, _, transfer) in enumerate(queue):
-            if clock + HOPE * node.service(transfer) > (transfer.ends if last else transfer.target):
+            if clock + HOPE * self.service(node, transfer) > (transfer.ends if last else transfer.target):
                 return min(queue[:place + 1], key=lambda each: (each[2].utility, each[0]))[2]
             clock += step * transfer.units
         return None
@@ -362,9 +363,9 @@
             near = self.run_of(node, node.follow) + [each[2] for each in node.due if
                                                      each[2].volume is node.follow.volume]
             for transfer in near:  # its cost is charged to the head's slack
-                if node.service(transfer) <= head.tag - now and not self.wait_for(transfer, node, now):
+                if self.service(node, transfer) <= head.tag - now and not self.wait_for(transfer, node, now):
                     return transfer
-            bound = min(node.follow_until, head.tag - int(node.service(head)))
+            bound = min(node.follow_until, head.tag - int(self.service(node, head)))
             if node.out and now < bound and int(node.window) - len(node.out) == 1:
                 self.wake(node, bound, now)
                 return None
@@ -384,7 +385,7 @@
         """
         slack = min((each[2].tag - now for each in node.due[:1]), default=NEVER)
         for transfer in self.run_of(node, first):
-            slack -= node.service(transfer) * HIT
+            slack -= self.service(node, transfer) * HIT
             if slack < 0 or len(node.out) >= MOST_WINDOW or self.wait_for(transfer, node, now):
                 return
             self.dispatch(transfer, node, now)
@@ -516,7 +517,7 @@
         node.sends.append((now, transfer.units))
         # Guards against dispatches lost without a word, by link or node, that would hold the window for a
         # patience. Harm: a node that slows at once does work twice; credit and rule 6 bound that.
-        lost = LOST * max(node.latency or 0, node.service(transfer))
+        lost = LOST * max(node.latency or 0, self.service(node, transfer))
         lost = transfer.target - now if transfer.target > now else lost
         self.port.send(transfer.id, node.id, 0 if transfer.category["repeats"] == "exclusive" else int(lost))
         self.cue(transfer, Cue.SENT, now)
@@ -557,10 +558,12 @@
         if answer.outcome is not Outcome.SATISFIED:
             return
         node.lapses = max(node.lapses - 1, 0)
-        node.follow, node.follow_until = transfer, now + int(FOLLOW_WAIT * node.service(transfer))
+        node.follow, node.follow_until = transfer, now + int(FOLLOW_WAIT * self.service(node, transfer))
         node.sends.append((now, -transfer.units))
         pace = answer.latency / transfer.units
-        strain = max(answer.latency - transfer.units * (self.base or pace), 0) / self.shortest
+        waited = max(answer.latency - transfer.units * (self.base or pace), 0)
+        node.wait += SMOOTH * (waited - node.wait)
+        strain = waited / self.shortest
         strain += answer.report.get("busy", 0.0)
         if node.strain is None:
             node.strain = self.mean_strain
