Expected service: the node's smoothed wait and a unit's usual time by the node's listed size

A latency divided by units mixes waiting with work: costly transfers were thought too late and declined.

--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -146,7 +146,7 @@
         self.window, self.credit = FIRST_WINDOW, CREDITS
         self.latency: float | None = None  # M
         self.strain: float | None = None
-        self.wait = 0.0
+        self.wait, self.size = 0.0, entry.size or 1.0
         self.pace, self.best = 0.0, 0.0    # smoothed latency a unit, and its recent best
         self.follow: Transfer | None = None
         self.follow_until = self.heard = self.rest_until = 0
@@ -186,7 +186,7 @@
         self.taken_at: deque[int] = deque()
         self.further_at: deque[int] = deque()
         self.numbers = self.asks = 0
-        self.base: float | None = None
+        self.base = 0.0  # a unit's usual time at a node of size 1, without waiting
         self.shortest = min((each["target_time"] for each in facts["categories"]), default=1)
         if facts["list_on_request"]:
             self.ask()
@@ -209,6 +209,7 @@
             if node is None:
                 node = self.nodes[entry.node] = Node(entry)
             node.cell, node.zone, node.since = entry.cell, entry.zone, entry.since
+            node.size = entry.size or 1.0
             if fresh and now - self.born <= self.facts["cold_window"]:
                 # Guards rule 4: a former self may have spent this gateway's part of a cold node's budget.
                 node.sends.append((now, self.cold_part(node, now)))
@@ -286,13 +287,13 @@
 
     def service(self, node: Node, transfer: Transfer) -> float:
         """Expected time from a dispatch to its answer."""
-        return node.wait + transfer.units * (self.base or 0.0)
+        return node.wait + transfer.units * self.base / node.size
 
     def strain(self, node: Node, now: int) -> float:
         """How much a node has to do, in shortest target times; an answer that is overdue counts in full."""
         units = sum(each.transfer.units for each in node.out) + sum(each[2].units for each in node.extents)
         overdue = max((now - max(each.sent, node.heard) for each in node.out), default=0)
-        late = max(overdue - (node.latency or 0.0), 0.0) + units * (self.base or 0.0)
+        late = max(overdue - (node.latency or 0.0), 0.0) + units * self.base / node.size
         return (self.mean_strain if node.strain is None else node.strain) + late / self.shortest
 
     def hold(self, transfer: Transfer, node: Node, now: int) -> None:
@@ -529,7 +530,7 @@
         sent.outcome, node, transfer = answer.outcome, sent.node, sent.transfer
         node.out.remove(sent)
         self.touched[node.id] = node
-        spent = answer.latency - transfer.units * (self.base or 0.0)
+        spent = answer.latency - transfer.units * self.base / node.size
         self.ease(sent, now, answer.outcome is not Outcome.SATISFIED or spent > CROWDED * self.shortest)
         if answer.outcome in NO_WORD + (Outcome.TURNED_AWAY,) and sent.sent >= node.struck:
             node.lapses, node.struck = min(node.lapses + 1, MOST_LAPSES), now
@@ -561,7 +562,9 @@
         node.follow, node.follow_until = transfer, now + int(FOLLOW_WAIT * self.service(node, transfer))
         node.sends.append((now, -transfer.units))
         pace = answer.latency / transfer.units
-        waited = max(answer.latency - transfer.units * (self.base or pace), 0)
+        clear = pace * node.size
+        self.base = self.base * (1 + BASE * (LOW - (clear < self.base))) if self.base else clear
+        waited = max(answer.latency - transfer.units * self.base / node.size, 0)
         node.wait += SMOOTH * (waited - node.wait)
         strain = waited / self.shortest
         strain += answer.report.get("busy", 0.0)
@@ -569,7 +572,6 @@
             node.strain = self.mean_strain
         node.strain += STRAIN * (strain - node.strain)
         self.mean_strain += STRAIN / 4 * (strain - self.mean_strain)
-        self.base = pace if self.base is None else self.base * (1 + BASE * (LOW - (pace < self.base)))
         if node.latency is None:
             node.latency, node.pace, node.best = float(answer.latency), pace, pace
         node.latency += SMOOTH * (answer.latency - node.latency)
