--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -35,7 +35,6 @@
 BASE, LOW = 0.05, 0.3
 DRAWN, STRAIN = 8, 0.25
 MOST_LAPSES = 3
-STALE = 10
 REST = 2              # a node that turned away or lapsed is left alone for this many smoothed latencies
 
 Phase = Enum("Phase", "HELD OUT OVER")
@@ -155,6 +154,10 @@
         self.lapses = self.struck = 0
         self.sends: deque[tuple[int, float]] = deque()  # units sent within the window of rule 4
 
+    def crowded(self) -> bool:
+        """Whether answers take so long that work of little use would delay what others have there."""
+        return self.lapses > 0 or self.pace > FAR * self.best
+
     def take(self, transfer: Transfer) -> None:
         """Take a held transfer out of its queues."""
         if transfer.queue is not None:
@@ -183,7 +186,6 @@
         self.taken_at: deque[int] = deque()
         self.further_at: deque[int] = deque()
         self.numbers = self.asks = 0
-        self.mean_wait = 0.0
         self.base = 0.0  # a unit's usual time at a node of size 1, without waiting
         self.shortest = min((each["target_time"] for each in facts["categories"]), default=1)
         if facts["list_on_request"]:
@@ -283,18 +285,9 @@
         """A node without credit that has nothing to answer is tried with one, else it could earn none."""
         return max(node.credit, int(not node.out and not node.extents and now >= node.rest_until))
 
-    def wait(self, node: Node, now: int) -> float:
-        """Expected wait at a node: what was last seen there, forgotten by time for the mean of all nodes."""
-        left = 2 ** -((now - node.heard) / (STALE * self.shortest))
-        return self.mean_wait + (node.wait - self.mean_wait) * left
-
-    def crowded(self, node: Node, now: int) -> bool:
-        """Whether answers take so long that work of little use would delay what others have there."""
-        return node.lapses > 0 or self.wait(node, now) > CROWDED * self.shortest
-
-    def service(self, node: Node, transfer: Transfer, now: int) -> float:
+    def service(self, node: Node, transfer: Transfer) -> float:
         """Expected time from a dispatch to its answer."""
-        return self.wait(node, now) + transfer.units * self.base / node.size
+        return node.wait + transfer.units * self.base / node.size
 
     def strain(self, node: Node, now: int) -> float:
         """How much a node has to do, in shortest target times; an answer that is overdue counts in full."""
@@ -308,12 +301,12 @@
         self.touched[node.id] = transfer.node = node
         m = node.latency if node.latency is not None else transfer.category["target_time"] / FIRST_M
         transfer.tag = transfer.target - int(m)
-        missed = now + HOPE * self.service(node, transfer, now) > transfer.target
-        self.put(transfer, node, node.late if missed else node.due if transfer.reserved else node.background, now)
+        missed = now + HOPE * self.service(node, transfer) > transfer.target
+        self.put(transfer, node, node.late if missed else node.due if transfer.reserved else node.background)
 
-    def put(self, transfer: Transfer, node: Node, queue: Queue, now: int) -> None:
+    def put(self, transfer: Transfer, node: Node, queue: Queue) -> None:
         if queue is node.background:
-            self.port.wake(transfer.target - int(HOPE * self.service(node, transfer, now)), node)
+            self.port.wake(transfer.target - int(HOPE * self.service(node, transfer)), node)
         self.numbers += 1
         transfer.queue, transfer.number = queue, self.numbers
         transfer.order = transfer.tag if queue is node.due else self.numbers
@@ -336,19 +329,19 @@
         """
         clock, step = float(max(now, node.rest_until)), node.pace / node.window
         for queue, onward in ((node.due, node.background), (node.background, node.late), (node.late, None)):
-            clock += NEVER if onward is None and self.crowded(node, now) else 0
-            while (found := self.surplus(node, queue, clock, step, onward is None, now)) is not None:
+            clock += NEVER if onward is None and node.crowded() else 0
+            while (found := self.surplus(node, queue, clock, step, onward is None)) is not None:
                 node.take(found)
                 if onward is None or queue is node.background and not found.reserved:
                     self.cue(found, Cue.HOPELESS, now)
                 else:
-                    self.put(found, node, onward, now)
+                    self.put(found, node, onward)
             clock += step * sum(each[2].units for each in queue)
 
-    def surplus(self, node: Node, queue: Queue, clock: float, step: float, last: bool, now: int) -> Transfer | None:
+    def surplus(self, node: Node, queue: Queue, clock: float, step: float, last: bool) -> Transfer | None:
         """The least useful of those up to the first that would leave too late, if one would."""
         for place, (_, _, transfer) in enumerate(queue):
-            if clock + HOPE * self.service(node, transfer, now) > (transfer.ends if last else transfer.target):
+            if clock + HOPE * self.service(node, transfer) > (transfer.ends if last else transfer.target):
                 return min(queue[:place + 1], key=lambda each: (each[2].utility, each[0]))[2]
             clock += step * transfer.units
         return None
@@ -371,13 +364,13 @@
             near = self.run_of(node, node.follow) + [each[2] for each in node.due if
                                                      each[2].volume is node.follow.volume]
             for transfer in near:  # its cost is charged to the head's slack
-                if self.service(node, transfer, now) <= head.tag - now and not self.wait_for(transfer, node, now):
+                if self.service(node, transfer) <= head.tag - now and not self.wait_for(transfer, node, now):
                     return transfer
-            bound = min(node.follow_until, head.tag - int(self.service(node, head, now)))
+            bound = min(node.follow_until, head.tag - int(self.service(node, head)))
             if node.out and now < bound and int(node.window) - len(node.out) == 1:
                 self.wake(node, bound, now)
                 return None
-        if head is not None or node.out and self.crowded(node, now):
+        if head is not None or node.out and node.crowded():
             return head
         return self.lawful(node, node.background, now) or self.lawful(node, node.late, now)
 
@@ -393,7 +386,7 @@
         """
         slack = min((each[2].tag - now for each in node.due[:1]), default=NEVER)
         for transfer in self.run_of(node, first):
-            slack -= self.service(node, transfer, now) * HIT
+            slack -= self.service(node, transfer) * HIT
             if slack < 0 or len(node.out) >= MOST_WINDOW or self.wait_for(transfer, node, now):
                 return
             self.dispatch(transfer, node, now)
@@ -525,7 +518,7 @@
         node.sends.append((now, transfer.units))
         # Guards against dispatches lost without a word, by link or node, that would hold the window for a
         # patience. Harm: a node that slows at once does work twice; credit and rule 6 bound that.
-        lost = LOST * max(node.latency or 0, self.service(node, transfer, now))
+        lost = LOST * max(node.latency or 0, self.service(node, transfer))
         lost = transfer.target - now if transfer.target > now else lost
         self.port.send(transfer.id, node.id, 0 if transfer.category["repeats"] == "exclusive" else int(lost))
         self.cue(transfer, Cue.SENT, now)
@@ -561,22 +554,18 @@
     def heard_from(self, sent: Dispatch, answer: Answer, now: int) -> None:
         """An answer earns credit and moves M and the window."""
         node, transfer = sent.node, sent.transfer
-        node.credit = min(node.credit + 1, CREDITS)
+        node.heard, node.credit = now, min(node.credit + 1, CREDITS)
         self.sign(node, Sign.ANSWER, now)
         if answer.outcome is not Outcome.SATISFIED:
-            node.heard = now
             return
         node.lapses = max(node.lapses - 1, 0)
-        node.follow, node.follow_until = transfer, now + int(FOLLOW_WAIT * self.service(node, transfer, now))
+        node.follow, node.follow_until = transfer, now + int(FOLLOW_WAIT * self.service(node, transfer))
         node.sends.append((now, -transfer.units))
         pace = answer.latency / transfer.units
         clear = pace * node.size
         self.base = self.base * (1 + BASE * (LOW - (clear < self.base))) if self.base else clear
         waited = max(answer.latency - transfer.units * self.base / node.size, 0)
-        node.wait = self.wait(node, now) if node.latency is not None else self.mean_wait
-        node.wait += STRAIN * (waited - node.wait)
-        self.mean_wait += SMOOTH / 4 * (waited - self.mean_wait)
-        node.heard = now
+        node.wait += SMOOTH * (waited - node.wait)
         strain = waited / self.shortest
         strain += answer.report.get("busy", 0.0)
         if node.strain is None:
@@ -588,7 +577,7 @@
         node.latency += SMOOTH * (answer.latency - node.latency)
         node.pace += SMOOTH * (pace - node.pace)
         node.best = min(node.best + FORGET * (node.pace - node.best), node.pace)
-        if self.crowded(node, now):
+        if node.crowded():
             node.window = max(node.window * NARROWER, LEAST_WINDOW)
         elif node.pace < NEAR * node.best and sent.full:
             node.window = min(node.window + 1 / node.window, MOST_WINDOW)
