--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -11,7 +11,6 @@
 from bisect import bisect_left, insort
 from collections import deque
 from enum import Enum
-from math import exp
 from random import Random
 from typing import Any, Mapping, Sequence
 
@@ -36,7 +35,6 @@
 BASE, LOW = 0.05, 0.3
 DRAWN, STRAIN = 8, 0.25
 MOST_LAPSES = 3
-FAR_UNDER, ASKED_PERIODS = 1 / 3, 4
 REST = 2              # a node that turned away or lapsed is left alone for this many smoothed latencies
 
 Phase = Enum("Phase", "HELD OUT OVER")
@@ -91,16 +89,9 @@
         self.reserve = Store(plan["reserve_rate"] / gateways, now)
         self.window, self.out, self.cut_at, self.rest_until = 1.0, 0, 0, 0  # of the surplus
         self.newest: Transfer | None = None
-        self.asked, self.asked_at = 0.0, now  # units a second asked of this gateway, smoothed over some meter periods
-        self.told, self.told_until = 0.0, now  # use by all gateways, units a second
         self.waiting: dict[int, Node] = {}  # nodes where surplus waits for the window
         self.limit = Store(0.0, now)  # guards rule 7: a former self may have spent all of it
 
-    def asked_for(self, units: float, now: int, meter: int) -> None:
-        span = ASKED_PERIODS * max(meter, 1)
-        self.asked *= exp((self.asked_at - now) / span)
-        self.asked, self.asked_at = self.asked + units * 10_000 / span, now
-
 
 class Transfer:
     """A transfer that this gateway has taken."""
@@ -254,7 +245,6 @@
         volume = self.volumes.setdefault(arrival.volume, Volume(plan, arrival.gateways, self.born))
         volume.gateways = max(volume.gateways, arrival.gateways)
         transfer = self.transfers[arrival.id] = Transfer(arrival, category, volume, now)
-        volume.asked_for(transfer.units, now, self.facts["meter"])
         transfer.reserved = self.within_reserve(volume, transfer.units, now)
         transfer.utility *= 1.0 if transfer.reserved else self.facts["share_utility"]
         self.taken_at.append(now)
@@ -504,15 +494,11 @@
         return rest if keyed[0] is transfer else self.facts["tick"]
 
     def limit_wait(self, transfer: Transfer, now: int) -> int:
-        """Rule 7: an even part of the volume's store, for the first dispatch. While the use told of all gateways
-        is far under the limit, and nothing crowds the volume, the part fills as fast as this gateway is asked.
-        """
-        volume, whole = transfer.volume, transfer.volume.plan["limit_rate"]
-        rate = whole / volume.gateways
+        """Rule 7: an even part of the volume's store, for the first dispatch."""
+        volume = transfer.volume
+        rate = volume.plan["limit_rate"] / volume.gateways
         if not rate or transfer.dispatches:
             return 0
-        if now < volume.told_until and volume.told < FAR_UNDER * whole and volume.window >= 1:
-            rate = max(rate, volume.asked)
         short = transfer.units - volume.limit.fill(now, rate, volume.plan["limit_store"] / volume.gateways)
         return 0 if short <= 0 else int(short * 10_000 / rate) + 1
 
@@ -544,10 +530,6 @@
         sent.outcome, node, transfer = answer.outcome, sent.node, sent.transfer
         node.out.remove(sent)
         self.touched[node.id] = node
-        if answer.used is not None:
-            volume = transfer.volume
-            volume.told = answer.used / 100 * volume.plan["usual_rate"]
-            volume.told_until = now + 2 * self.facts["meter"]
         spent = answer.latency - transfer.units * self.base / node.size
         self.ease(sent, now, answer.outcome is not Outcome.SATISFIED or spent > CROWDED * self.shortest)
         if answer.outcome in NO_WORD + (Outcome.TURNED_AWAY,) and sent.sent >= node.struck:
