--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -519,7 +519,7 @@
         # Guards against dispatches lost without a word, by link or node, that would hold the window for a
         # patience. Harm: a node that slows at once does work twice; credit and rule 6 bound that.
         lost = LOST * max(node.latency or 0, self.service(node, transfer))
-        lost = transfer.target - now if transfer.target > now else lost
+        lost = max(lost if transfer.reserved and node.lapses == 0 or transfer.target <= now else 0, transfer.target - now)
         self.port.send(transfer.id, node.id, 0 if transfer.category["repeats"] == "exclusive" else int(lost))
         self.cue(transfer, Cue.SENT, now)
 
@@ -547,7 +547,8 @@
         elif not any(each.outcome is None for each in transfer.dispatches):
             transfer.spent = False
             late = now >= transfer.ends - ENDING_TICKS * self.facts["tick"]
-            late = late or answer.outcome is Outcome.TIMED_OUT and now >= transfer.target
+            late = late or answer.outcome is Outcome.TIMED_OUT and now >= transfer.target and (
+                not transfer.reserved or node.lapses > 0)
             never = late or self.repeat_wait(transfer, node, now) >= NEVER
             self.cue(transfer, Cue.LAST if never else Cue.AGAIN, now)
 
