A cold part below one unit: chance lets that share of the gateways send in each window

Cause: a hundred gateways' even parts of what a cold node bears are a fraction of a unit, so nothing went there until it was warm. Each now draws once a window; a restarted gateway takes its draw for spent. Harm: chance may let more gateways send than the mean; the told units are far below what brings a node down.

--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -150,6 +150,7 @@
         self.pace, self.best = 0.0, 0.0    # smoothed latency a unit, and its recent best
         self.follow: Transfer | None = None
         self.follow_until = self.heard = self.rest_until = 0
+        self.drawn, self.lucky = -NEVER, False
         self.wake_at = NEVER
         self.lapses = self.struck = 0
         self.sends: deque[tuple[int, float]] = deque()  # units sent within the window of rule 4
@@ -212,7 +213,7 @@
             node.size = entry.size or 1.0
             if fresh and now - self.born <= self.facts["cold_window"]:
                 # Guards rule 4: a former self may have spent this gateway's part of a cold node's budget.
-                node.sends.append((now, self.cold_part(node, now)))
+                node.sends.append((now, max(self.cold_part(node, now), self.facts["largest_units"])))
             ready = Sign.FRESH if fresh else Sign.READY
             self.sign(node, ready if entry.readiness is Readiness.READY else Sign.UNREADY, now)
         named = {entry.node for entry in entries}
@@ -479,9 +480,13 @@
         while node.sends and node.sends[0][0] + span <= now:
             node.sends.popleft()
         part = self.cold_part(node, now) * (1 - 1 / max(self.facts["cold_multiple"], 1))
+        if 0 < part < 1:
+            if now >= node.drawn + span:
+                node.drawn, node.lucky = now, self.uniform(0, self.facts["largest_units"]) < part
+            part = self.facts["largest_units"] if node.lucky else -1.0
         if not part or sum(units for _, units in node.sends) + transfer.units <= part:
             return 0
-        return node.sends[0][0] + span - now if node.sends else span
+        return node.sends[0][0] + span - now if node.sends else max(node.drawn + span - now, 1)
 
     def key_wait(self, transfer: Transfer, now: int) -> int:
         """Rule 5."""
