--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -2,9 +2,8 @@
 
 A host makes one Scheduler per gateway with the facts, the seed, the time and a Port, tells it each event by
 `listed`, `taken`, `returned`, `abandoned`, `woken`, then calls `settle`; the module answers through the Port.
-Types and the names of the facts are in interface.py. Times are whole tenths of a millisecond. The design is
-batch-and-delay EDF (docs/design.md): each Node has an extent-sorted, a deadline and a background queue;
-`choose` is the ordinary path, `wait_for` the rules' gate.
+Types and names of the facts: interface.py. Times are whole tenths of a millisecond. The design is batch-and-
+delay EDF (docs/design.md): `choose` is the ordinary path of a Node's queues, `wait_for` the rules' gate.
 """
 from __future__ import annotations
 
@@ -18,8 +17,7 @@
 
 # Tuned values. Shares and counts only: every span comes from the facts or from what is seen.
 FIRST_WINDOW, LEAST_WINDOW, MOST_WINDOW = 2.0, 1.0, 32.0
-NEAR, FAR = 1.1, 1.4  # the window widens below, narrows above this multiple of the best pace
-NARROWER = 0.95       # what an answer above it leaves of the window
+NEAR, FAR, NARROWER = 1.1, 1.4, 0.95  # the window widens below, narrows above these multiples of the best pace
 SMOOTH, FORGET = 1 / 8, 1 / 800  # weight of a new latency; how fast the best pace is forgotten
 FIRST_M = 10          # M starts at the target time over this
 HOPE = 0.6            # a transfer is still in time with this share of its expected service left
@@ -30,20 +28,18 @@
 CREDITS = 4           # new objects and further dispatches that a node may have unanswered at this gateway
 ENDING_TICKS = 2      # a held transfer is answered this many ticks before its client gives up
 ASK_AGAIN = 1 / 8     # share of the stated time after which a failed watch is asked for again
-EASE, LEAST_SURPLUS = 0.7, 1 / 16
-CROWDED = 0.25
-BASE, LOW = 0.05, 0.3
-DRAWN, STRAIN = 8, 0.25
-MOST_LAPSES = 3
-REST = 2              # a node that turned away or lapsed is left alone for this many smoothed latencies
+CROWDED, EASE, LEAST_SURPLUS = 1 / 4, 0.7, 1 / 16  # a volume's surplus: a crowded answer's wait; its window
+CLEAR, CLEAR_STEP = 0.3, 0.05  # a unit's usual time is what this share of answers stays under
+DRAWN, STRAIN = 8, 1 / 4  # nodes drawn for a new object; weight of an answer in a node's strain
+MOST_LAPSES = 3       # rests at a node grow from one span by doubling, up to this many times
 
 Phase = Enum("Phase", "HELD OUT OVER")
 # CLOSED: the client has its answer or has left; AGAIN, LAST: no dispatch is out, and another is lawful or
 # not; HOPELESS: the client is about to leave, or nothing this gateway can still do would be of use.
 Cue = Enum("Cue", "SENT CLOSED AGAIN LAST HOPELESS")
-# SILENT: did not answer, is tried one at a time; RETURNED: proves itself; BARRED: draining or gone.
-Health = Enum("Health", "STEADY SILENT RETURNED BARRED")
-Sign = Enum("Sign", "ANSWER PROVEN LAPSE READY FRESH UNREADY")
+# RETURNED: came back or did not answer; proves itself with the most useful work. BARRED: draining or gone.
+Health = Enum("Health", "STEADY RETURNED BARRED")
+Sign = Enum("Sign", "PROVEN LAPSE READY FRESH UNREADY")
 
 TRANSFER_TABLE: Mapping[tuple[Phase, Cue], tuple[Phase, str]] = {
     (Phase.HELD, Cue.SENT): (Phase.OUT, ""),
@@ -54,14 +50,12 @@
     (Phase.OUT, Cue.LAST): (Phase.OVER, "give_up"),
 }
 NODE_TABLE: Mapping[tuple[Health, Sign], tuple[Health, str]] = {
-    (Health.STEADY, Sign.LAPSE): (Health.SILENT, "narrow"),
-    (Health.RETURNED, Sign.LAPSE): (Health.SILENT, "narrow"),
-    (Health.SILENT, Sign.LAPSE): (Health.SILENT, "rest"),
-    **{(health, Sign.UNREADY): (Health.BARRED, "empty") for health in Health if health is not Health.BARRED},
-    **{(health, Sign.FRESH): (Health.RETURNED, "restart") for health in Health},
-    (Health.BARRED, Sign.READY): (Health.RETURNED, "restart"),
-    (Health.SILENT, Sign.ANSWER): (Health.RETURNED, "restart"),
+    (Health.STEADY, Sign.LAPSE): (Health.RETURNED, "narrow"),
+    (Health.RETURNED, Sign.LAPSE): (Health.RETURNED, "narrow"),
     (Health.RETURNED, Sign.PROVEN): (Health.STEADY, ""),
+    (Health.BARRED, Sign.READY): (Health.RETURNED, "restart"),
+    **{(health, Sign.FRESH): (Health.RETURNED, "restart") for health in Health},
+    **{(health, Sign.UNREADY): (Health.BARRED, "empty") for health in Health if health is not Health.BARRED},
 }
 NEVER_RAN = (Outcome.TURNED_AWAY, Outcome.UNREACHED, Outcome.MOOT)
 NO_WORD = (Outcome.TIMED_OUT, Outcome.UNREACHED, Outcome.RESET)
@@ -87,15 +81,14 @@
     def __init__(self, plan: Mapping[str, Any], gateways: int, now: int) -> None:
         self.plan, self.gateways = plan, gateways
         self.reserve = Store(plan["reserve_rate"] / gateways, now)
-        self.window, self.out, self.cut_at, self.rest_until = 1.0, 0, 0, 0  # of the surplus
-        self.newest: Transfer | None = None
-        self.waiting: dict[int, Node] = {}  # nodes where surplus waits for the window
         self.limit = Store(0.0, now)  # guards rule 7: a former self may have spent all of it
+        self.window, self.out, self.narrowed = 1.0, 0, now  # of its surplus
+        self.rest_until = now
+        self.waiting: dict[int, Node] = {}  # where surplus waits for it
+        self.newest: Transfer | None = None  # the last new object that was placed
 
 
 class Transfer:
-    """A transfer that this gateway has taken."""
-
     def __init__(self, arrival: Arrival, category: Mapping[str, Any], volume: Volume, now: int) -> None:
         self.id, self.extent, self.volume, self.category = arrival.id, arrival.extent, volume, category
         self.cell, self.units, self.ends, self.reserved = arrival.cell, arrival.units, arrival.ends, True
@@ -111,8 +104,7 @@
         self.order = self.number = 0  # where it stands in its queues
         self.dispatches: list[Dispatch] = []
 
-    def ran(self) -> list[Dispatch]:
-        """The dispatches that may have run."""
+    def ran(self) -> list[Dispatch]:  # those that may have
         return [each for each in self.dispatches if each.outcome not in NEVER_RAN]
 
 
@@ -123,15 +115,10 @@
         self.transfer, self.node, self.sent = transfer, node, now
         self.full = len(node.out) + 1 >= int(node.window)
         self.surplus = transfer.queue is not None and transfer.queue is not node.due
+        self.final = False  # nothing follows its time-out
         self.outcome: Outcome | None = None
 
 
-class KeyLine(deque["Transfer"]):
-    """Transfers of one key whose order is kept (rule 5)."""
-
-    rest_until = 0
-
-
 class Node:
     """All that is known of one storage node."""
 
@@ -139,20 +126,17 @@
         self.id, self.cell, self.zone, self.since = entry.node, entry.cell, entry.zone, entry.since
         self.health = Health.STEADY
         self.due: Queue = []         # deadline queue, by tag
-        self.background: Queue = []  # first in, first out
-        self.late: Queue = []        # background past its target time
-        self.extents: Queue = []     # all of these, by extent
+        self.background: Queue = []  # surplus and what will be late, first in, first out
+        self.extents: Queue = []     # both, by extent
         self.out: list[Dispatch] = []
-        self.window, self.credit = FIRST_WINDOW, CREDITS
+        self.window, self.credit, self.size = FIRST_WINDOW, CREDITS, 1.0
         self.latency: float | None = None  # M
-        self.strain: float | None = None
-        self.wait, self.size = 0.0, entry.size or 1.0
-        self.pace, self.best = 0.0, 0.0    # smoothed latency a unit, and its recent best
+        self.strain: float | None = None   # smoothed wait, in shortest target times, and reported load
+        self.wait = self.pace = self.best = 0.0  # smoothed wait, smoothed latency a unit, its recent best
         self.follow: Transfer | None = None
-        self.follow_until = self.heard = self.rest_until = 0
-        self.drawn, self.lucky = -NEVER, False
+        self.follow_until = self.heard = self.rest_until = self.lapses = self.lapsed = 0
+        self.drawn, self.lucky = -NEVER, False  # whether it may be sent to while cold, in this window
         self.wake_at = NEVER
-        self.lapses = self.struck = 0
         self.sends: deque[tuple[int, float]] = deque()  # units sent within the window of rule 4
 
     def crowded(self) -> bool:
@@ -174,20 +158,20 @@
         self.facts, self.port, self.born = facts, port, now
         chance = Random(seed)
         self.uniform, self.choices = chance.uniform, chance.choices
-        self.serving: list[Node] = []
-        self.mean_strain = 0.0
         self.nodes: dict[int, Node] = {}
-        self.cells: dict[int, list[Node]] = {}  # the nodes in service that hold a cell
+        self.serving: list[Node] = []  # those not barred
+        self.cells: dict[int, list[Node]] = {}  # the same, by cell
         self.volumes: dict[int, Volume] = {}
         self.transfers: dict[int, Transfer] = {}
         self.outstanding: dict[tuple[int, int], Dispatch] = {}
-        self.keys: dict[int, KeyLine] = {}
+        self.keys: dict[int, deque[Transfer]] = {}  # transfers whose order is kept (rule 5)
+        self.key_rests: dict[int, int] = {}
         self.unplaced: list[Transfer] = []
         self.touched: dict[int, Node] = {}
         self.taken_at: deque[int] = deque()
         self.further_at: deque[int] = deque()
         self.numbers = self.asks = 0
-        self.base = 0.0  # a unit's usual time at a node of size 1, without waiting
+        self.clear = self.strain = 0.0  # a unit's usual time at a node of size 1, not waiting; mean strain
         self.shortest = min((each["target_time"] for each in facts["categories"]), default=1)
         if facts["list_on_request"]:
             self.ask()
@@ -207,10 +191,8 @@
         for entry in entries:
             node = self.nodes.get(entry.node)
             fresh = entry.since is not None and (node is None or entry.since != node.since)
-            if node is None:
-                node = self.nodes[entry.node] = Node(entry)
-            node.cell, node.zone, node.since = entry.cell, entry.zone, entry.since
-            node.size = entry.size or 1.0
+            node = node or self.nodes.setdefault(entry.node, Node(entry))
+            node.cell, node.zone, node.since, node.size = entry.cell, entry.zone, entry.since, entry.size or 1.0
             if fresh and now - self.born <= self.facts["cold_window"]:
                 # Guards rule 4: a former self may have spent this gateway's part of a cold node's budget.
                 node.sends.append((now, max(self.cold_part(node, now), self.facts["largest_units"])))
@@ -220,23 +202,21 @@
         for node in self.nodes.values() if news is not News.CHANGES else ():
             if node.id not in named:
                 self.sign(node, Sign.UNREADY, now)
-        self.cells = {}
-        self.serving = [node for node in self.nodes.values() if node.health is not Health.BARRED]
+        self.serving, self.cells = [], {}
         for node in self.nodes.values():
             if node.health is not Health.BARRED:
+                self.serving.append(node)
                 self.cells.setdefault(node.cell, []).append(node)
 
     def sign(self, node: Node, sign: Sign, now: int) -> None:
         """One step of a node's health by the table."""
         node.health, effect = NODE_TABLE.get((node.health, sign), (node.health, ""))
         self.touched[node.id] = node
-        if effect == "narrow":
-            node.window = LEAST_WINDOW
-        elif effect == "rest":
-            pass
-        elif effect == "restart":
-            node.window, node.credit, node.rest_until = LEAST_WINDOW, 1, now
-        elif effect == "empty":
+        if effect in ("narrow", "restart"):
+            node.window, node.credit = LEAST_WINDOW, min(node.credit, 1)
+        if effect == "restart":
+            node.lapses, node.rest_until = 0, now
+        if effect == "empty":
             for _, _, transfer in list(node.extents):
                 node.take(transfer)
                 self.unplaced.append(transfer)
@@ -246,41 +226,34 @@
         volume = self.volumes.setdefault(arrival.volume, Volume(plan, arrival.gateways, self.born))
         volume.gateways = max(volume.gateways, arrival.gateways)
         transfer = self.transfers[arrival.id] = Transfer(arrival, category, volume, now)
-        transfer.reserved = self.within_reserve(volume, transfer.units, now)
+        rate = plan["reserve_rate"] * volume.gateways ** -PART  # an estimate: others' use of it is not known
+        transfer.reserved = volume.reserve.fill(now, rate, rate + self.facts["largest_units"]) >= transfer.units
+        volume.reserve.level -= transfer.units if transfer.reserved else 0
         transfer.utility *= 1.0 if transfer.reserved else self.facts["share_utility"]
         self.taken_at.append(now)
         if category["in_order"] and transfer.extent:
-            self.keys.setdefault(transfer.extent, KeyLine()).append(transfer)
+            self.keys.setdefault(transfer.extent, deque()).append(transfer)
         self.port.wake(transfer.ends - ENDING_TICKS * self.facts["tick"], transfer)
         self.unplaced.append(transfer)
 
-    def within_reserve(self, volume: Volume, units: float, now: int) -> bool:
-        """Takes the units from this gateway's estimated part of the volume's reserve, if they are there."""
-        rate = volume.plan["reserve_rate"] * volume.gateways ** -PART
-        there = volume.reserve.fill(now, rate, rate + self.facts["largest_units"]) >= units
-        volume.reserve.level -= units if there else 0
-        return there
-
     def place(self, transfer: Transfer, now: int) -> bool:
-        """To the node of its cell; a new object to one with credit left, where the wait is least."""
+        """To the node of its cell; a new object to the least strained of a few drawn that have credit left, or
+        behind the last of its run. Drawing keeps gateways that see the same from all choosing the same node.
+        """
         if transfer.cell is not None:
-            ready = self.cells.get(transfer.cell)
+            ready = self.cells.get(transfer.cell, [])[:1]
         else:
             last = transfer.volume.newest
-            drawn = self.choices(self.serving, k=DRAWN) if self.serving else []
-            if last is not None and last.extent == transfer.extent and last.node.health is not Health.BARRED:
-                drawn = [last.node]
+            run = last is not None and last.extent == transfer.extent and last.node.health is not Health.BARRED
+            drawn = [last.node] if run else self.choices(self.serving, k=DRAWN) if self.serving else []
             ready = [node for node in drawn if self.credit(node, now) > 0] or [
                 node for node in self.serving if self.credit(node, now) > 0]
-        if not ready:
-            return False
-        if transfer.cell is None:
-            ready = [min(ready, key=lambda node: self.strain(node, now))]
-            ready[0].credit -= 1
-            transfer.spent = True
-            transfer.volume.newest = transfer
-        self.hold(transfer, ready[0], now)
-        return True
+            ready = sorted(ready, key=lambda node: self.strain_of(node, now))[:1]
+            for node in ready:
+                node.credit, transfer.spent, transfer.volume.newest = node.credit - 1, True, transfer
+        for node in ready:
+            self.hold(transfer, node, now)
+        return bool(ready)
 
     def credit(self, node: Node, now: int) -> int:
         """A node without credit that has nothing to answer is tried with one, else it could earn none."""
@@ -288,14 +261,14 @@
 
     def service(self, node: Node, transfer: Transfer) -> float:
         """Expected time from a dispatch to its answer."""
-        return node.wait + transfer.units * self.base / node.size
+        return node.wait + transfer.units * self.clear / node.size
 
-    def strain(self, node: Node, now: int) -> float:
+    def strain_of(self, node: Node, now: int) -> float:
         """How much a node has to do, in shortest target times; an answer that is overdue counts in full."""
         units = sum(each.transfer.units for each in node.out) + sum(each[2].units for each in node.extents)
         overdue = max((now - max(each.sent, node.heard) for each in node.out), default=0)
-        late = max(overdue - (node.latency or 0.0), 0.0) + units * self.base / node.size
-        return (self.mean_strain if node.strain is None else node.strain) + late / self.shortest
+        late = max(overdue - (node.latency or 0.0), 0.0) + units * self.clear / node.size
+        return (self.strain if node.strain is None else node.strain) + late / self.shortest
 
     def hold(self, transfer: Transfer, node: Node, now: int) -> None:
         """Queue a transfer at a node: by its tag, or behind as background."""
@@ -303,10 +276,10 @@
         m = node.latency if node.latency is not None else transfer.category["target_time"] / FIRST_M
         transfer.tag = transfer.target - int(m)
         missed = now + HOPE * self.service(node, transfer) > transfer.target
-        self.put(transfer, node, node.late if missed else node.due if transfer.reserved else node.background)
+        self.put(transfer, node, node.due if transfer.reserved and not missed else node.background)
 
     def put(self, transfer: Transfer, node: Node, queue: Queue) -> None:
-        if queue is node.background:
+        if queue is node.background:  # looked at again when it is about to miss its target
             self.port.wake(transfer.target - int(HOPE * self.service(node, transfer)), node)
         self.numbers += 1
         transfer.queue, transfer.number = queue, self.numbers
@@ -324,25 +297,26 @@
         self.touched.clear()
 
     def relieve(self, node: Node, now: int) -> None:
-        """Where a queue cannot all leave in time its least useful go behind, and from the last queue away.
+        """What of a queue cannot leave in time gives way, least useful first: reserved work to the background, to
+        be satisfied late unless the node is crowded; surplus, and what cannot even be late, is declined at once.
         Keeps any overdue backlog (surge, slow, stalled or lost node) from making EDF serve late work only. It
         could harm where the pace misleads: work is declined that a quicker node would still have done.
         """
         clock, step = float(max(now, node.rest_until)), node.pace / node.window
-        for queue, onward in ((node.due, node.background), (node.background, node.late), (node.late, None)):
-            clock += NEVER if onward is None and node.crowded() else 0
-            while (found := self.surplus(node, queue, clock, step, onward is None)) is not None:
-                node.take(found)
-                if onward is None or queue is node.background and not found.reserved:
-                    self.cue(found, Cue.HOPELESS, now)
+        for queue in (node.due, node.background):
+            while (found := self.least_useful(node, queue, clock, step)) is not None:
+                if queue is node.due:
+                    node.take(found)
+                    self.put(found, node, node.background)
                 else:
-                    self.put(found, node, onward)
+                    self.cue(found, Cue.HOPELESS, now)
             clock += step * sum(each[2].units for each in queue)
 
-    def surplus(self, node: Node, queue: Queue, clock: float, step: float, last: bool) -> Transfer | None:
+    def least_useful(self, node: Node, queue: Queue, clock: float, step: float) -> Transfer | None:
         """The least useful of those up to the first that would leave too late, if one would."""
         for place, (_, _, transfer) in enumerate(queue):
-            if clock + HOPE * self.service(node, transfer) > (transfer.ends if last else transfer.target):
+            may_be_late = queue is node.background and transfer.reserved and not node.crowded()
+            if clock + HOPE * self.service(node, transfer) > (transfer.ends if may_be_late else transfer.target):
                 return min(queue[:place + 1], key=lambda each: (each[2].utility, each[0]))[2]
             clock += step * transfer.units
         return None
@@ -359,7 +333,7 @@
         """The ordinary path: a follower while the head is not due, then the head, then background."""
         if node.health is not Health.STEADY:  # a returned node gets a little of the work that is worth most
             useful = sorted(node.due, key=lambda each: -each[2].utility)
-            return self.lawful(node, useful or node.background or node.late, now)
+            return self.lawful(node, useful or node.background, now)
         head = self.lawful(node, node.due, now)
         if head is not None and head.tag > now and node.follow is not None:
             near = self.run_of(node, node.follow) + [each[2] for each in node.due if
@@ -373,7 +347,7 @@
                 return None
         if head is not None or node.out and node.crowded():
             return head
-        return self.lawful(node, node.background, now) or self.lawful(node, node.late, now)
+        return self.lawful(node, node.background, now)
 
     def run_of(self, node: Node, last: Transfer) -> list[Transfer]:
         """The held transfers of the same extent."""
@@ -396,7 +370,7 @@
         """The first of a queue that every rule lets go now; else a wake for when one may."""
         soonest = NEVER
         for _, _, transfer in queue:
-            wait = max(self.wait_for(transfer, node, now), self.surplus_wait(transfer, node, now))
+            wait = max(self.wait_for(transfer, node, now), self.surplus_wait(transfer, now))
             if not wait:
                 return transfer
             soonest = min(soonest, wait)
@@ -404,26 +378,30 @@
             self.wake(node, now + soonest, now)
         return None
 
-    def surplus_wait(self, transfer: Transfer, node: Node, now: int) -> int:
-        volume = transfer.volume
-        if transfer.queue is node.due:
+    def surplus_wait(self, transfer: Transfer, now: int) -> int:
+        """How long a volume's surplus waits for the window that it has over all nodes of this gateway. Guards
+        against a surge spread over so many gateways and nodes that no node's window ever holds it back. It could
+        harm a volume whose own slow node narrows it: its surplus at other nodes waits too.
+        """
+        volume, node = transfer.volume, transfer.node
+        if node is None or transfer.queue is node.due:
             return 0
         if volume.out >= max(int(volume.window), 1):
             volume.waiting[node.id] = node
             return NEVER
         return max(volume.rest_until - now, 0)
 
-    def ease(self, sent: Dispatch, now: int, crowded: bool) -> None:
+    def ease(self, sent: Dispatch, crowded: bool, now: int) -> None:
+        """An answer moves its volume's surplus window; below one it is kept by pauses."""
         volume = sent.transfer.volume
-        if crowded and sent.sent >= volume.cut_at:
-            volume.window, volume.cut_at = max(volume.window * EASE, LEAST_SURPLUS), now
+        if crowded and sent.sent >= volume.narrowed:
+            volume.window, volume.narrowed = max(volume.window * EASE, LEAST_SURPLUS), now
         elif not crowded and volume.out + 1 >= int(volume.window):
             volume.window = min(volume.window + min(volume.window, 1 / volume.window), MOST_WINDOW)
         if sent.surplus:
             volume.out -= 1
-            if volume.window < 1:
-                span = (now - sent.sent) * (1 / volume.window - 1) * self.uniform(0.5, 1.5)
-                volume.rest_until = now + int(span)
+            pause = (now - sent.sent) * max(1 / volume.window - 1, 0) * self.uniform(0.5, 1.5)
+            volume.rest_until = now + int(pause)
             self.touched.update(volume.waiting)
             volume.waiting.clear()
 
@@ -475,7 +453,9 @@
         return self.facts["cold_units"] / self.facts["gateways"] * (1 + (1 / least - 1) * max(age, 0) / warm)
 
     def cold_wait(self, transfer: Transfer, node: Node, now: int) -> int:
-        """Rule 4: sends less answers stay under a part that leaves room for once what the node can do."""
+        """Rule 4: sends less answers stay under a part that leaves room for once what the node can do. Where
+        the part is less than a transfer, chance lets that share of the gateways send in each window.
+        """
         span = self.facts["cold_window"] + 2
         while node.sends and node.sends[0][0] + span <= now:
             node.sends.popleft()
@@ -495,7 +475,7 @@
         keyed = self.keys[transfer.extent]
         while keyed[0].phase is Phase.OVER and all(each.outcome is not None for each in keyed[0].dispatches):
             keyed.popleft()
-        rest = 0 if transfer.dispatches else max(keyed.rest_until - now, 0)
+        rest = 0 if transfer.dispatches else max(self.key_rests.get(transfer.extent, now) - now, 0)
         return rest if keyed[0] is transfer else self.facts["tick"]
 
     def limit_wait(self, transfer: Transfer, now: int) -> int:
@@ -522,10 +502,12 @@
         node.out.append(sent)
         node.sends.append((now, transfer.units))
         # Guards against dispatches lost without a word, by link or node, that would hold the window for a
-        # patience. Harm: a node that slows at once does work twice; credit and rule 6 bound that.
-        lost = LOST * max(node.latency or 0, self.service(node, transfer))
-        lost = max(lost if transfer.reserved and node.lapses == 0 or transfer.target <= now else 0, transfer.target - now)
-        self.port.send(transfer.id, node.id, 0 if transfer.category["repeats"] == "exclusive" else int(lost))
+        # patience; not before the target, since few answers make a poor guess. Surplus, and all at a node that
+        # lapsed, goes no further: nodes need not work off what is late. Harm: late utility is forgone there.
+        left, lost = transfer.target - now, int(LOST * max(node.latency or 0, self.service(node, transfer)))
+        sent.final = left > 0 and (not transfer.reserved or node.lapses > 0)
+        timeout = left if sent.final else max(left, lost)
+        self.port.send(transfer.id, node.id, 0 if transfer.category["repeats"] == "exclusive" else timeout)
         self.cue(transfer, Cue.SENT, now)
 
     def returned(self, now: int, answer: Answer) -> None:
@@ -535,25 +517,26 @@
         sent.outcome, node, transfer = answer.outcome, sent.node, sent.transfer
         node.out.remove(sent)
         self.touched[node.id] = node
-        spent = answer.latency - transfer.units * self.base / node.size
-        self.ease(sent, now, answer.outcome is not Outcome.SATISFIED or spent > CROWDED * self.shortest)
-        if answer.outcome in NO_WORD + (Outcome.TURNED_AWAY,) and sent.sent >= node.struck:
-            node.lapses, node.struck = min(node.lapses + 1, MOST_LAPSES), now
-            span = max(answer.latency, int(node.latency or self.facts["tick"]))
+        waited = answer.latency - transfer.units * self.clear / node.size
+        self.ease(sent, answer.outcome is not Outcome.SATISFIED or waited > CROWDED * self.shortest, now)
+        if answer.outcome in NO_WORD + (Outcome.TURNED_AWAY,) and sent.sent >= node.lapsed:
+            # Guards against many gateways that keep trying a node which is crowded, slow, hung or gone: each
+            # rests longer the more came to nothing. Harm: after a short fault a node is left idle for a while.
+            node.lapses, node.lapsed = min(node.lapses + 1, MOST_LAPSES), now
+            span = max(answer.latency, node.latency or self.facts["tick"])
             node.rest_until = now + int(span * (2 ** node.lapses - 1) * self.uniform(0.5, 1.5))
         if answer.outcome in NO_WORD and node.heard <= sent.sent:
             self.sign(node, Sign.LAPSE, now)
         elif answer.outcome not in UNSETTLED + (Outcome.MOOT,):
             self.heard_from(sent, answer, now)
         if answer.outcome in UNSETTLED and transfer.extent in self.keys:
-            self.keys[transfer.extent].rest_until = now + self.facts["key_rest"]
+            self.key_rests[transfer.extent] = now + self.facts["key_rest"]
         if answer.over or answer.outcome is Outcome.SATISFIED:
             self.cue(transfer, Cue.CLOSED, now)
         elif not any(each.outcome is None for each in transfer.dispatches):
             transfer.spent = False
             late = now >= transfer.ends - ENDING_TICKS * self.facts["tick"]
-            late = late or answer.outcome is Outcome.TIMED_OUT and now >= transfer.target and (
-                not transfer.reserved or node.lapses > 0)
+            late = late or sent.final and answer.outcome is Outcome.TIMED_OUT
             never = late or self.repeat_wait(transfer, node, now) >= NEVER
             self.cue(transfer, Cue.LAST if never else Cue.AGAIN, now)
 
@@ -561,23 +544,20 @@
         """An answer earns credit and moves M and the window."""
         node, transfer = sent.node, sent.transfer
         node.heard, node.credit = now, min(node.credit + 1, CREDITS)
-        self.sign(node, Sign.ANSWER, now)
         if answer.outcome is not Outcome.SATISFIED:
             return
         node.lapses = max(node.lapses - 1, 0)
         node.follow, node.follow_until = transfer, now + int(FOLLOW_WAIT * self.service(node, transfer))
         node.sends.append((now, -transfer.units))
         pace = answer.latency / transfer.units
-        clear = pace * node.size
-        self.base = self.base * (1 + BASE * (LOW - (clear < self.base))) if self.base else clear
-        waited = max(answer.latency - transfer.units * self.base / node.size, 0)
+        self.clear *= 1 + CLEAR_STEP * (CLEAR - (pace * node.size < self.clear))
+        self.clear = self.clear or pace * node.size
+        waited = max(answer.latency - transfer.units * self.clear / node.size, 0)
         node.wait += SMOOTH * (waited - node.wait)
-        strain = waited / self.shortest
-        strain += answer.report.get("busy", 0.0)
-        if node.strain is None:
-            node.strain = self.mean_strain
+        strain = waited / self.shortest + answer.report.get("busy", 0.0)
+        node.strain = self.strain if node.strain is None else node.strain
         node.strain += STRAIN * (strain - node.strain)
-        self.mean_strain += STRAIN / 4 * (strain - self.mean_strain)
+        self.strain += STRAIN / 4 * (strain - self.strain)
         if node.latency is None:
             node.latency, node.pace, node.best = float(answer.latency), pace, pace
         node.latency += SMOOTH * (answer.latency - node.latency)
