Cold draw by what this gateway is asked for the node; new objects not behind their run

Cause: the draw's odds were the part over the largest transfer, but a gateway among a hundred and fifty has a small transfer for a node once in some seconds: next to nothing went to cold nodes. The odds are now the part over what this gateway is asked for that node in a window (or holds for it): on the mean it sends just its part.

--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -1,9 +1,8 @@
 """Every decision of milletsill: what leaves when, for which storage node, and what is given up.
 
-A host makes one Scheduler per gateway with the facts, the seed, the time and a Port, tells it each event by
-`listed`, `taken`, `returned`, `abandoned`, `woken`, then calls `settle`; the module answers through the Port.
-Types and names of the facts: interface.py. Times are whole tenths of a millisecond. The design is batch-and-
-delay EDF (docs/design.md): `choose` is the ordinary path of a Node's queues, `wait_for` the rules' gate.
+A host makes one Scheduler per gateway with facts, seed, time and a Port, tells it events by `listed`,
+`taken`, `returned`, `abandoned`, `woken`, then calls `settle`; it acts through the Port. Types: interface.py.
+Times are whole tenths of a millisecond. `choose` is the ordinary path (docs/design.md), `wait_for` the gate.
 """
 from __future__ import annotations
 
@@ -23,7 +22,8 @@
 HOPE, PART = 0.6, 0.5  # in time with this share of its service left; a part of a reserve: gateways to it
 RUN, HIT, FOLLOW_WAIT = 2, 0.5, 0.5  # most that leave behind a run's first; their cost, the wait, in services
 LOST, MOST_LAPSES = 6, 3  # latencies without an answer until a dispatch is lost; doublings of a node's rest
-CREDITS, DRAWN, STRAIN = 4, 8, 1 / 4  # of a node; nodes drawn for a new object; an answer's weight in strain
+CREDITS, ASKED = 4, 10  # of a node; cold windows over which it is counted what is asked for it here
+DRAWN, STRAIN = 8, 1 / 4  # nodes drawn for a new object; an answer's weight in a node's strain
 ENDING_TICKS, ASK_AGAIN = 2, 1 / 8  # before a client gives up; share of the stated time until a failed watch
 CROWDED, EASE, LEAST_SURPLUS = 1 / 4, 0.7, 1 / 16  # a volume's surplus: a crowded answer's wait; its window
 
@@ -71,7 +71,6 @@
         self.reserve = Store(plan["reserve_rate"] / gateways, now)
         self.limit = Store(0.0, now)  # guards rule 7: a former self may have spent all of it
         self.window, self.out, self.narrowed, self.rest_until = 1.0, 0, now, now
-        self.newest: Transfer | None = None  # the last new object that was placed
 
 
 class Transfer:
@@ -86,7 +85,6 @@
         self.phase, self.reserved, self.spent = Phase.HELD, True, False
         self.node: Node | None = None
         self.queue: Queue | None = None
-        self.order = self.number = 0  # where it stands in its queues
         self.dispatches: list[Dispatch] = []
 
     def ran(self) -> list[Dispatch]:  # those that may have
@@ -111,9 +109,9 @@
         self.window, self.credit, self.size = FIRST_WINDOW, CREDITS, 1.0
         self.latency: float | None = None  # M
         self.wait = self.pace = self.best = 0.0  # smoothed wait, smoothed latency a unit, the best of late
-        self.strain = 0.0  # smoothed wait, in shortest target times, and reported load
+        self.strain = self.asked = 0.0  # smoothed wait, in shortest target times, and load; units asked here
         self.follow: Transfer | None = None
-        self.follow_until = self.heard = self.rest_until = self.lapses = self.lapsed = 0
+        self.follow_until = self.heard = self.rest_until = self.lapses = self.lapsed = self.asked_at = 0
         self.wake_at, self.drawn, self.lucky = NEVER, -NEVER, False  # the draw of rule 4
         self.sends: deque[tuple[int, float]] = deque()  # units sent within the window of rule 4
 
@@ -140,8 +138,7 @@
         self.keys, self.key_rests = dict[int, deque[Transfer]](), dict[int, int]()  # rule 5
         self.unplaced, self.touched = list[Transfer](), dict[int, Node]()
         self.taken_at, self.further_at = deque[int](), deque[int]()
-        self.numbers = self.asks = 0
-        self.clear = self.strain = 0.0  # a unit's usual time at a node of size 1, not waiting; mean strain
+        self.numbers, self.asks, self.strain, self.clear = 0, 0, 0.0, 0.0  # clear: a unit's usual time
         self.shortest = min((each["target_time"] for each in facts["categories"]), default=1)
         if facts["list_on_request"]:
             self.woken(now, "ask")
@@ -199,13 +196,12 @@
         """To the node of its cell; a new object, where credit is left, behind its run or to the least
         strained of some drawn by chance (gateways that see the same must not all choose the same).
         """
-        node, last = self.cells.get(transfer.cell), transfer.volume.newest
+        node = self.cells.get(transfer.cell)
         if transfer.cell is None and self.serving:
-            run = last is not None and last.extent == transfer.extent
-            drawn = [last.node] if run else self.choices(self.serving, k=DRAWN)
+            drawn = self.choices(self.serving, k=DRAWN)
             if ready := [each for each in drawn if self.credit(each, now) > 0]:
                 node = min(ready, key=self.strain_of)
-                node.credit, transfer.spent, transfer.volume.newest = node.credit - 1, True, transfer
+                node.credit, transfer.spent = node.credit - 1, True
         if node is not None:
             self.hold(transfer, node, now)
         return node is not None
@@ -225,6 +221,8 @@
 
     def hold(self, transfer: Transfer, node: Node, now: int) -> None:
         self.touched[node.id] = transfer.node = node
+        node.asked *= 2 ** ((node.asked_at - now) / (ASKED * (self.facts["cold_window"] + 1)))
+        node.asked, node.asked_at = node.asked + transfer.units, now
         m = node.latency if node.latency is not None else transfer.category["target_time"] / FIRST_M
         transfer.tag = transfer.target - int(m)
         missed = now + HOPE * self.service(node, transfer) > transfer.target
@@ -397,7 +395,9 @@
         part *= 1 + (1 / least - 1) * max(age, 0) / facts["warm_after"]
         if part < 1:
             if now >= node.drawn + span:
-                node.drawn, node.lucky = now, self.uniform(0, largest) < part
+                asked = node.asked / min(max((now - self.born) / span, 1), ASKED)
+                asked = max(asked, sum(each[2].units for each in node.extents))
+                node.drawn, node.lucky = now, self.uniform(0, asked) < part
             part = largest if node.lucky else 0.0
         if sum(units for _, units in node.sends) + transfer.units <= part:
             return 0
