--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -193,8 +193,8 @@
         self.unplaced.append(transfer)
 
     def place(self, transfer: Transfer, now: int) -> bool:
-        """To the node of its cell; a new object, where credit is left, behind its run or to the least
-        strained of some drawn by chance (gateways that see the same must not all choose the same).
+        """To the node of its cell; a new object, where credit is left, to the least strained of some drawn by
+        chance: gateways that see the same must not all choose the same. Until one has credit it is held.
         """
         node = self.cells.get(transfer.cell)
         if transfer.cell is None and self.serving:
