--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -25,7 +25,7 @@
 CREDITS, ASKED = 4, 10  # of a node; cold windows over which it is counted what is asked for it here
 DRAWN, STRAIN = 8, 1 / 4  # nodes drawn for a new object; an answer's weight in a node's strain
 ENDING_TICKS, ASK_AGAIN = 2, 1 / 8  # before a client gives up; share of the stated time until a failed watch
-CROWDED, EASE, LEAST_SURPLUS = 1 / 4, 0.6, 1 / 16  # a volume's surplus: a crowded answer's wait; its window
+CROWDED, EASE, LEAST_SURPLUS = 1 / 4, 0.7, 1 / 16  # a volume's surplus: a crowded answer's wait; its window
 
 Phase = Enum("Phase", "HELD OUT OVER")
 # CLOSED: the client has its answer or has left; AGAIN, LAST: no dispatch is out, and another is lawful or
