Bound what the module keeps over months: counts, volumes, keys, gone nodes, wakes

Need: where no budget is stated the module kept an entry for each transfer; volumes, keys and nodes that left were never given up; a wake held its transfer until its patience. Now counts are kept only under a budget and lapse with each transfer; an idle volume goes when a new record would be no freer (rule 7 included); a key goes with its rest; a node that left goes once rule 4's window is past; wakes hold transfers weakly. Tests in tests/test_months.py.

--- /dev/null
+++ b/milletsill/files/__init__.py
@@ -0,0 +1,1 @@
+"""The file-command protocol: SFTP version 3 packets, both ends, without a transport."""
--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -11,6 +11,7 @@
 from enum import Enum
 from random import Random
 from typing import Any, Mapping, Sequence
+from weakref import ReferenceType, ref
 
 from milletsill.interface import Answer, Arrival, Facts, Listed, News, Outcome, Port, Readiness
 
@@ -26,6 +27,7 @@
 DRAWN, STRAIN = 8, 1 / 4  # nodes drawn for a new object; an answer's weight in a node's strain
 ENDING_TICKS, ASK_AGAIN = 2, 1 / 8  # before a client gives up; share of the stated time until a failed watch
 CROWDED, EASE, LEAST_SURPLUS = 1 / 4, 0.7, 1 / 16  # a volume's surplus: a crowded answer's wait; its window
+IDLE, SWEPT = 16, 2  # longest patiences until what is idle is forgotten; records looked at with each transfer
 
 Phase = Enum("Phase", "HELD OUT OVER")
 # CLOSED: the client has its answer or has left; AGAIN, LAST: no dispatch is out, and another is lawful or
@@ -71,6 +73,15 @@
         self.reserve = Store(plan["reserve_rate"] / gateways, now)
         self.limit = Store(0.0, now)  # guards rule 7: a former self may have spent all of it
         self.window, self.out, self.narrowed, self.rest_until = 1.0, 0, now, now
+        self.used_at = now
+
+    def forgettable(self, now: int, largest: float) -> bool:
+        """Whether a new record would be no freer: nothing out, both stores full again (rule 7: a new limit
+        store holds no more than one that has filled since this gateway's start)."""
+        plan, rate = self.plan, self.plan["reserve_rate"] * self.gateways ** -PART
+        most = plan["limit_store"] / self.gateways
+        limited = plan["limit_rate"] and self.limit.fill(now, plan["limit_rate"] / self.gateways, most) < most
+        return not self.out and not limited and self.reserve.fill(now, rate, rate + largest) >= rate + largest
 
 
 class Transfer:
@@ -112,6 +123,7 @@
         self.strain = self.asked = 0.0  # smoothed wait, in shortest target times, and load; units asked here
         self.follow: Transfer | None = None
         self.follow_until = self.heard = self.rest_until = self.lapses = self.lapsed = self.asked_at = 0
+        self.barred_at = 0
         self.wake_at, self.drawn, self.lucky = NEVER, -NEVER, False  # the draw of rule 4
         self.sends: deque[tuple[int, float]] = deque()  # units sent within the window of rule 4
 
@@ -140,6 +152,7 @@
         self.taken_at, self.further_at = deque[int](), deque[int]()
         self.numbers, self.asks, self.strain, self.clear = 0, 0, 0.0, 0.0  # clear: a unit's usual time
         self.shortest = min((each["target_time"] for each in facts["categories"]), default=1)
+        self.idle = IDLE * max((each["patience"] for each in facts["categories"]), default=1)
         if facts["list_on_request"]:
             self.woken(now, "ask")
 
@@ -163,6 +176,39 @@
             self.sign(self.nodes[each], Sign.UNREADY, now)
         self.cells = {node.cell: node for node in self.nodes.values() if node.health is not Health.BARRED}
         self.serving = list(self.cells.values())
+        self.forget_nodes(now)
+
+    def forget_nodes(self, now: int) -> None:
+        """Guards a gateway that runs for months against nodes that left for good. One that comes back is new
+        here: cold if the list tells its start. Harm: none once what was sent has left rule 4's window."""
+        for node in list(self.nodes.values()):
+            gone = node.health is Health.BARRED and not node.out and not node.extents
+            if gone and now > node.barred_at + max(self.idle, self.facts["cold_window"] + 2):
+                del self.nodes[node.id]
+
+    def forget_idle(self, now: int) -> None:
+        """Guards the same against volumes and keys seen once: the least lately used are looked at, a few with
+        each transfer. Harm: a surplus window learnt long ago starts again at one."""
+        for _ in range(SWEPT):
+            oldest = next(iter(self.volumes), None)
+            if oldest is not None and now - self.volumes[oldest].used_at > self.idle:
+                volume = self.volumes.pop(oldest)
+                if not volume.forgettable(now, self.facts["largest_units"]):
+                    self.volumes[oldest], volume.used_at = volume, now
+            key = next(iter(self.keys), None)
+            if key is not None and not self.live(key, now):
+                del self.keys[key]
+                self.key_rests.pop(key, None)
+            elif key is not None:
+                self.keys[key] = self.keys.pop(key)
+
+    def live(self, key: int, now: int) -> bool:
+        """Whether rule 5 still needs a key: a transfer not over, a dispatch without an end, a rest."""
+        keyed = self.keys[key]
+        while keyed and keyed[0].phase is Phase.OVER and all(each.outcome is not None
+                                                             for each in keyed[0].dispatches):
+            keyed.popleft()
+        return bool(keyed) or now < self.key_rests.get(key, now)
 
     def sign(self, node: Node, sign: Sign, now: int) -> None:
         node.health, effect = NODE_TABLE.get((node.health, sign), (node.health, ""))
@@ -172,13 +218,16 @@
         if effect == "restart":
             node.lapses, node.rest_until = 0, now
         if effect == "empty":
+            node.barred_at = now
             for _, _, transfer in list(node.extents):
                 node.take(transfer)
                 self.unplaced.append(transfer)
 
     def taken(self, now: int, arrival: Arrival) -> None:
         category, plan = self.facts["categories"][arrival.category], self.facts["plans"][arrival.plan]
-        volume = self.volumes.setdefault(arrival.volume, Volume(plan, arrival.gateways, self.born))
+        self.forget_idle(now)
+        volume = self.volumes.pop(arrival.volume, None) or Volume(plan, arrival.gateways, self.born)
+        self.volumes[arrival.volume], volume.used_at = volume, now  # the least lately used stands first
         volume.gateways = max(volume.gateways, arrival.gateways)
         transfer = self.transfers[arrival.id] = Transfer(arrival, category, volume, now)
         rate = plan["reserve_rate"] * volume.gateways ** -PART  # an estimate: others' use of it is not known
@@ -186,10 +235,13 @@
         transfer.reserved = there >= transfer.units
         volume.reserve.level -= transfer.units if transfer.reserved else 0
         transfer.utility *= 1.0 if transfer.reserved else self.facts["share_utility"]
-        self.taken_at.append(now)
+        if self.facts["further_window"] is not None:  # nothing older is ever counted
+            self.taken_at.append(now)
+            self.lapse_counts(now)
         if category["in_order"] and transfer.extent:
             self.keys.setdefault(transfer.extent, deque()).append(transfer)
-        self.port.wake(transfer.ends - ENDING_TICKS * self.facts["tick"], transfer)
+        # A host keeps its wakes until they are due: a weak one does not hold what is over.
+        self.port.wake(transfer.ends - ENDING_TICKS * self.facts["tick"], ref(transfer))
         self.unplaced.append(transfer)
 
     def place(self, transfer: Transfer, now: int) -> bool:
@@ -373,13 +425,17 @@
         span = facts["further_window"]
         if span is None:
             return 0
+        self.lapse_counts(now)
+        if len(self.further_at) + 1 <= facts["further_free"] + facts["further_ratio"] * len(self.taken_at):
+            return 0
+        return max(self.further_at[0] + span + 2 - now, 1) if self.further_at else span
+
+    def lapse_counts(self, now: int) -> None:  # rule 6: what lies before the window
+        span = self.facts["further_window"]
         while self.further_at and self.further_at[0] < now - span - 1:
             self.further_at.popleft()
         while self.taken_at and self.taken_at[0] <= now - span + 1:
             self.taken_at.popleft()
-        if len(self.further_at) + 1 <= facts["further_free"] + facts["further_ratio"] * len(self.taken_at):
-            return 0
-        return max(self.further_at[0] + span + 2 - now, 1) if self.further_at else span
 
     def cold_wait(self, transfer: Transfer, node: Node, now: int) -> int:
         """Rule 4: sends less answers stay under this gateway's part of what a cold node bears, cut to leave
@@ -406,9 +462,8 @@
     def key_wait(self, transfer: Transfer, now: int) -> int:  # rule 5
         if not transfer.category["in_order"] or not transfer.extent:
             return 0
+        self.live(transfer.extent, now)
         keyed = self.keys[transfer.extent]
-        while keyed[0].phase is Phase.OVER and all(each.outcome is not None for each in keyed[0].dispatches):
-            keyed.popleft()
         rest = 0 if transfer.dispatches else max(self.key_rests.get(transfer.extent, now) - now, 0)
         return rest if keyed[0] is transfer else self.facts["tick"]
 
@@ -424,7 +479,8 @@
         number = len(transfer.dispatches)
         if number:
             node.credit -= not transfer.spent
-            self.further_at.append(now)
+            if self.facts["further_window"] is not None:
+                self.further_at.append(now)
         elif transfer.volume.plan["limit_rate"]:
             transfer.volume.limit.level -= transfer.units
         sent = self.outstanding[transfer.id, number] = Dispatch(transfer, node, now)
@@ -501,6 +557,8 @@
             self.cue(self.transfers[transfer], Cue.CLOSED, now)
 
     def woken(self, now: int, what: object) -> None:
+        if isinstance(what, ReferenceType):
+            what = what()
         if isinstance(what, Transfer):
             self.cue(what, Cue.HOPELESS, now)
         elif isinstance(what, Node):
--- /dev/null
+++ b/tests/test_months.py
@@ -0,0 +1,87 @@
+"""What a gateway that runs for months must not keep: each test builds its state and calls one function."""
+import gc
+import unittest
+
+from milletsill.interface import News, Outcome, Readiness
+from tests.helpers import answer, arrival, line, node, scheduler, transfer
+
+LONG = 10_000_000
+
+
+class Bounds(unittest.TestCase):
+    """Records that are no longer needed are given back, and no rule is weaker for it."""
+
+    def test_no_count_is_kept_where_no_budget_is_stated(self):
+        of, _ = scheduler()
+        transfer(of, 1)
+        self.assertEqual(len(of.taken_at), 0)
+
+    def test_counts_of_a_budget_lapse_with_its_window(self):
+        of, _ = scheduler(further_window=1000, further_free=1)
+        of.taken(0, arrival(1))
+        of.taken(5000, arrival(2))
+        self.assertEqual(list(of.taken_at), [5000])
+
+    def test_an_idle_volume_is_forgotten(self):
+        of, _ = scheduler()
+        of.abandoned(1, transfer(of, 1, volume=1).id)
+        of.taken(LONG, arrival(2, volume=2, ends=LONG + 15_000))
+        self.assertEqual(list(of.volumes), [2])
+
+    def test_a_volume_with_something_out_is_kept(self):
+        of, _ = scheduler()
+        transfer(of, 1, volume=1).volume.out = 1
+        of.taken(LONG, arrival(2, volume=2, ends=LONG + 15_000))
+        self.assertEqual(sorted(of.volumes), [1, 2])
+
+    def test_a_limit_store_that_is_not_full_is_kept(self):
+        of, _ = scheduler(plan={"limit_rate": 0.001, "limit_store": 100.0})
+        transfer(of, 1, volume=1).volume.limit.level = 0.0
+        of.taken(LONG, arrival(2, volume=2, ends=LONG + 15_000))
+        self.assertIn(1, of.volumes)
+
+    def test_a_forgotten_limit_never_comes_back_fuller(self):
+        of, _ = scheduler(plan={"limit_rate": 10.0, "limit_store": 100.0})
+        old = transfer(of, 1, volume=1).volume
+        of.taken(LONG, arrival(2, volume=2, ends=LONG + 15_000))
+        new = transfer(of, 3, now=LONG, volume=1, ends=LONG + 15_000).volume
+        self.assertLessEqual(new.limit.fill(LONG, 10.0, 100.0), old.limit.fill(LONG, 10.0, 100.0))
+
+    def test_a_node_gone_for_long_is_forgotten_and_new_when_it_returns(self):
+        of, _ = scheduler()
+        of.listed(0, News.WHOLE, [line(7)])
+        of.listed(1, News.WHOLE, [])
+        of.listed(LONG, News.WHOLE, [])
+        self.assertEqual(of.nodes, {})
+        of.listed(LONG + 1, News.WHOLE, [line(7, since=LONG)])
+        self.assertEqual(of.nodes[7].health.name, "RETURNED")
+
+    def test_a_gone_node_that_owes_an_answer_is_kept(self):
+        of, _ = scheduler()
+        at, one = node(of), transfer(of, 1)
+        of.dispatch(one, at, 0)
+        of.listed(1, News.CHANGES, [line(7, readiness=Readiness.GONE)])
+        of.listed(LONG, News.CHANGES, [])
+        self.assertIn(7, of.nodes)
+
+    def test_a_wake_does_not_hold_a_transfer_that_is_over(self):
+        of, port = scheduler()
+        of.abandoned(1, transfer(of, 1).id)
+        of.settle(2)
+        of.volumes.clear()
+        gc.collect()
+        self.assertIsNone(port.of("wake")[-1][1]())
+
+    def test_a_key_whose_line_is_empty_is_forgotten_after_its_rest(self):
+        of, _ = scheduler({"in_order": True})
+        at, one = node(of), transfer(of, 1, extent=9)
+        of.dispatch(one, at, 0)
+        of.returned(100, answer(1, Outcome.RESET, over=True))
+        of.taken(200, arrival(2, volume=2))
+        self.assertIn(9, of.keys)
+        of.taken(9000, arrival(3, volume=2))
+        self.assertEqual((of.keys, of.key_rests), ({}, {}))
+
+
+if __name__ == "__main__":
+    unittest.main()
