--- /dev/null
+++ b/milletsill/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, thin: it reads files, starts programs, prints."""
--- /dev/null
+++ b/milletsill/cli/main.py
@@ -0,0 +1,120 @@
+"""`milletsill`: run and check a gateway, play days in the laboratory. Exit status 0 fine, 1 failed, 2 bad input."""
+from __future__ import annotations
+
+import json
+import os
+import sys
+from typing import Any, Callable
+
+import click
+from google.protobuf import text_format
+
+from milletsill.settings.decide import check_gateway, check_scenario
+from milletsill.settings.load import Refused, load, text_from
+from milletsill.settings.milletsill_pb2 import GatewayFile, Scenario
+
+
+def taken(file: str, made: Any, check: Callable[..., None]) -> Any:
+    """A checked file, or its faults on standard error and exit status 2."""
+    try:
+        return load(file, made, check)
+    except Refused as error:
+        for each in error.faults:
+            click.echo(str(each), err=True)
+        sys.exit(2)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def main() -> None:
+    """A storage gateway: schedules a host's reads and writes over storage nodes."""
+
+
+@main.command()
+@click.argument("files", nargs=-1, required=True, type=click.Path())
+def edge(files: tuple[str, ...]) -> None:
+    """Run the gateway of each FILE until SIGTERM; SIGHUP reads the files again."""
+    loaded = [taken(each, GatewayFile, check_gateway) for each in files]
+    from milletsill.edge.process import run
+    sys.exit(run(loaded, files))
+
+
+@main.command()
+@click.argument("file", type=click.Path())
+@click.option("--scenario", is_flag=True, help="FILE is a day of the laboratory.")
+def check(file: str, scenario: bool) -> None:
+    """Check FILE without starting anything."""
+    made, checks = (Scenario, check_scenario) if scenario else (GatewayFile, check_gateway)
+    taken(file, made, checks)
+    click.echo(f"{file}: fine")
+
+
+@main.group()
+def lab() -> None:
+    """The laboratory: play days against stand-ins on loopback."""
+
+
+@lab.command("run")
+@click.argument("scenario", type=click.Path())
+@click.option("--out", required=True, type=click.Path(), help="Folder for records, logs and results.")
+@click.option("--module", "modules", multiple=True, type=click.Choice(["bd-edf", "fifo", "flood"]),
+              help="What decides; several are played one after another. Baselines stand in only here.")
+@click.option("--per-process", default=1, show_default=True, type=click.IntRange(1, 400), help="Edges of one process.")
+@click.option("--seed", type=int, help="In place of the scenario's.")
+def lab_run(scenario: str, out: str, modules: tuple[str, ...], per_process: int, seed: int | None) -> None:
+    """Play SCENARIO and audit what crossed the sockets. Exit status 1 where a rule was broken by the module."""
+    from milletsill.lab.run import Run, broken, report
+    day = taken(scenario, Scenario, check_scenario)
+    if seed is not None:
+        day.seed = seed
+    failed = False
+    for module in modules or ("bd-edf",):
+        name = "" if module == "bd-edf" else module
+        try:
+            result = Run(day, os.path.join(out, module) if len(modules) > 1 else out, name, per_process,
+                         lambda text: click.echo(text, err=True)).play()
+        except (RuntimeError, OSError) as error:
+            click.echo(f"milletsill: {error}", err=True)
+            sys.exit(1)
+        click.echo(report(result))
+        failed |= not name and broken(result)
+    sys.exit(1 if failed else 0)
+
+
+@lab.command("from-day")
+@click.argument("day", type=click.Path())
+@click.option("--edges", type=click.IntRange(1, 400), help="Cut down to so many edges.")
+@click.option("--boxes", type=click.IntRange(1, 400), help="Cut down to so many boxes.")
+@click.option("--seconds", type=click.FloatRange(1, 7200), help="Cut down to so many seconds.")
+def lab_from_day(day: str, edges: int | None, boxes: int | None, seconds: float | None) -> None:
+    """Turn DAY, a day file that the bench drew, into a scenario on standard output."""
+    from milletsill.lab.day import BadDay, scenario_of
+    try:
+        given = json.loads(text_from(day))
+        made = scenario_of(given, edges, boxes, seconds)
+    except Refused as error:
+        click.echo(str(error), err=True)
+        sys.exit(2)
+    except (BadDay, ValueError, RecursionError) as error:
+        click.echo(f"{day}: {' '.join(str(error).split())[:300]}", err=True)
+        sys.exit(2)
+    click.echo(text_format.MessageToString(made), nl=False)
+
+
+@lab.command("audit")
+@click.argument("out", type=click.Path())
+def lab_audit(out: str) -> None:
+    """Audit the records of an earlier run in the folder OUT once more."""
+    import glob
+
+    from milletsill.lab.audit import RULES, audit, gather
+    terms = taken(os.path.join(out, "scenario.textproto"), Scenario, check_scenario)
+    try:
+        found = audit(gather(out, len(glob.glob(os.path.join(out, "box-*.rec")))), terms)
+    except (OSError, ValueError) as error:
+        click.echo(f"milletsill: {error}", err=True)
+        sys.exit(2)
+    for rule, breaches in found.items():
+        click.echo(f"rule {rule}, {RULES[rule]}: {'kept' if not breaches else f'{len(breaches)} breaches'}")
+        for each in breaches[:20]:
+            click.echo("  " + "\n    ".join([each.text, *each.packets]))
+    sys.exit(1 if any(found.values()) else 0)
--- /dev/null
+++ b/milletsill/edge/door.py
@@ -0,0 +1,263 @@
+"""The clients' door: SFTP version 3 packets straight over TCP, bounded on every side."""
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.protocol import Factory, Protocol
+
+from milletsill.edge.commands import Opened, Running
+from milletsill.edge.decide import BadPath, Door, Knock, Spot, fullness, knock
+from milletsill.files import extensions, packets
+from milletsill.files.extensions import Terms
+from milletsill.files.framing import Broken, Deframer
+from milletsill.files.wire import Attrs, Malformed, Name
+
+if TYPE_CHECKING:
+    from milletsill.edge.service import Edge
+
+DIRECTORY = Attrs(mode=0o040755)
+BY_HANDLE = (packets.Read, packets.Write, packets.Fstat, packets.Fsetstat, packets.Readdir)
+
+
+class Connection(Protocol):
+    """One client."""
+
+    def __init__(self, edge: Edge) -> None:
+        self.edge, self.door = edge, Door.FRESH
+        self.deframer = Deframer(edge.file.door.most_packet)
+        self.out: dict[int, Running] = {}
+        self.handles: dict[bytes, Opened] = {}
+        self.handle_count, self.unread, self.reading = 0, False, False
+        self.heard = self.stuck_since = edge.now()
+
+    def connectionMade(self) -> None:
+        if not self.edge.connected(self):
+            self.door = Door.CLOSED
+            return self.transport.abortConnection()
+        self.transport.registerProducer(self, True)
+        if hasattr(self.transport, "setTcpNoDelay"):
+            self.transport.setTcpNoDelay(True)
+
+    def connectionLost(self, reason: Any = None) -> None:
+        self.knock(Knock.LOST)
+        self.edge.disconnected(self)
+
+    def pauseProducing(self) -> None:
+        """The client does not take its answers."""
+        self.unread, self.stuck_since = True, self.edge.now()
+        self.look()
+
+    def resumeProducing(self) -> None:
+        self.unread = False
+        self.look()
+
+    def stopProducing(self) -> None: ...
+
+    def dataReceived(self, data: bytes) -> None:
+        self.heard = self.edge.now()
+        self.deframer.feed(data)
+        self.read()
+
+    def read(self) -> None:
+        """Packets as long as the door is open."""
+        if self.reading:
+            return
+        self.reading = True
+        try:
+            while self.door in (Door.FRESH, Door.OPEN) and (body := self.deframer.next()) is not None:
+                self.packet(body)
+                self.look()
+        except Broken as error:
+            self.edge.remark("client_broken", reason=str(error))
+            self.knock(Knock.BROKEN)
+        finally:
+            self.reading = False
+
+    def look(self) -> None:
+        """Read on, or do not, as the bounds say."""
+        sign = fullness(self.door, len(self.out), self.unread, self.edge.file.door.most_outstanding)
+        if sign is not None:
+            self.knock(sign)
+
+    def tick(self, idle: int) -> None:
+        """Now and then: whether it is idle, or its answers are not taken, for too long."""
+        now = self.edge.now()
+        if self.unread and now - self.stuck_since > idle:
+            self.knock(Knock.STUCK)
+        elif not self.out and now - self.heard > idle:
+            self.knock(Knock.IDLE)
+
+    def knock(self, sign: Knock) -> None:
+        """Read the table and act."""
+        self.door, effect = knock(self.door, sign)
+        if effect == "version":
+            self.send(packets.Version(packets.VERSION_SPOKEN, extensions.offered()))
+        elif effect == "pause":
+            self.transport.pauseProducing()
+        elif effect == "resume":
+            self.transport.resumeProducing()
+            self.read()
+        elif effect in ("cut", "close", "abandon"):
+            out, self.out = list(self.out.values()), {}
+            for each in out:
+                each.abandon()
+            self.handles.clear()
+            if effect == "cut":
+                self.transport.abortConnection()
+            elif effect == "close":
+                self.transport.loseConnection()
+
+    def send(self, packet: Any) -> None:
+        if self.door is not Door.CLOSED:
+            self.transport.write(packets.encode(packet))
+
+    def packet(self, body: bytes) -> None:
+        """One packet; one that makes no sense gets its answer, if it has an id, and loses nothing else."""
+        try:
+            packet = packets.decode(body)
+        except packets.UnknownKind as error:
+            return self.send(packets.Status(error.id, packets.UNSUPPORTED, str(error)))
+        except Malformed as error:
+            self.edge.remark("client_malformed", reason=str(error))
+            if len(body) >= 5 and self.door is Door.OPEN:
+                return self.send(packets.Status(int.from_bytes(body[1:5], "big"), packets.BAD_MESSAGE, str(error)))
+            return self.knock(Knock.BROKEN)
+        if isinstance(packet, packets.Init):
+            return self.knock(Knock.INIT)
+        if not isinstance(packet, packets.COMMANDS):
+            return self.send(packets.Status(packet.id, packets.BAD_MESSAGE, "an answer where a command was due"))
+        self.knock(Knock.COMMAND)
+        if self.door is Door.OPEN:
+            self.command(packet)
+
+    def command(self, packet: Any) -> None:
+        """Answer at once what costs no box work; run the rest."""
+        id, terms = packet.id, Terms()
+        if id in self.out:
+            return self.send(packets.Status(id, packets.BAD_MESSAGE, f"command {id} is still out"))
+        try:
+            if isinstance(packet, packets.Extended) and packet.name == extensions.COMMAND:
+                terms, packet = extensions.read_terms(packet)
+            answer = self.at_once(packet, terms)
+        except (Malformed, BadPath) as error:
+            answer = packets.Status(id, packets.BAD_MESSAGE, str(error))
+        if answer is not None:
+            self.send(answer)
+
+    def at_once(self, packet: Any, terms: Terms) -> Any:
+        """The answer, or None where the command was put on its way."""
+        id, edge = packet.id, self.edge
+        if isinstance(packet, packets.Realpath):
+            return packets.Names(id, (Name(path := edge.canonical(packet.path or "/"), path, Attrs()),))
+        if isinstance(packet, packets.Close):
+            gone = self.handles.pop(packet.handle, None)
+            return packets.Status(id, packets.OK if gone else packets.FAILURE, "" if gone else "no such handle")
+        if isinstance(packet, packets.Extended):
+            return self.extended(packet, terms)
+        if isinstance(packet, BY_HANDLE):
+            return self.by_handle(packet, terms)
+        if isinstance(packet, (packets.Readlink, packets.Symlink)):
+            return packets.Status(id, packets.UNSUPPORTED, "links are not offered")
+        return self.by_path(packet, terms)
+
+    def extended(self, packet: packets.Extended, terms: Terms) -> Any:
+        door = self.edge.file.door
+        if packet.name == extensions.LIMITS:
+            most = self.edge.atlas.most_bytes
+            return extensions.put_limits(packet.id, door.most_packet, most, most, door.most_handles)
+        if packet.name != extensions.FSYNC:
+            return packets.Status(packet.id, packets.UNSUPPORTED, f"unknown extension {packet.name[:40]!r}")
+        opened = self.handles.get(extensions.read_fsync(packet))
+        if opened is None or opened.volume is None or opened.spot is None:
+            return packets.Status(packet.id, packets.FAILURE, "no such handle")
+        self.run(packet, terms, opened.volume, opened.path, opened)
+
+    def by_handle(self, packet: Any, terms: Terms) -> Any:
+        opened = self.handles.get(packet.handle)
+        listing = isinstance(packet, packets.Readdir)
+        if opened is None or listing != (opened.spot is None):
+            return packets.Status(packet.id, packets.FAILURE, "no such handle")
+        if isinstance(packet, packets.Write) and len(packet.data) > self.edge.atlas.most_bytes:
+            return packets.Status(packet.id, packets.FAILURE, f"a write of {len(packet.data)} bytes, "
+                                                              f"{self.edge.atlas.most_bytes} at most")
+        if listing and opened.volume is None:
+            return self.list_above(packet.id, opened)
+        assert opened.volume is not None
+        self.run(packet, terms, opened.volume, opened.path, opened)
+
+    def list_above(self, id: int, opened: Opened) -> Any:
+        """The names above all volumes, in one page."""
+        names = [] if opened.found else self.edge.atlas.above(opened.path)
+        opened.found = True
+        if not names:
+            return packets.Status(id, packets.EOF, "the end")
+        return packets.Names(id, tuple(Name(each, f"drwxr-xr-x 1 - - 0 {each}", DIRECTORY) for each in names[:1000]))
+
+    def by_path(self, packet: Any, terms: Terms) -> Any:
+        edge, path = self.edge, self.edge.canonical(packet.path)
+        volume = edge.atlas.volume(path)
+        if isinstance(packet, packets.Rename):
+            target = edge.canonical(packet.target)
+            if volume is None or edge.atlas.volume(target) is not volume or path == volume.root:
+                return packets.Status(packet.id, packets.UNSUPPORTED, "a rename must stay within its volume")
+            if not edge.renames(volume, path, target):
+                return packets.Status(packet.id, packets.UNSUPPORTED, "the new name lies in another cell")
+        above = volume is None and (path == "/" or edge.atlas.above(path))
+        root = above or volume is not None and path == volume.root
+        if isinstance(packet, packets.Opendir):
+            return self.opendir(packet, volume, path) if volume or above else self.missing(packet.id)
+        if root and isinstance(packet, (packets.Stat, packets.Lstat)):
+            return packets.AttrsAnswer(packet.id, DIRECTORY)
+        if root:
+            return packets.Status(packet.id, packets.PERMISSION_DENIED, "this belongs to the operator")
+        if volume is None:
+            return self.missing(packet.id)
+        if isinstance(packet, packets.Open) and len(self.handles) >= edge.file.door.most_handles:
+            return self.no_more_handles(packet.id)
+        self.run(packet, terms, volume, path, None)
+
+    def missing(self, id: int) -> packets.Status:
+        return packets.Status(id, packets.NO_SUCH_FILE, "no such file")
+
+    def no_more_handles(self, id: int) -> packets.Status:
+        return packets.Status(id, packets.FAILURE, f"more than {self.edge.file.door.most_handles} handles")
+
+    def opendir(self, packet: Any, volume: Any, path: str) -> Any:
+        if len(self.handles) >= self.edge.file.door.most_handles:
+            return self.no_more_handles(packet.id)
+        return packets.Handle(packet.id, self.keep(Opened(volume, path, None)))
+
+    def keep(self, opened: Opened) -> bytes:
+        """A handle for it."""
+        self.handle_count += 1
+        handle = self.handle_count.to_bytes(8, "big")
+        self.handles[handle] = opened
+        return handle
+
+    def run(self, packet: Any, terms: Terms, volume: Any, path: str, opened: Opened | None) -> None:
+        """Put a command on its way to the boxes."""
+        running = Running(self.edge, packet, terms, volume, path, opened, lambda answer: self.answer(running, answer))
+        self.out[packet.id] = running
+        running.start()
+
+    def answer(self, running: Running, packet: Any) -> None:
+        """The one answer of a command."""
+        self.out.pop(running.command.id, None)
+        if isinstance(packet, packets.Handle) and isinstance(running.command, packets.Open):
+            spot = running.spot or Spot(self.edge.atlas.home(running.volume, running.path), running.path)
+            packet = (packets.Handle(packet.id, self.keep(Opened(running.volume, running.path, spot)))
+                      if len(self.handles) < self.edge.file.door.most_handles else self.no_more_handles(packet.id))
+        self.send(packet)
+        self.look()
+
+
+class Clients(Factory):
+    """Makes a Connection for each client."""
+
+    noisy = False
+
+    def __init__(self, edge: Edge) -> None:
+        self.edge = edge
+
+    def buildProtocol(self, addr: Any) -> Connection:
+        return Connection(self.edge)
--- /dev/null
+++ b/milletsill/edge/host.py
@@ -0,0 +1,256 @@
+"""The second host of the decision module, next to `wirehost`: real time, real links. It is the module's Port.
+
+It tells the module what happens, in order, and `settle` once for all events of a moment; it does what the module says.
+Nothing about a transfer is decided here. A transfer lives from `take` to its one final answer (`finish`), and until
+all of its dispatches have ended.
+"""
+from __future__ import annotations
+
+import heapq
+from typing import Any, Callable, Protocol, Sequence
+
+from milletsill.edge.decide import io_first
+from milletsill.files.extensions import Order, Verdict
+from milletsill.files.packets import Command
+from milletsill.interface import Answer, Arrival, Decisions, Facts, Listed, News, Outcome, Port
+from milletsill.links.pool import Pool, Sending
+
+LONGEST_SLEEP = 60.0  # seconds; a timer for later is set again then
+Make = Callable[[Facts, int, int, Port], Decisions]
+
+
+class Asker(Protocol):
+    """Who handed a transfer over; exactly one of these is called, once."""
+
+    def satisfied(self, verdict: Verdict) -> None: ...
+
+    def declined(self, pause: int) -> None: ...
+
+    def aborted(self) -> None: ...
+
+
+class Out:
+    """One dispatch as the host sees it."""
+
+    __slots__ = ("number", "node", "sent", "sending", "over")
+
+    def __init__(self, number: int, node: int, sent: int) -> None:
+        self.number, self.node, self.sent, self.over = number, node, sent, False
+        self.sending: Sending | None = None
+
+
+class Live:
+    """One transfer that the module was told of."""
+
+    __slots__ = ("arrival", "asker", "command", "ticket", "mark", "category", "outs", "answered", "taken")
+
+    def __init__(self, arrival: Arrival, asker: Asker, command: Command, ticket: str, mark: str, category: str,
+                 now: int) -> None:
+        self.arrival, self.asker = arrival, asker
+        self.command: Command | None = command
+        self.ticket, self.mark, self.category, self.taken = ticket, mark, category, now
+        self.outs: list[Out] = []
+        self.answered = False
+
+
+class Host:
+    """Drives one Scheduler. `watch` asks for the list; `pool_of` finds the links of a node; `note` counts events by
+    name and value for the metrics."""
+
+    def __init__(self, reactor: Any, now: Callable[[], int], facts: Facts, seed: int, make: Make, gateway: str,
+                 incarnation: int, pool_of: Callable[[int], Pool | None], watch: Callable[[], None],
+                 remark: Callable[[str], None], note: Callable[..., None]) -> None:
+        self.reactor, self.now, self.facts = reactor, now, facts
+        self.gateway, self.incarnation = gateway, incarnation
+        self.pool_of, self.ask_list, self.log, self.note = pool_of, watch, remark, note
+        self.live: dict[int, Live] = {}
+        self.held = 0  # those without a final answer
+        self.timers: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.timer_count, self.alarm, self.alarm_at = 0, None, 0
+        self.settling, self.put_off, self.stopped = False, False, False
+        self.module = make(facts, seed, now(), self)
+
+    # Told by the edge.
+
+    def take(self, arrival: Arrival, asker: Asker, command: Command, ticket: str, mark: str, category: str) -> None:
+        """A transfer for the module."""
+        now = self.now()
+        self.live[arrival.id] = Live(arrival, asker, command, ticket, mark, category, now)
+        self.held += 1
+        self.module.taken(now, arrival)
+        self.settle_soon()
+
+    def abandon(self, transfer: int) -> None:
+        """Its client has left: no answer is owed."""
+        live = self.live.get(transfer)
+        if live is not None and not live.answered:
+            self.close(live)
+            self.module.abandoned(self.now(), transfer)
+            self.settle_soon()
+
+    def listed(self, news: News, entries: Sequence[Listed]) -> None:
+        """News of the list."""
+        self.module.listed(self.now(), news, entries)
+        self.settle_soon()
+
+    # The Port.
+
+    def send(self, transfer: int, node: int, timeout: int) -> None:
+        """One dispatch; how it ends is told later, never from within."""
+        live, now = self.live.get(transfer), self.now()
+        if live is None or live.answered or live.command is None:  # rule 1 at the last place that a send passes
+            return self.log(f"a dispatch of transfer {transfer} after its end was not sent")
+        arrival = live.arrival
+        out = Out(len(live.outs), node, now)
+        live.outs.append(out)
+        ends = min(now + timeout, arrival.ends) if timeout else arrival.ends
+        pool = self.pool_of(node)
+        self.at(ends, self.timed_out, live, out)
+        self.note("dispatch", out.number)
+        if pool is None:
+            self.at(now, self.ended, live, out, Outcome.UNREACHED, None)
+            return
+        order = Order(self.gateway, self.incarnation, transfer, out.number, arrival.units, arrival.extent,
+                      max((arrival.ends - now) // 10, 1), live.ticket, arrival.volume, arrival.gateways,
+                      live.category, live.mark, live.command)
+        out.sending = pool.dispatch(order, lambda outcome, verdict: self.ended(live, out, outcome, verdict))
+
+    def decline(self, transfer: int, pause: int) -> None:
+        live = self.live.get(transfer)
+        if live is not None and not live.answered:
+            self.close(live)
+            live.asker.declined(max(pause, 0))
+
+    def abort(self, transfer: int) -> None:
+        live = self.live.get(transfer)
+        if live is not None and not live.answered:
+            self.close(live)
+            live.asker.aborted()
+
+    def cancel(self, transfer: int, number: int) -> None:
+        live = self.live.get(transfer)
+        if live is not None and number < len(live.outs) and not live.outs[number].over:
+            self.at(self.now(), self.give_up, live, live.outs[number], Outcome.CANCELLED)
+
+    def watch(self) -> None:
+        self.ask_list()
+
+    def fetch(self) -> None:
+        self.ask_list()
+
+    def probe(self, node: int) -> None:
+        """Nothing to ask beside the reports."""
+
+    def wake(self, at: int, what: object) -> None:
+        self.at(at, self.woken, what)
+
+    def remark(self, text: str) -> None:
+        self.log(text)
+
+    # What happens.
+
+    def close(self, live: Live) -> None:
+        """A transfer has its end; its record stays until its dispatches have theirs."""
+        live.answered = True
+        self.held -= 1
+        self.clear(live)
+
+    def clear(self, live: Live) -> None:
+        live.command = None if live.answered else live.command  # timers hold the record until patience, not the data
+        if live.answered and all(each.over for each in live.outs):
+            self.live.pop(live.arrival.id, None)
+
+    def woken(self, what: object) -> None:
+        self.module.woken(self.now(), what)
+
+    def timed_out(self, live: Live, out: Out) -> None:
+        if not out.over:
+            self.give_up(live, out, Outcome.TIMED_OUT)
+
+    def give_up(self, live: Live, out: Out, outcome: Outcome) -> None:
+        """Nobody waits for a dispatch any more; the box may still run it."""
+        if not out.over:
+            if out.sending is not None:
+                pool = self.pool_of(out.node)
+                if pool is not None:
+                    pool.withdraw(out.sending)
+                else:
+                    out.sending.over = True
+            self.ended(live, out, outcome, None)
+
+    def ended(self, live: Live, out: Out, outcome: Outcome, verdict: Verdict | None) -> None:
+        """One dispatch has ended: the client's answer first, then the module, then what follows."""
+        if out.over or self.stopped:
+            return
+        out.over = True
+        now, first = self.now(), not live.answered
+        satisfied = outcome is Outcome.SATISFIED and first
+        if satisfied:
+            self.close(live)
+        else:
+            self.clear(live)
+        self.note("ended", outcome.value, now - out.sent)
+        answer = Answer(live.arrival.id, out.number, out.node, outcome, satisfied, now - out.sent,
+                        verdict.used if verdict else None, verdict.elsewhere if verdict else 0,
+                        verdict.report if verdict else {})
+        self.module.returned(now, answer)
+        if satisfied and verdict is not None:
+            live.asker.satisfied(verdict)
+        self.settle_soon()
+
+    # Time.
+
+    def at(self, at: int, call: Callable[..., None], *values: Any) -> None:
+        """Call at that time or just after, never from within."""
+        self.timer_count += 1
+        heapq.heappush(self.timers, (at, self.timer_count, call, values))
+        self.set_alarm()
+
+    def set_alarm(self) -> None:
+        """One reactor timer for the soonest of ours."""
+        if self.stopped or not self.timers:
+            return
+        at = self.timers[0][0]
+        if self.alarm is not None and self.alarm.active():
+            if self.alarm_at <= at:
+                return
+            self.alarm.cancel()
+        self.alarm_at = at
+        wait = min(max((at - self.now()) / 10_000, 0.0), LONGEST_SLEEP)
+        self.alarm = self.reactor.callLater(wait, self.ring)
+
+    def ring(self) -> None:
+        """All timers that are due, then one settle."""
+        now = self.now()
+        if self.timers and io_first(now - self.timers[0][0], self.put_off):
+            self.put_off = True
+            self.alarm_at = now
+            self.alarm = self.reactor.callLater(0, self.ring)
+            return
+        self.put_off = False
+        called = False
+        while self.timers and self.timers[0][0] <= now:
+            _, _, call, values = heapq.heappop(self.timers)
+            call(*values)
+            called = True
+        if called:
+            self.settle_soon()
+        self.set_alarm()
+
+    def settle_soon(self) -> None:
+        """Events of one round of the reactor are settled together, within one tick."""
+        if not self.settling and not self.stopped:
+            self.settling = True
+            self.reactor.callLater(0, self.settle)
+
+    def settle(self) -> None:
+        self.settling = False
+        if not self.stopped:
+            self.module.settle(self.now())
+
+    def stop(self) -> None:
+        """Hear and say nothing any more."""
+        self.stopped = True
+        if self.alarm is not None and self.alarm.active():
+            self.alarm.cancel()
+        self.timers.clear()
--- /dev/null
+++ b/milletsill/edge/identity.py
@@ -0,0 +1,30 @@
+"""Which run of a gateway this is: a number kept on disk that grows with each start."""
+from __future__ import annotations
+
+import os
+import time
+
+MOST = 0xFFFFFFFF
+
+
+def next_incarnation(path: str) -> tuple[int, str]:
+    """The number of this run and a complaint, '' for none. Where it cannot be kept it is taken from the wall clock,
+    which is past any count of starts, so no two runs share one."""
+    held, complaint = 0, ""
+    try:
+        with open(path, encoding="ascii") as source:
+            held = int(source.read(20))
+    except FileNotFoundError:
+        pass
+    except (OSError, ValueError) as error:
+        complaint, held = f"{path}: {error}", int(time.time())
+    number = min(max(held, 0) + 1, MOST)
+    try:
+        with open(f"{path}.new", "w", encoding="ascii") as sink:
+            sink.write(f"{number}\n")
+            sink.flush()
+            os.fsync(sink.fileno())
+        os.replace(f"{path}.new", path)
+    except OSError as error:
+        return min(max(int(time.time()), number), MOST), f"{path}: {error.strerror or error}"
+    return number, complaint
--- /dev/null
+++ b/milletsill/edge/service.py
@@ -0,0 +1,233 @@
+"""The edge as one object: door, host of the module, links, list, metrics; several can live in one process."""
+from __future__ import annotations
+
+import os
+import random
+import time
+from typing import Any, Callable
+
+from twisted.internet.endpoints import TCP4ServerEndpoint
+
+from milletsill.edge import facts
+from milletsill.edge.commands import Running
+from milletsill.edge.decide import (FREE, AnswerLog, Event, Locations, Process, VolumePlace, admit,
+                                    canonical, pass_on)
+from milletsill.edge.door import Clients, Connection
+from milletsill.edge.host import Host, Make
+from milletsill.edge.identity import next_incarnation
+from milletsill.edge.logs import logger
+from milletsill.edge.metrics import Figures
+from milletsill.interface import Listed, News
+from milletsill.links.pool import Pool
+from milletsill.policy import Scheduler
+from milletsill.registry.decide import Box
+from milletsill.registry.follower import Follower
+
+LOOK_EVERY = 1.0  # seconds between looks at idle clients and the loop's lag
+
+
+def monotonic() -> int:
+    """Tenths of a millisecond, whole, rounded up: what is over is over."""
+    return -(-time.monotonic_ns() // 100_000)
+
+
+class Edge:
+    """One gateway. `make` is the module; the laboratory alone puts a baseline in its place."""
+
+    def __init__(self, file: Any, reactor: Any, make: Make = Scheduler, now: Callable[[], int] = monotonic,
+                 log: Any = None) -> None:
+        self.file, self.reactor, self.now = file, reactor, now
+        self.log = log or logger(file.logging.level, file.logging.json, gateway=file.name)
+        os.makedirs(file.state_dir, exist_ok=True)
+        self.incarnation, complaint = next_incarnation(os.path.join(file.state_dir, "incarnation"))
+        if complaint:
+            self.remark("incarnation_not_kept", reason=complaint)
+        self.figures, self.answer_log = Figures(), AnswerLog(file.logging.answers_per_s)
+        self.process, self.atlas = Process.STARTING, facts.atlas_of(file)
+        self.locations, self.bounds = Locations(file.door.locations), facts.bounds_of(file)
+        self.margin = facts.at_least(file.door.answer_margin_ms)
+        self.pools: dict[int, Pool] = {}
+        self.clients: set[Connection] = set()
+        self.transfers = self.objects = self.marks = 0
+        given = facts.facts_of(file)
+        seed = file.seed if file.HasField("seed") else random.SystemRandom().getrandbits(63)
+        self.follower = Follower(reactor, now, file.registry, given["warm_after"],
+                                 os.path.join(file.state_dir, "boxes.json"), self.listed, self.moved,
+                                 lambda text: self.remark("list", reason=text), file.name)
+        self.host = Host(reactor, now, given, seed, make, file.name, self.incarnation, self.pools.get,
+                         self.follower.ask, lambda text: self.remark("module", reason=text), self.figures.note)
+        self.ports: list[Any] = []
+        self.stopped: list[Callable[[], None]] = []
+        self.look_call: Any = None
+        self.failed = False
+
+    # Life.
+
+    def start(self) -> None:
+        """Read the last list, open the doors."""
+        self.follower.start()
+        self.step(Event.LISTED)
+        self.look_call = self.reactor.callLater(LOOK_EVERY, self.look, self.now())
+
+    def step(self, event: Event) -> None:
+        """Read the table and act."""
+        self.process, effect = pass_on(self.process, event)
+        if effect == "open":
+            self.open()
+        elif effect == "drain":
+            self.log.info("draining", held=self.host.held)
+            self.close_ports()
+            self.reactor.callLater(self.file.door.drain_s, self.step, Event.OVERDUE)
+            self.emptied()
+        elif effect == "stop":
+            self.stop()
+
+    def open(self) -> None:
+        """Listen; an address that cannot be had ends the start with one line."""
+        host, _, port = self.file.listen.rpartition(":")
+        self.listen(host, int(port), Clients(self), "listening")
+        if self.file.HasField("metrics"):
+            host, _, port = self.file.metrics.rpartition(":")
+            self.listen(host, int(port), self.figures.page(), "metrics_listening")
+
+    def listen(self, host: str, port: int, factory: Any, word: str) -> None:
+        def up(got: Any) -> None:
+            self.ports.append(got)
+            self.log.info(word, address=f"{host}:{got.getHost().port}", incarnation=self.incarnation)
+
+        def not_up(failure: Any) -> None:
+            self.log.error("cannot_listen", address=f"{host}:{port}", reason=failure.getErrorMessage())
+            self.process, self.failed = Process.STOPPED, True
+            self.stop()
+
+        TCP4ServerEndpoint(self.reactor, port, interface=host).listen(factory).addCallbacks(up, not_up)
+
+    def terminate(self) -> None:
+        """SIGTERM: no new transfers, all held ones answered, then the end."""
+        self.step(Event.TERM)
+
+    def reload(self, file: Any) -> None:
+        """Another file for what a running gateway can change: bounds of the door, volumes, routes, logs. What the
+        module was told at the start stands until a restart."""
+        if facts.facts_of(file) != self.host.facts or file.name != self.file.name or file.listen != self.file.listen:
+            return self.remark("file_refused", reason="plans, categories, rules, name or address need a restart")
+        self.file, self.atlas, self.margin = file, facts.atlas_of(file), facts.at_least(file.door.answer_margin_ms)
+        self.answer_log = AnswerLog(file.logging.answers_per_s)
+        self.log = logger(file.logging.level, file.logging.json, gateway=file.name)
+        self.log.info("reloaded", volumes=len(file.volume), routes=len(file.route))
+
+    def emptied(self) -> None:
+        if self.process is Process.DRAINING and not self.host.held:
+            self.reactor.callLater(0, self.step, Event.EMPTY)
+
+    def close_ports(self) -> None:
+        ports, self.ports = self.ports, []
+        for each in ports:
+            each.stopListening()
+
+    def stop(self) -> None:
+        """Cut everything that is left."""
+        self.log.info("stopped", held=self.host.held)
+        self.close_ports()
+        self.follower.stop()
+        for client in list(self.clients):
+            client.transport.loseConnection()
+        self.host.stop()
+        for pool in self.pools.values():
+            pool.abort()
+        if self.look_call is not None and self.look_call.active():
+            self.look_call.cancel()
+        for each in self.stopped:
+            each()
+
+    def look(self, since: int) -> None:
+        """Once a second: idle clients, the loop's lag, gauges."""
+        now = self.now()
+        self.figures.lag.observe(max(now - since - LOOK_EVERY * 10_000, 0) / 10_000)
+        self.figures.held.set(self.host.held)
+        self.figures.clients.set(len(self.clients))
+        idle = facts.at_least(self.file.door.idle_s * 1000)
+        for client in list(self.clients):
+            client.tick(idle)
+        self.look_call = self.reactor.callLater(LOOK_EVERY, self.look, now)
+
+    # The list.
+
+    def listed(self, news: News, entries: list[Listed]) -> None:
+        self.figures.news.labels(news.value).inc()
+        self.host.listed(news, entries)
+
+    def moved(self, boxes: list[Box]) -> None:
+        """Links follow the list: a new address gets a pool of its own, a box that left loses its."""
+        self.figures.boxes.set(len(boxes))
+        for box in boxes:
+            pool = self.pools.get(box.id)
+            if pool is None or pool.address != box.address:
+                if pool is not None:
+                    pool.close()
+                self.pools[box.id] = Pool(
+                    self.reactor, self.now, box.address, self.bounds, self.file.name, self.incarnation,
+                    self.file.links.most_buffered, lambda text, id=box.id: self.remark("link", box=id, reason=text))
+        for id in self.pools.keys() - {each.id for each in boxes}:
+            self.pools.pop(id).close()
+
+    # The clients.
+
+    def connected(self, client: Connection) -> bool:
+        """Whether one more client is taken."""
+        if len(self.clients) >= self.file.door.most_connections or self.process is not Process.SERVING:
+            self.remark("client_not_taken", clients=len(self.clients))
+            return False
+        self.clients.add(client)
+        return True
+
+    def disconnected(self, client: Connection) -> None:
+        self.clients.discard(client)
+        self.emptied()
+
+    def refusal(self, ends: int) -> str:
+        """Why a command cannot be taken now; '' for none."""
+        return admit(self.process, self.host.held, self.file.door.most_held, ends - self.now())
+
+    def told(self, running: Running, final: str, why: str) -> None:
+        """A command has its answer: counted, and now and then said."""
+        now, name = self.now(), self.category_name(running.category)
+        self.figures.answers.labels(name, final).inc()
+        self.figures.latency.labels(name).observe((now - running.began) / 10_000)
+        passed = self.answer_log.take(now)
+        if passed is not None:
+            self.log.info("answer", final=final, why=why, category=name, volume=running.volume.name,
+                          operation=running.operation, ms=(now - running.began) / 10, legs=running.legs,
+                          tries=running.terms.tries, unsaid=passed)
+        self.emptied()
+
+    def remark(self, event: str, **values: Any) -> None:
+        self.log.warning(event, **values)
+
+    # Names and numbers.
+
+    def canonical(self, path: str) -> str:
+        return canonical(path)
+
+    def renames(self, volume: VolumePlace, path: str, target: str) -> bool:
+        """Whether a rename can be done: by links, or within one cell."""
+        return volume.placement == FREE or self.atlas.home(volume, path) == self.atlas.home(volume, target)
+
+    def category_name(self, place: int) -> str:
+        return self.host.facts["categories"][place]["name"]
+
+    def next_transfer(self) -> int:
+        self.transfers += 1
+        return self.transfers
+
+    def object_name(self) -> str:
+        """A name on a box that no other gateway or run gives."""
+        self.objects += 1
+        return f"#{self.file.name}.{self.incarnation}.{self.objects}"
+
+    def mark(self) -> str:
+        self.marks += 1
+        return f"{self.file.name}.{self.incarnation}.{self.marks}"
+
+
+
--- /dev/null
+++ b/milletsill/lab/load.py
@@ -0,0 +1,405 @@
+"""The load tool: scripted clients of a scenario, their surges, runs, retries and patience; checks every byte read.
+
+Arrivals are drawn ahead of what comes back (open loop) and belong to their first try. One process plays all clients.
+"""
+from __future__ import annotations
+
+import json
+import time
+from collections import OrderedDict
+from random import Random
+from typing import Any, Callable
+
+import xxhash
+from hdrh.histogram import HdrHistogram
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory, Protocol
+
+from milletsill.files import extensions, packets
+from milletsill.files.extensions import Terms
+from milletsill.files.framing import Deframer
+from milletsill.files.wire import Attrs
+from milletsill.lab.record import IN, OUT, Recorder
+
+BLOCK = Random(11).randbytes(1 << 17) * 3
+MOST_HANDLES, AGAIN, LATE = 200, 0.25, 0.05  # of a connection; seconds until a lost one is dialled again
+PATTERN = (1 << 17) - 1
+
+
+def pattern(path: str, offset: int, length: int) -> bytes:
+    """What every file of the laboratory holds: told by its path alone, so that any read can be checked."""
+    start = (xxhash.xxh32_intdigest(path.encode()) + offset) & PATTERN
+    return BLOCK[start:start + length]
+
+
+class ClientLink(Protocol):
+    """One client connection to one edge."""
+
+    def __init__(self, door: EdgeDoor, number: int) -> None:
+        self.door, self.number, self.ids = door, number, 0
+        self.deframer = Deframer(64_000_000)
+        self.waiting: dict[int, Callable[[Any], None]] = {}
+        self.handles: OrderedDict[str, bytes] = OrderedDict()
+        self.open = False
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.door.load.recorder.note(what="connect", conn=self.number, edge=self.door.name)
+        self.send(packets.Init(packets.VERSION_SPOKEN))
+
+    def dataReceived(self, data: bytes) -> None:
+        self.deframer.feed(data)
+        while (body := self.deframer.next()) is not None:
+            self.door.load.recorder.put(self.number, IN, body, 64)
+            packet = packets.decode(body)
+            if isinstance(packet, packets.Version):
+                self.open = True
+                continue
+            call = self.waiting.pop(packet.id, None)
+            if call is None:
+                self.door.load.count("answers nobody waits for")
+            else:
+                call(packet)
+
+    def connectionLost(self, reason: Any = None) -> None:
+        self.open = False
+        self.door.load.recorder.note(what="lost", conn=self.number, edge=self.door.name)
+        waiting, self.waiting = list(self.waiting.values()), {}
+        self.door.lost(self)
+        for call in waiting:
+            call(None)
+
+    def send(self, packet: Any) -> None:
+        data = packets.encode(packet)
+        self.door.load.recorder.put(self.number, OUT, data[4:], 160)
+        self.transport.write(data)
+
+    def command(self, command: Any, terms: Terms, call: Callable[[Any], None]) -> None:
+        """A command under terms; `call` gets its answer, None where the connection ended."""
+        self.ids += 1
+        self.waiting[self.ids] = call
+        self.send(extensions.put_terms(terms, packets.with_id(command, self.ids)))
+
+
+class EdgeDoor:
+    """The connections to one edge; dialled again when they end."""
+
+    def __init__(self, load: Load, name: str, address: str, count: int) -> None:
+        self.load, self.name = load, name
+        host, _, port = address.rpartition(":")
+        self.endpoint = TCP4ClientEndpoint(load.reactor, host, int(port), timeout=2)
+        self.links: list[ClientLink] = []
+        self.over = False
+        for _ in range(count):
+            self.dial()
+
+    def dial(self) -> None:
+        if self.over:
+            return
+        self.load.connections += 1
+        link = ClientLink(self, self.load.connections)
+        factory = Factory.forProtocol(lambda: link)
+        factory.noisy = False
+        self.endpoint.connect(factory).addCallbacks(
+            lambda _: self.links.append(link), lambda _: self.load.reactor.callLater(AGAIN, self.dial))
+
+    def lost(self, link: ClientLink) -> None:
+        if link in self.links:
+            self.links.remove(link)
+        self.load.reactor.callLater(AGAIN, self.dial)
+
+    def pick(self, chance: Random) -> ClientLink | None:
+        ready = [each for each in self.links if each.open]
+        return chance.choice(ready) if ready else None
+
+
+class Operation:
+    """One thing that a client wants: its tries, and what came of it."""
+
+    def __init__(self, load: Load, row: Any, volume: Any, edge: EdgeDoor, path: str, offset: int, length: int) -> None:
+        self.load, self.row, self.volume, self.edge = load, row, volume, edge
+        self.path, self.offset, self.length = path, offset, length
+        self.category = load.categories[row.category]
+        self.began, self.tries, self.over, self.number = load.now(), 0, False, load.next_operation()
+        self.retries = load.retries_of(volume.plan)
+        self.patience = load.patience_of(self.category, volume.plan)
+        self.turn = 0
+        self.try_once()
+
+    def left(self) -> float:
+        """Seconds of patience left in this try."""
+        return self.try_ends - self.load.now()
+
+    def terms(self, what: str) -> Terms:
+        return Terms(max(int(self.left() * 1000), 1), self.tries, f"op{self.number}.{what}")
+
+    def try_once(self) -> None:
+        self.turn += 1
+        self.try_ends = self.load.now() + self.patience
+        link = self.edge.pick(self.load.chance)
+        if link is None:
+            return self.again("unreached", 0.0)
+        self.load.reactor.callLater(self.patience, self.give_up, self.turn)
+        if self.row.operation in ("list", "look"):
+            return self.ask(link, "l", packets.Stat(0, self.path))
+        handle = link.handles.get(self.path)
+        if handle is not None:
+            return self.use(link, handle)
+        flags = packets.READ_FLAG | packets.WRITE_FLAG | (packets.CREATE_FLAG if self.row.operation == "new" else 0)
+        turn = self.turn
+        link.command(packets.Open(0, self.path, flags, Attrs()), self.terms("o"),
+                     lambda answer: self.opened(link, answer, turn))
+
+    def opened(self, link: ClientLink, answer: Any, turn: int) -> None:
+        if isinstance(answer, packets.Handle):
+            link.handles[self.path] = answer.handle
+            if len(link.handles) > MOST_HANDLES:
+                _, old = link.handles.popitem(last=False)
+                link.command(packets.Close(0, old), Terms(), lambda _: None)
+            if turn == self.turn and not self.over and self.left() > 0.001:
+                self.use(link, answer.handle)
+        elif turn == self.turn:
+            self.answered(answer)
+
+    def use(self, link: ClientLink, handle: bytes) -> None:
+        if self.row.operation == "read":
+            return self.ask(link, "r", packets.Read(0, handle, self.offset, self.length))
+        self.ask(link, "w", packets.Write(0, handle, self.offset, pattern(self.path, self.offset, self.length)))
+
+    def ask(self, link: ClientLink, what: str, command: Any) -> None:
+        turn = self.turn
+        link.command(command, self.terms(what), lambda answer: self.answered(answer) if turn == self.turn else None)
+
+    def answered(self, answer: Any) -> None:
+        if self.over:
+            return
+        if answer is None:
+            return self.again("lost", 0.0)
+        if isinstance(answer, packets.Status) and answer.language.startswith("x-declined-"):
+            return self.again("declined", int(answer.language[11:] or 0) / 1000)
+        if isinstance(answer, packets.Status) and answer.language == "x-aborted":
+            return self.again("aborted", 0.0)
+        fine = not isinstance(answer, packets.Status) or answer.code == packets.OK
+        if isinstance(answer, packets.Data) and answer.data != pattern(self.path, self.offset, len(answer.data)):
+            self.load.count("reads with wrong bytes")
+        elif isinstance(answer, packets.Data):
+            self.load.count("reads with right bytes")
+        if not fine:
+            self.load.count(f"status {answer.code} {self.row.operation}")
+        if fine and self.row.operation == "new":
+            self.load.made(self)
+        self.end("satisfied" if fine else "status")
+
+    def give_up(self, turn: int) -> None:
+        if turn == self.turn and not self.over:
+            self.again("given up", 0.0)
+
+    def again(self, why: str, pause: float) -> None:
+        """Another try, if the client has one left."""
+        self.load.count(f"tries {why}")
+        self.turn += 1
+        clients = self.load.scenario.clients
+        abused = self.retries > clients.retries
+        if self.tries >= self.retries or why == "aborted" and self.category.repeats == "exclusive":
+            return self.end(why)
+        self.tries += 1
+        wait = 0.0 if abused else clients.pause_ms / 1000
+        if pause and not abused and self.load.chance.random() < clients.honour:
+            wait = max(wait, pause)
+        self.load.reactor.callLater(wait, self.try_once)
+
+    def end(self, final: str) -> None:
+        self.over = True
+        self.load.ended(self, final)
+
+
+class Load:
+    """All clients of a scenario. `start` is on the monotonic clock, in seconds."""
+
+    def __init__(self, reactor: Any, scenario: Any, edges: list[tuple[str, str]], start: float, out: str) -> None:
+        self.reactor, self.scenario, self.start_at, self.out = reactor, scenario, start, out
+        self.chance, self.now = Random(scenario.seed), time.monotonic
+        self.recorder = Recorder(f"{out}/clients.rec", "clients", "clients")
+        self.categories = {each.name: each for each in scenario.gateway.category}
+        self.plans = {each.name: each for each in scenario.gateway.plan}
+        self.connections = self.operations = self.live = 0
+        self.counts: dict[str, int] = {}
+        self.rows: dict[tuple[str, str], dict[str, float]] = {}
+        self.histograms = {name: HdrHistogram(1, 60_000_000, 3) for name in self.categories}
+        self.worst: dict[int, list[float]] = {}
+        self.lag = 0.0
+        self.new_files: list[tuple[Any, str, int]] = []
+        self.edges = [EdgeDoor(self, name, address, scenario.clients.connections) for name, address in edges]
+        self.volumes = list(scenario.gateway.volume)
+        self.place()
+        self.runs: dict[int, tuple[int, str, int, Any, EdgeDoor]] = {}
+        self.tick_at = start
+
+    def place(self) -> None:
+        """Which edges each volume comes through, how unevenly, and how much it asks for."""
+        chance, count = self.chance, len(self.edges)
+        self.ways, self.weights = [], []
+        for volume in self.volumes:
+            hosts = min(volume.gateways or count, count)
+            self.ways.append(chance.sample(range(count), hosts))
+            self.weights.append(self.plans[volume.plan].usual_rate)
+        self.shift()
+
+    def shift(self) -> None:
+        """The leading edge of every volume changes."""
+        self.leads = [self.chance.randrange(len(way)) for way in self.ways]
+
+    def count(self, what: str, by: int = 1) -> None:
+        self.counts[what] = self.counts.get(what, 0) + by
+
+    def next_operation(self) -> int:
+        self.operations += 1
+        return self.operations
+
+    # Troubles of clients.
+
+    def troubles(self, *names: str) -> list[Any]:
+        at = self.now() - self.start_at
+        return [each for each in self.scenario.trouble if each.what in names and each.at_s <= at < each.at_s + each.for_s]
+
+    def retries_of(self, plan: str) -> int:
+        abused = [int(each.size) for each in self.troubles("retry_abuse") if each.plan in ("", plan)]
+        return max(abused + [self.scenario.clients.retries])
+
+    def patience_of(self, category: Any, plan: str) -> float:
+        """Seconds that a try may take."""
+        hurried = [each.extra * category.target_ms for each in self.troubles("retry_abuse") if each.plan in ("", plan)]
+        hurried += [each.size * category.target_ms for each in self.troubles("give_up") if each.plan in ("", plan)]
+        return min(hurried + [category.patience_ms * self.scenario.clients.try_share]) / 1000
+
+    def times(self, plan: str) -> float:
+        at, by = self.now() - self.start_at, 1.0
+        for each in self.troubles("burst", "tenant_burst"):
+            by *= each.size if each.what == "burst" or each.plan in ("", plan) else 1.0
+        for each in self.scenario.surge:
+            if each.at_s <= at < each.at_s + each.for_s and each.plan in ("", plan) and not each.volumes:
+                by *= each.times
+        return by
+
+    def hot(self) -> tuple[float, list[int]]:
+        """Extra traffic as a share of all, and the volumes that ask for it."""
+        found = self.troubles("hot_key", "scan")
+        at = self.now() - self.start_at
+        surges = [each for each in self.scenario.surge if each.volumes and each.at_s <= at < each.at_s + each.for_s]
+        share = sum(each.size for each in found)
+        few = max([int(each.extra) for each in found] + [1])
+        volumes = list(range(min(few, len(self.volumes))))
+        for each in surges:
+            share += (each.times - 1) * each.volumes / max(len(self.volumes), 1)
+            volumes += list(range(each.volumes))
+        return share, volumes
+
+    # Arrivals.
+
+    def run(self) -> None:
+        """Called every few milliseconds: arrivals that are due since the last call."""
+        now = self.now()
+        ended = self.start_at + self.scenario.seconds
+        self.lag = max(self.lag, now - self.tick_at - 0.004)
+        span = min(now, ended) - max(self.tick_at, self.start_at)
+        self.tick_at = now
+        if span > 0:
+            for place, row in enumerate(self.scenario.traffic):
+                mean = sum(row.per_s * share * self.times(plan) for plan, share in self.shares(row)) * span
+                share, few = self.hot()
+                self.arrive(place, row, mean, None)
+                self.arrive(place, row, row.per_s * span * share, few)
+        if now < ended:
+            self.reactor.callLater(0.004, self.run)
+        elif self.live and now < ended + self.scenario.tail_s:
+            self.reactor.callLater(0.05, self.run)
+        else:
+            self.finish()
+
+    def shares(self, row: Any) -> list[tuple[str, float]]:
+        """The plans' shares of a row's traffic, by their usual rates and volumes."""
+        plans = [row.plan] if row.plan else list(self.plans)
+        weight = {plan: sum(w for v, w in zip(self.volumes, self.weights) if v.plan == plan) for plan in plans}
+        whole = sum(weight.values()) or 1.0
+        return [(plan, weight[plan] / whole) for plan in plans]
+
+    def arrive(self, place: int, row: Any, mean: float, few: list[int] | None) -> None:
+        chance, gap = self.chance, 0.0
+        while mean > 0 and (gap := gap + chance.expovariate(1 / max(row.run, 1))) < mean * max(row.run, 1):
+            self.one(place, row, few)
+
+    def one(self, place: int, row: Any, few: list[int] | None) -> None:
+        """One operation; a run goes on on the extent of the last."""
+        chance, held = self.chance, self.runs.get(place)
+        if held is not None and held[0] > 0 and few is None:
+            left, path, offset, volume, edge = held
+            self.runs[place] = (left - 1, path, offset, volume, edge)
+        else:
+            number = chance.choice(few) if few else self.draw(row)
+            volume = self.volumes[number]
+            edge = self.edge_of(number)
+            path = f"{volume.root}/f{chance.randrange(self.scenario.files)}"
+            offset = chance.randrange(self.scenario.file_units) * self.scenario.gateway.rules.unit_bytes
+            self.runs[place] = (int(chance.expovariate(1 / row.run)) if row.run > 1 else 0, path, offset, volume, edge)
+        rules = self.scenario.gateway.rules
+        units = min(max(int(chance.expovariate(1 / row.units)) + 1, 1), rules.largest_units)
+        length = min(units * rules.unit_bytes, self.scenario.file_units * rules.unit_bytes - offset)
+        if row.operation == "new":
+            path, offset = f"{volume.root}/new-{self.operations}-{chance.getrandbits(32):08x}", 0
+        elif row.operation == "read" and self.new_files and chance.random() < 0.2:
+            volume, path, length = self.new_files[chance.randrange(len(self.new_files))]
+            offset, edge = 0, self.edge_of(self.volumes.index(volume))
+        if row.operation == "list":
+            path = volume.root
+        self.live += 1
+        Operation(self, row, volume, edge, path, offset, length)
+
+    def made(self, operation: Operation) -> None:
+        """A new file that stands: later reads of it come through any edge of its volume."""
+        if len(self.new_files) < 500:
+            self.new_files.append((operation.volume, operation.path, operation.length))
+
+    def draw(self, row: Any) -> int:
+        weights = [weight * self.times(volume.plan) if row.plan in ("", volume.plan) else 0.0
+                   for volume, weight in zip(self.volumes, self.weights)]
+        return self.chance.choices(range(len(weights)), weights)[0]
+
+    def edge_of(self, volume: int) -> EdgeDoor:
+        """One of its edges, its leading one more often."""
+        way, lead = self.ways[volume], self.leads[volume]
+        skew = self.scenario.clients.skew
+        weights = [1 / (1 + (place - lead) % len(way)) ** skew for place in range(len(way))]
+        return self.edges[self.chance.choices(way, weights)[0]]
+
+    # Results.
+
+    def ended(self, operation: Operation, final: str) -> None:
+        self.live -= 1
+        took = self.now() - operation.began
+        category, plan = operation.category, self.plans[operation.volume.plan]
+        utility = category.utility * plan.price * max(operation.length / self.scenario.gateway.rules.unit_bytes, 1)
+        row = self.rows.setdefault((category.name, plan.name), {"due": 0.0, "in_time": 0.0, "late": 0.0})
+        row["due"] += utility
+        row[final] = row.get(final, 0) + 1
+        second = int(operation.began - self.start_at)
+        slot = self.worst.setdefault(second, [0.0, 0.0])
+        slot[1] += utility
+        if final == "satisfied":
+            in_time = took * 1000 <= category.target_ms
+            row["in_time" if in_time else "late"] += utility
+            slot[0] += utility if in_time else 0.0
+            self.histograms[category.name].record_value(max(int(took * 1e6), 1))
+
+    def finish(self) -> None:
+        """Write what came of it and end."""
+        for edge in self.edges:
+            edge.over = True
+        quantiles = {name: {str(q): each.get_value_at_percentile(q) / 1000 for q in (50, 90, 99, 99.9)}
+                     for name, each in self.histograms.items() if each.total_count}
+        result = {"rows": [{"category": c, "plan": p, **row} for (c, p), row in sorted(self.rows.items())],
+                  "latency_ms": quantiles, "counts": self.counts, "operations": self.operations,
+                  "unended": self.live, "worst_lag_ms": self.lag * 1000, "seconds": self.worst}
+        with open(f"{self.out}/load.json", "w", encoding="utf-8") as sink:
+            json.dump(result, sink, indent=1)
+        self.reactor.addSystemEventTrigger("after", "shutdown", self.recorder.close)
+        self.reactor.stop()
--- /dev/null
+++ b/milletsill/lab/run.py
@@ -0,0 +1,241 @@
+"""Plays a scenario: starts stand-ins, edges and clients as processes on loopback, hurts them, audits, reports.
+
+Everything started here is ended here, by its process id, within a bound.
+"""
+from __future__ import annotations
+
+import glob
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from random import Random
+from typing import Any, Callable
+
+from google.protobuf import text_format
+
+from milletsill.lab.audit import RULES, Breach, audit, gather
+from milletsill.settings.milletsill_pb2 import GatewayFile, Scenario
+
+READY_WITHIN, LEAD, ENDS_WITHIN = 60.0, 1.5, 60.0  # seconds
+OF_EDGES = ("balancer_crash", "balancer_roll", "balancer_stall")
+MOST_SHOWN = 3
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports that nothing listens on now."""
+    held = [socket.socket() for _ in range(count)]
+    for each in held:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in held]
+    for each in held:
+        each.close()
+    return ports
+
+
+class Group:
+    """One process that carries some edges."""
+
+    def __init__(self, run: Run, names: list[str]) -> None:
+        self.run, self.names = run, names
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        files = [f"{self.run.out}/{name}.textproto" for name in self.names]
+        command = [sys.executable, "-m", "milletsill", "edge", *files]
+        if self.run.module:
+            command = [sys.executable, "-m", "milletsill.lab", "edges", self.run.module, *files]
+        self.process = self.run.spawn(command, self.names[0])
+
+    def kill(self) -> None:
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+
+    def signal(self, number: int) -> None:
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+
+class Run:
+    """One play of a scenario; `module` names a baseline, '' the module itself."""
+
+    def __init__(self, scenario: Scenario, out: str, module: str = "", per_process: int = 1,
+                 say: Callable[[str], None] = lambda text: None) -> None:
+        self.scenario, self.out, self.module, self.say = scenario, os.path.abspath(out), module, say
+        self.chance = Random(scenario.seed + 3)
+        self.processes: list[subprocess.Popen[bytes]] = []
+        self.actions: list[tuple[float, Callable[[], None]]] = []
+        self.stops: list[tuple[str, float, float]] = []  # (edge, from, to): stopped, so not running
+        self.names = [f"edge-{number}" for number in range(scenario.edges)]
+        self.groups = [Group(self, self.names[at:at + per_process]) for at in range(0, len(self.names), per_process)]
+        os.makedirs(self.out, exist_ok=True)
+        for old in glob.glob(f"{self.out}/*.rec") + glob.glob(f"{self.out}/load.json"):
+            os.unlink(old)
+
+    def spawn(self, command: list[str], name: str) -> subprocess.Popen[bytes]:
+        with open(f"{self.out}/{name}.log", "ab") as log:
+            made = subprocess.Popen(command, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+        self.processes.append(made)
+        return made
+
+    def write_files(self, ports: list[int]) -> None:
+        """One operator's file for each edge, and the scenario itself."""
+        for number, name in enumerate(self.names):
+            file = GatewayFile()
+            file.CopyFrom(self.scenario.gateway)
+            file.name, file.listen, file.gateways = name, f"127.0.0.1:{ports[1 + number]}", len(self.names)
+            file.registry.address = f"127.0.0.1:{ports[0]}"
+            file.state_dir, file.seed = f"{self.out}/{name}.state", self.scenario.seed * 1000 + number
+            with open(f"{self.out}/{name}.textproto", "w", encoding="utf-8") as sink:
+                sink.write(text_format.MessageToString(file))
+        with open(f"{self.out}/scenario.textproto", "w", encoding="utf-8") as sink:
+            sink.write(text_format.MessageToString(self.scenario))
+
+    def wait_for(self, port: int, what: str) -> None:
+        """Until something listens."""
+        ends = time.monotonic() + READY_WITHIN
+        while time.monotonic() < ends:
+            with socket.socket() as probe:
+                probe.settimeout(1)
+                if probe.connect_ex(("127.0.0.1", port)) == 0:
+                    return
+            time.sleep(0.05)
+        raise RuntimeError(f"{what} did not start, see {self.out}")
+
+    def play(self) -> dict[str, Any]:
+        """The whole day; the report as a map."""
+        try:
+            return self.played()
+        finally:
+            for each in self.processes:
+                if each.poll() is None:
+                    each.kill()
+                    each.wait()
+
+    def played(self) -> dict[str, Any]:
+        ports = free_ports(1 + len(self.names))
+        self.write_files(ports)
+        begin = time.monotonic()
+        start = begin + LEAD + 0.15 * len(self.groups) + 0.02 * len(self.names) + 2
+        lab = [sys.executable, "-m", "milletsill.lab"]
+        stand = self.spawn(lab + ["stand", self.out, str(start), str(ports[0])], "stand")
+        self.wait_for(ports[0], "the stand-ins")
+        for each in self.groups:
+            each.start()
+        for number, name in enumerate(self.names):
+            self.wait_for(ports[1 + number], name)
+        doors = ",".join(f"{name}=127.0.0.1:{ports[1 + number]}" for number, name in enumerate(self.names))
+        load = self.spawn(lab + ["load", self.out, str(start), doors], "load")
+        if time.monotonic() > start - 0.3:
+            raise RuntimeError("the start took longer than was set apart for it")
+        self.say(f"{len(self.names)} edges in {len(self.groups)} processes, {sum(b.count for b in self.scenario.box)} "
+                 f"boxes, {self.scenario.seconds:g} s")
+        self.plan_troubles(start)
+        ends = start + self.scenario.seconds + self.scenario.tail_s + ENDS_WITHIN
+        while load.poll() is None and time.monotonic() < ends:
+            now = time.monotonic()
+            while self.actions and self.actions[0][0] <= now:
+                self.actions.pop(0)[1]()
+            time.sleep(0.01)
+        return self.finish(load, stand)
+
+    def finish(self, load: Any, stand: Any) -> dict[str, Any]:
+        """End the edges as an operator would, then the rest; audit."""
+        exits = []
+        for each in self.groups:
+            each.signal(signal.SIGCONT)
+            each.signal(signal.SIGTERM)
+        for each in self.groups:
+            try:
+                exits.append(each.process.wait(40) if each.process else None)
+            except subprocess.TimeoutExpired:
+                exits.append("did not end")
+        stand.send_signal(signal.SIGTERM)
+        stand.wait(30)
+        if load.poll() != 0:
+            raise RuntimeError(f"the load tool ended with {load.poll()}, see {self.out}/load.log")
+        with open(f"{self.out}/load.json", encoding="utf-8") as source:
+            result = json.load(source)
+        with open(f"{self.out}/stops.json", "w", encoding="utf-8") as sink:
+            json.dump(self.stops, sink)
+        evidence = gather(self.out, len(glob.glob(f"{self.out}/box-*.rec")))
+        breaches = audit(evidence, self.scenario)
+        faults = [name for name in sorted(glob.glob(f"{self.out}/*.log")) if b"Traceback" in open(name, "rb").read()]
+        result.update(exits=exits, faults=[os.path.basename(each) for each in faults], breaches=breaches, commands=len(evidence.commands),
+                      dispatches=len(evidence.dispatches), module=self.module or "BD-EDF")
+        return result
+
+    # Troubles of edges.
+
+    def plan_troubles(self, start: float) -> None:
+        for each in self.scenario.trouble:
+            if each.what in OF_EDGES:
+                getattr(self, f"plan_{each.what}")(start + each.at_s, each)
+        self.actions.sort(key=lambda each: each[0])
+
+    def chosen(self, trouble: Any) -> list[Group]:
+        if trouble.on:
+            return [self.groups[each] for each in trouble.on if each < len(self.groups)]
+        return self.chance.sample(self.groups, min(max(round(trouble.part * len(self.groups)), 1), len(self.groups)))
+
+    def plan_balancer_crash(self, at: float, trouble: Any) -> None:
+        """Killed outright, back after `for_s`."""
+        for each in self.chosen(trouble):
+            self.actions += [(at, each.kill), (at + trouble.for_s, each.start)]
+
+    def plan_balancer_roll(self, at: float, trouble: Any) -> None:
+        """One after another within `for_s`, each away for `extra` seconds."""
+        chosen = self.chosen(trouble)
+        for place, each in enumerate(chosen):
+            when = at + trouble.for_s * place / len(chosen)
+            self.actions += [(when, each.kill), (when + trouble.extra, each.start)]
+
+    def plan_balancer_stall(self, at: float, trouble: Any) -> None:
+        """Stopped for `size` milliseconds, every `extra` seconds."""
+        for each in self.chosen(trouble):
+            when = at
+            while when < at + trouble.for_s:
+                self.stops += [(name, when, when + trouble.size / 1000) for name in each.names]
+                self.actions += [(when, lambda each=each: each.signal(signal.SIGSTOP)),
+                                 (when + trouble.size / 1000, lambda each=each: each.signal(signal.SIGCONT))]
+                when += max(trouble.extra, trouble.size / 1000 + 0.1) * self.chance.uniform(0.7, 1.3)
+
+
+def service(rows: list[dict[str, Any]]) -> float:
+    """Utility in time over utility due."""
+    due = sum(each["due"] for each in rows)
+    return sum(each["in_time"] for each in rows) / due if due else 0.0
+
+
+def report(result: dict[str, Any]) -> str:
+    """The text that a run prints."""
+    lines = [f"module {result['module']}: service {service(result['rows']):.3f} (utility in time / utility due, "
+             "stand-ins on loopback)",
+             f"{'category':<14}{'plan':<12}{'service':>8}{'satisfied':>10}{'declined':>9}{'aborted':>8}{'other':>6}"]
+    for row in result["rows"]:
+        other = sum(row.get(each, 0) for each in ("lost", "unreached", "given up", "status"))
+        lines.append(f"{row['category']:<14}{row['plan']:<12}{service([row]):>8.3f}{row.get('satisfied', 0):>10}"
+                     f"{row.get('declined', 0):>9}{row.get('aborted', 0):>8}{other:>6}")
+    for name in sorted({each["category"] for each in result["rows"]}):
+        lines.append(f"{name}: service {service([r for r in result['rows'] if r['category'] == name]):.3f}, latency ms "
+                     + ", ".join(f"p{q} {ms:.0f}" for q, ms in result["latency_ms"].get(name, {}).items()))
+    lines.append(f"{result['operations']} operations, {result['commands']} commands, {result['dispatches']} "
+                 f"dispatches, {result['unended']} without an end; load at most {result['worst_lag_ms']:.0f} ms late")
+    lines.append("counts: " + ", ".join(f"{name} {count}" for name, count in sorted(result["counts"].items())))
+    lines.append(f"edges ended with {result['exits']}; faults in the logs of {result['faults'] or 'none'}")
+    for rule, found in result["breaches"].items():
+        lines.append(f"rule {rule}, {RULES[rule]}: {'kept' if not found else f'{len(found)} BREACHES'}")
+        for breach in found[:MOST_SHOWN]:
+            lines += [f"  {breach.text}"] + [f"    {each}" for each in breach.packets]
+    return "\n".join(lines)
+
+
+def broken(result: dict[str, Any]) -> bool:
+    """Whether a rule was broken, wrong bytes read, or something left without an end."""
+    held: dict[int, list[Breach]] = result["breaches"]
+    return any(held.values()) or bool(result["counts"].get("reads with wrong bytes")) or bool(
+        result["unended"]) or bool(result["faults"]) or any(result["exits"])
--- /dev/null
+++ b/milletsill/lab/stand.py
@@ -0,0 +1,161 @@
+"""The process that holds the stand-in boxes and the registry of a scenario, and does to them what it says."""
+from __future__ import annotations
+
+import time
+from random import Random
+from typing import Any
+
+from milletsill.edge.decide import FREE, Spot, spot_text
+from milletsill.edge.facts import atlas_of
+from milletsill.lab.box import Box, Gates
+from milletsill.lab.files import Files
+from milletsill.lab.load import pattern
+from milletsill.lab.record import Recorder
+from milletsill.lab.registry import Registry, site
+
+OF_BOXES = ("vanish", "slow", "pauses", "neighbour", "report_late", "drain", "replace", "cut")
+
+
+class Stand:
+    """All boxes and the registry. `start` is on the monotonic clock, in seconds."""
+
+    def __init__(self, reactor: Any, scenario: Any, out: str, start: float, registry_port: int) -> None:
+        self.reactor, self.scenario, self.out, self.start_at = reactor, scenario, out, start
+        self.chance, self.prefix = Random(scenario.seed + 1), scenario.gateway.registry.prefix
+        self.recorders = [Recorder(f"{out}/registry.rec", "registry", "registry")]
+        self.registry = Registry(reactor, scenario.registry, scenario.seed + 2, self.recorders[0])
+        reactor.listenTCP(registry_port, site(self.registry), interface="127.0.0.1", backlog=512)
+        self.boxes: list[Box] = []
+        self.work = self.works()
+        self.make_boxes()
+        self.fill()
+        for each in self.boxes:
+            self.list(each)
+        for each in scenario.trouble:
+            reactor.callLater(max(start + each.at_s - time.monotonic(), 0), self.trouble, each)
+
+    def works(self) -> dict[str, tuple[float, float]]:
+        """Seconds a unit and spread, by category."""
+        mean = self.scenario.gateway.rules.unit_mean
+        return {each.category: (each.work_ms / 1000 / mean, each.cv) for each in self.scenario.traffic}
+
+    def make_boxes(self) -> None:
+        kinds = {each.name: each for each in self.scenario.kind}
+        for group in self.scenario.box:
+            for _ in range(group.count):
+                self.add(len(self.boxes), len(self.boxes), group.zone, kinds[group.kind], Files(), False)
+
+    def add(self, number: int, cell: int, zone: int, kind: Any, files: Files, cold: bool) -> Box:
+        recorder = Recorder(f"{self.out}/box-{number}.rec", "box", str(number))
+        self.recorders.append(recorder)
+        box = Box(self.reactor, number, cell, zone, kind, self.scenario.gateway.rules, files, self.work,
+                  self.scenario.seed * 1000 + number, recorder)
+        box.port = self.reactor.listenTCP(0, Gates(box), interface="127.0.0.1", backlog=512)
+        if cold:
+            box.boot(cold=True)
+        self.boxes.append(box)
+        return box
+
+    def fill(self) -> None:
+        """The files that stand before the day."""
+        atlas, scenario = atlas_of(self.scenario.gateway), self.scenario
+        size = scenario.file_units * scenario.gateway.rules.unit_bytes
+        for volume in atlas.roots.values():
+            for number in range(scenario.files):
+                path = f"{volume.root}/f{number}"
+                home, name = atlas.home(volume, path), path
+                cell = home
+                if volume.placement == FREE:
+                    cell, name = self.chance.choice(volume.cells), f"#pre.{volume.number}.{number}"
+                    self.boxes[home].files.links[path] = spot_text(Spot(cell, name))
+                self.boxes[cell].files.data[name] = bytearray(pattern(path, 0, size))
+
+    def key(self, box: Box) -> str:
+        return f"{self.prefix}{box.id}"
+
+    def list(self, box: Box, state: str = "ready") -> None:
+        self.registry.put(self.key(box), box.listing(state))
+
+    def chosen(self, trouble: Any) -> list[Box]:
+        """The boxes that a trouble is on."""
+        if trouble.on:
+            return [self.boxes[each] for each in trouble.on if each < len(self.boxes)]
+        count = max(round(trouble.part * len(self.boxes)), 1)
+        return self.chance.sample(self.boxes, min(count, len(self.boxes)))
+
+    def trouble(self, trouble: Any) -> None:
+        """Do it now, and set its end."""
+        if trouble.what == "registry_away":
+            self.registry.set_away(True)
+            self.reactor.callLater(trouble.for_s, self.registry.set_away, False)
+        elif trouble.what in OF_BOXES:
+            until = time.monotonic() + trouble.for_s
+            for box in self.chosen(trouble):
+                getattr(self, f"do_{trouble.what}")(box, trouble, until)
+
+    def later(self, seconds: float, call: Any, *values: Any) -> None:
+        self.reactor.callLater(max(seconds, 0), call, *values)
+
+    def do_vanish(self, box: Box, trouble: Any, until: float) -> None:
+        box.vanish()
+        gone = self.scenario.registry.vanish_s
+        if gone < trouble.for_s:
+            self.later(gone, self.registry.delete, self.key(box))
+        self.later(trouble.for_s, self.back, box)
+
+    def back(self, box: Box) -> None:
+        box.restart()
+        self.list(box)
+
+    def do_slow(self, box: Box, trouble: Any, until: float) -> None:
+        box.speed.slow = trouble.size
+        self.later(trouble.for_s, setattr, box.speed, "slow", 1.0)
+
+    def do_pauses(self, box: Box, trouble: Any, until: float) -> None:
+        """`size` milliseconds still, about every `extra` seconds."""
+        now = time.monotonic()
+        if now < until:
+            box.finish(box.engine.advance(now))
+            box.speed.still_until = now + trouble.size / 1000
+            box.schedule()
+            self.later(trouble.extra * self.chance.uniform(0.5, 1.5), self.do_pauses, box, trouble, until)
+
+    def do_neighbour(self, box: Box, trouble: Any, until: float, on: bool = True) -> None:
+        """`size` of the machine taken, on and off, about every `extra` seconds."""
+        now = time.monotonic()
+        box.finish(box.engine.advance(now))
+        box.speed.taken = min(trouble.size, 0.95) if on and now < until else 0.0
+        if now < until:
+            self.later(trouble.extra * self.chance.uniform(0.5, 1.5), self.do_neighbour, box, trouble, until, not on)
+
+    def do_report_late(self, box: Box, trouble: Any, until: float) -> None:
+        box.report_late = trouble.size
+        self.later(trouble.for_s, setattr, box, "report_late", 0.0)
+
+    def do_drain(self, box: Box, trouble: Any, until: float) -> None:
+        """Draining, then away, then back cold."""
+        self.list(box, "draining")
+        self.later(trouble.for_s, self.back, box)
+
+    def do_replace(self, box: Box, trouble: Any, until: float) -> None:
+        """Draining, then another box with the same files in the same cell."""
+        self.list(box, "draining")
+        self.later(trouble.for_s, self.replaced, box)
+
+    def replaced(self, old: Box) -> None:
+        self.registry.delete(self.key(old))
+        old.vanish()
+        old.drop()
+        self.list(self.add(len(self.boxes), old.cell, old.zone, old.kind, old.files, True))
+
+    def do_cut(self, box: Box, trouble: Any, until: float) -> None:
+        box.cut()
+
+    def flush(self) -> None:
+        for each in self.recorders:
+            each.flush()
+        self.later(0.5, self.flush)
+
+    def close(self) -> None:
+        for each in self.recorders:
+            each.close()
--- /dev/null
+++ b/milletsill/registry/cache.py
@@ -0,0 +1,58 @@
+"""The last list on disk: a restarted gateway has it at once. Replaced whole, so a crash leaves the old or the new."""
+from __future__ import annotations
+
+import json
+import os
+import zlib
+
+from milletsill.interface import Readiness
+from milletsill.registry.decide import BadBox, Box, box_of
+
+FORMAT, MOST_BYTES = 1, 16_000_000
+
+
+class Unusable(Exception):
+    """A cache that cannot be read or written; one line."""
+
+
+def put(path: str, boxes: dict[str, Box], revision: int) -> None:
+    """Write the list beside and move it into place; `Unusable` where the disk is full or refuses."""
+    rows = {key: {"id": each.id, "address": each.address, "size": each.size, "kind": each.kind, "zone": each.zone,
+                  "cell": each.cell, "started": each.started,
+                  "state": "ready" if each.readiness is Readiness.READY else "draining"}
+            for key, each in boxes.items()}
+    body = json.dumps({"format": FORMAT, "revision": revision, "boxes": rows}, sort_keys=True).encode()
+    beside = f"{path}.new"
+    try:
+        with open(beside, "wb") as sink:
+            sink.write(b"%08x\n" % zlib.crc32(body) + body)
+            sink.flush()
+            os.fsync(sink.fileno())
+        os.replace(beside, path)
+    except OSError as error:
+        try:
+            os.unlink(beside)
+        except OSError:
+            pass
+        raise Unusable(f"{path}: {error.strerror or error}") from None
+
+
+def get(path: str) -> tuple[dict[str, Box], int]:
+    """The list and its revision; empty where there is none; `Unusable` where it is torn."""
+    try:
+        with open(path, "rb") as source:
+            data = source.read(MOST_BYTES + 1)
+    except FileNotFoundError:
+        return {}, 0
+    except OSError as error:
+        raise Unusable(f"{path}: {error.strerror or error}") from None
+    head, _, body = data.partition(b"\n")
+    try:
+        if len(data) > MOST_BYTES or int(head, 16) != zlib.crc32(body):
+            raise Unusable(f"{path}: checksum does not fit")
+        held = json.loads(body)
+        if held["format"] != FORMAT:
+            raise Unusable(f"{path}: format {held['format']}, {FORMAT} is read")
+        return {key: box_of(value) for key, value in held["boxes"].items()}, int(held["revision"])
+    except (ValueError, KeyError, TypeError, AttributeError, BadBox) as error:
+        raise Unusable(f"{path}: {error}") from None
--- /dev/null
+++ b/milletsill/registry/decide.py
@@ -0,0 +1,151 @@
+"""What the follower of the list does with what the registry says; no I/O, no clock.
+
+The module asks (`Port.watch`, `Port.fetch`) and decides how soon to ask again; here stands only what one asking means.
+A view is what was last listed: one `Box` for each id. Spans and times are tenths of a millisecond.
+"""
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, Mapping
+
+from milletsill.interface import Listed, News, Readiness
+
+# IDLE: nothing is asked. RANGING: the whole list is awaited. JOINING: the watch is being opened. WATCHING: it stands.
+Stage = Enum("Stage", "IDLE RANGING JOINING WATCHING")
+Cue = Enum("Cue", "ASK RANGE_OK JOIN_OK FAIL EVENTS COMPACTED")
+
+FOLLOW_TABLE: Mapping[tuple[Stage, Cue], tuple[Stage, str]] = {
+    (Stage.IDLE, Cue.ASK): (Stage.RANGING, "range"),
+    (Stage.RANGING, Cue.ASK): (Stage.RANGING, ""),
+    (Stage.JOINING, Cue.ASK): (Stage.JOINING, ""),
+    (Stage.WATCHING, Cue.ASK): (Stage.WATCHING, "confirm"),
+    (Stage.RANGING, Cue.RANGE_OK): (Stage.JOINING, "whole"),
+    (Stage.RANGING, Cue.FAIL): (Stage.IDLE, "failed"),
+    (Stage.JOINING, Cue.JOIN_OK): (Stage.WATCHING, ""),
+    (Stage.JOINING, Cue.EVENTS): (Stage.WATCHING, "changes"),
+    (Stage.WATCHING, Cue.EVENTS): (Stage.WATCHING, "changes"),
+    # Guards rule 3: a watch that broke is told to the module at once, which counts the time since the last word.
+    **{(stage, Cue.FAIL): (Stage.IDLE, "failed") for stage in (Stage.JOINING, Stage.WATCHING)},
+    # What was compacted away cannot be made up by events: the whole list says what is gone.
+    **{(stage, Cue.COMPACTED): (Stage.RANGING, "range") for stage in (Stage.JOINING, Stage.WATCHING)},
+}
+STATES = {"ready": Readiness.READY, "draining": Readiness.DRAINING}
+
+
+def step(stage: Stage, cue: Cue) -> tuple[Stage, str]:
+    """The next stage and what to do; what the table does not name changes nothing."""
+    return FOLLOW_TABLE.get((stage, cue), (stage, ""))
+
+
+class BadBox(Exception):
+    """A value that describes no box; one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Box:
+    """One box as the registry tells it; `started` in milliseconds of the wall clock."""
+
+    id: int
+    address: str
+    readiness: Readiness
+    size: float
+    kind: int
+    zone: int
+    cell: int
+    started: int
+
+
+def box_of(value: Any) -> Box:
+    """A box from its JSON value; `BadBox` where it is not one."""
+    if not isinstance(value, dict):
+        raise BadBox("not a JSON object")
+    numbers = {}
+    for name, most in (("id", 1 << 32), ("kind", 1 << 16), ("zone", 1 << 16), ("cell", 1 << 31),
+                       ("started", 1 << 53)):
+        number = value.get(name, None if name in ("id", "cell") else 0)
+        if isinstance(number, bool) or not isinstance(number, int) or not 0 <= number < most:
+            raise BadBox(f"{name} {str(number)[:40]!r} is not a number from 0 to {most - 1}")
+        numbers[name] = number
+    size, state, address = value.get("size", 1), value.get("state"), value.get("address")
+    if isinstance(size, bool) or not isinstance(size, (int, float)) or not 0 < size < 1e6:
+        raise BadBox(f"size {str(size)[:40]!r} is not a number above 0")
+    if state not in STATES:
+        raise BadBox(f"state {str(state)[:40]!r} is not one of {', '.join(STATES)}")
+    host, _, port = address.rpartition(":") if isinstance(address, str) else ("", "", "")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65_536 or len(address) > 300:
+        raise BadBox(f"address {str(address)[:40]!r} is not host:port")
+    return Box(numbers["id"], address, STATES[state], float(size), numbers["kind"], numbers["zone"],
+               numbers["cell"], numbers["started"])
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """One change: the key's box, or None where the key is gone, and the revision that made it."""
+
+    key: str
+    box: Box | None
+    revision: int
+
+
+class View:
+    """What was last listed, by key and by id, and the revision it is at. Bounded: a registry that lists more than
+    `most` boxes is told of by `overflow`, and those past it are left out.
+    """
+
+    def __init__(self, most: int, warm_after: int) -> None:
+        self.most, self.warm_after = most, warm_after
+        self.by_key: dict[str, Box] = {}
+        self.since: dict[int, tuple[int, int]] = {}  # id -> (started, the same on this process's clock)
+        self.revision, self.overflow = 0, 0
+
+    def replace(self, boxes: Mapping[str, Box], revision: int) -> None:
+        """The whole list as at a revision."""
+        kept = list(boxes.items())[:self.most]
+        self.overflow = len(boxes) - len(kept)
+        self.by_key, self.revision = dict(kept), revision
+
+    def apply(self, changes: list[Told]) -> list[Box]:
+        """Changes newer than the view, in order; what they leave of each box, a gone one marked so. A change that the
+        view already holds (an event told twice after a break) is passed over.
+        """
+        changed: dict[int, Box] = {}
+        for told in changes:
+            if told.revision <= self.revision:
+                continue
+            old = self.by_key.get(told.key)
+            if told.box is None:
+                gone = self.by_key.pop(told.key, None)
+                if gone is not None and all(each.id != gone.id for each in self.by_key.values()):
+                    changed[gone.id] = Box(gone.id, gone.address, Readiness.GONE, gone.size, gone.kind, gone.zone,
+                                           gone.cell, gone.started)
+            elif old is not None or len(self.by_key) < self.most:
+                self.by_key[told.key] = told.box
+                changed[told.box.id] = told.box
+            else:
+                self.overflow += 1
+        self.revision = max([self.revision] + [each.revision for each in changes])
+        return list(changed.values())
+
+    def entries(self, boxes: list[Box], now: int, wall: int) -> list[Listed]:
+        """Lines for the module; `wall` in milliseconds. A box's start is set against this process's clock once, when
+        it is first told, so that a step of the wall clock does not make it look started again.
+        """
+        return [Listed(each.id, each.readiness, each.size, each.kind, each.zone,
+                       self.since_of(each, now, wall), each.cell) for each in boxes]
+
+    def since_of(self, box: Box, now: int, wall: int) -> int | None:
+        """When the box started, None for longer ago than a cold one takes."""
+        held = self.since.get(box.id)
+        if held is None or held[0] != box.started:
+            held = self.since[box.id] = (box.started, min(now - (wall - box.started) * 10, now))
+            if len(self.since) > 2 * self.most:
+                self.since.pop(next(iter(self.since)))
+        return None if not box.started or held[1] <= now - self.warm_after else held[1]
+
+    def whole(self) -> list[Box]:
+        """All boxes, the last told for an id that two keys claim."""
+        return list({each.id: each for each in self.by_key.values()}.values())
+
+
+NEWS = {"whole": News.WHOLE, "changes": News.CHANGES, "confirm": News.CHANGES, "failed": News.FAILED}
--- /dev/null
+++ b/milletsill/registry/jsons.py
@@ -0,0 +1,123 @@
+"""The registry's JSON: etcd v3's gateway wraps gRPC messages, keys and values in base64, 64-bit numbers as strings.
+
+Source: etcd's api-reference for the gRPC gateway (`/v3/kv/range`, `/v3/watch`). `Lines` cuts a streamed body into its
+objects, one a line, bounded.
+"""
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+from typing import Any, Callable
+
+from milletsill.registry.decide import BadBox, Box, Told, box_of
+
+
+class BadAnswer(Exception):
+    """Not what the gateway may say; one line."""
+
+
+def encoded(text: str) -> str:
+    return base64.b64encode(text.encode()).decode()
+
+
+def decoded(value: Any, what: str) -> bytes:
+    try:
+        return base64.b64decode(value, validate=True)
+    except (binascii.Error, TypeError, ValueError):
+        raise BadAnswer(f"{what} is not base64") from None
+
+
+def number(value: Any, what: str) -> int:
+    """A 64-bit number, which JSON carries as a string."""
+    try:
+        return int(value or 0)
+    except (TypeError, ValueError):
+        raise BadAnswer(f"{what} {str(value)[:40]!r} is not a number") from None
+
+
+def after(prefix: str) -> str:
+    """The first key behind all that start with the prefix."""
+    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
+
+
+def range_body(prefix: str) -> bytes:
+    return json.dumps({"key": encoded(prefix), "range_end": encoded(after(prefix))}).encode()
+
+
+def watch_body(prefix: str, revision: int) -> bytes:
+    return json.dumps({"create_request": {"key": encoded(prefix), "range_end": encoded(after(prefix)),
+                                          "start_revision": str(revision), "progress_notify": True}}).encode()
+
+
+def parsed(data: bytes, what: str) -> dict[str, Any]:
+    try:
+        value = json.loads(data)
+    except (ValueError, RecursionError):
+        raise BadAnswer(f"{what} is not JSON") from None
+    if not isinstance(value, dict):
+        raise BadAnswer(f"{what} is not a JSON object")
+    return value
+
+
+def pair(kv: Any) -> tuple[str, bytes, int]:
+    """Key, value and the revision of the last change of one pair."""
+    if not isinstance(kv, dict):
+        raise BadAnswer("a pair is not a JSON object")
+    key = decoded(kv.get("key", ""), "a key").decode("utf-8", "replace")
+    return key, decoded(kv.get("value", ""), "a value"), number(kv.get("mod_revision"), "a revision")
+
+
+def read_box(key: str, value: bytes, complain: Callable[[str], None]) -> Box | None:
+    """The box of one value; one that makes no sense is left out, and said."""
+    try:
+        return box_of(json.loads(value))
+    except (BadBox, ValueError, RecursionError) as error:
+        complain(f"{key[:200]}: {error if isinstance(error, BadBox) else 'not JSON'}")
+        return None
+
+
+def read_range(data: bytes, complain: Callable[[str], None]) -> tuple[dict[str, Box], int]:
+    """Boxes by key, and the revision they are at."""
+    body = parsed(data, "the list")
+    header, kvs = body.get("header"), body.get("kvs") or []
+    if not isinstance(header, dict) or not isinstance(kvs, list):
+        raise BadAnswer("the list has no header or pairs")
+    boxes = {key: box for key, value, _ in map(pair, kvs) if (box := read_box(key, value, complain)) is not None}
+    return boxes, number(header.get("revision"), "a revision")
+
+
+def read_watch(line: bytes, complain: Callable[[str], None]) -> tuple[list[Told], int, bool, bool]:
+    """One message of a watch: changes, the revision it is at, whether it opened, whether the past was compacted."""
+    body = parsed(line, "a watch message")
+    result = body.get("result")
+    if not isinstance(result, dict):
+        raise BadAnswer(f"the watch says {json.dumps(body.get('error'))[:200]}")
+    header = result.get("header") if isinstance(result.get("header"), dict) else {}
+    if result.get("canceled"):
+        if number(result.get("compact_revision"), "a revision"):
+            return [], 0, False, True
+        raise BadAnswer(f"the watch was ended: {str(result.get('cancel_reason', ''))[:200]}")
+    changes = []
+    for event in result.get("events") or []:
+        if not isinstance(event, dict):
+            raise BadAnswer("an event is not a JSON object")
+        key, value, revision = pair(event.get("kv"))
+        gone = event.get("type") == "DELETE"
+        box = None if gone else read_box(key, value, complain)
+        if gone or box is not None:
+            changes.append(Told(key, box, revision))
+    return changes, number(header.get("revision"), "a revision"), bool(result.get("created")), False
+
+
+class Lines:
+    """A streamed body as lines; one past `most` bytes breaks it."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.held = most, b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        *whole, self.held = (self.held + data).split(b"\n")
+        if len(self.held) > self.most or any(len(each) > self.most for each in whole):
+            raise BadAnswer(f"a line of more than {self.most} bytes")
+        return [each for each in whole if each.strip()]
--- /dev/null
+++ b/milletsill/settings/decide.py
@@ -0,0 +1,253 @@
+"""What an operator's file may say: every check of its figures, by themselves and against each other.
+
+No I/O. A check is handed the message and a report, and adds a fault for each field that cannot stand. What is
+refused here is refused before any traffic flows.
+"""
+from __future__ import annotations
+
+from typing import Any
+
+from milletsill.settings.load import Report
+
+# (field, least, most) of each message; a fault names the field, the figure and the range.
+RANGES: dict[str, tuple[tuple[str, float, float], ...]] = {
+    "door": (("most_connections", 1, 100_000), ("most_packet", 34_000, 64_000_000), ("most_handles", 1, 65_536),
+             ("most_outstanding", 1, 4096), ("most_buffered", 65_536, 1 << 30), ("most_held", 1, 1_000_000),
+             ("idle_s", 1, 86_400), ("answer_margin_ms", 0, 10_000), ("drain_s", 0.1, 3600),
+             ("locations", 16, 10_000_000)),
+    "links": (("connections", 1, 64), ("streams", 1, 4096), ("handshakes", 1, 16), ("dial_ms", 1, 60_000),
+              ("idle_s", 0.1, 86_400), ("silent_ms", 10, 600_000), ("most_buffered", 65_536, 1 << 30)),
+    "registry": (("call_ms", 10, 60_000), ("connect_ms", 10, 60_000), ("most_line", 1024, 64_000_000),
+                 ("most_boxes", 1, 100_000)),
+    "rules": (("drain_grace_ms", 0, 60_000), ("ask_within_ms", 100, 3_600_000), ("cold_from", 0, 1),
+              ("warm_after_s", 0, 86_400), ("cold_multiple", 1, 1000), ("cold_window_ms", 0, 600_000),
+              ("cold_units", 0, 1e9), ("further_free", 0, 1e6), ("further_ratio", 0, 10),
+              ("further_window_ms", 1, 3_600_000), ("key_rest_ms", 0, 600_000), ("most_dispatches", 1, 16),
+              ("longest_pause_ms", 0, 600_000), ("share_utility", 0, 1), ("spare_utility", 0, 1),
+              ("unit_bytes", 256, 1 << 24), ("largest_units", 1, 4096), ("unit_mean", 0.01, 4096),
+              ("meter_ms", 0, 3_600_000), ("tick_ms", 0.1, 100), ("extent_bytes", 4096, 1 << 40)),
+    "plan": (("usual_rate", 0.001, 1e9), ("reserve_rate", 0, 1e9), ("weight", 0.001, 1e6), ("price", 0, 1e6),
+             ("limit_rate", 0, 1e9), ("limit_store", 0, 1e9), ("limit_slack", 0, 1e9)),
+    "category": (("target_ms", 1, 3_600_000), ("patience_ms", 1, 3_600_000), ("utility", 0, 1e6),
+                 ("late_utility", 0, 1), ("repeat_window_ms", 0, 3_600_000)),
+    "logging": (("answers_per_s", 0, 10_000),),
+}
+REPEATS, GROUPS = ("rerunnable", "ticketed", "exclusive"), ("all", "zone", "cell")
+OPERATIONS = ("read", "write", "open", "look", "list", "change", "sync")
+LEVELS = ("debug", "info", "warning", "error")
+REPORT_FIELDS = ("inflight", "queue", "busy", "service_ms")
+MOST_VOLUMES, MOST_CELLS = 200_000, 100_000
+PACKET_ROOM = 1024  # bytes of a packet beside its data
+
+
+def check_gateway(file: Any, report: Report, under: tuple[str, ...] = ()) -> None:
+    """Everything about one gateway's file; `under` is where the message stands within a larger file."""
+    check_ranges(file, report, under)
+    if not 0 < len(file.name) <= 64 or not file.name.isprintable() or " " in file.name:
+        report.add(under + ("name",), f"name {file.name!r} is not 1 to 64 printable characters without a space")
+    if not 1 <= file.gateways <= 100_000:
+        report.add(under + ("gateways",), f"gateways {file.gateways} is not from 1 to 100000")
+    for field in ("listen", "metrics"):
+        if file.HasField(field):
+            check_address(getattr(file, field), under + (field,), report)
+    check_address(file.registry.address, under + ("registry", "address"), report)
+    if file.zones and file.zone >= len(file.zones):
+        report.add(under + ("zone",), f"zone {file.zone} of {len(file.zones)} zones")
+    check_logging(file, report, under)
+    check_plans(file, report, under)
+    check_categories(file, report, under)
+    check_volumes(file, report, under)
+    check_routes(file, report, under)
+    check_against(file, report, under)
+
+
+def check_ranges(file: Any, report: Report, under: tuple[str, ...]) -> None:
+    """Each figure within its range."""
+    for name, ranges in RANGES.items():
+        held = getattr(file, name)
+        parts = [((name,), held)] if not hasattr(held, "__len__") else [
+            ((name, str(place)), each) for place, each in enumerate(held)]
+        for path, part in parts:
+            for field, least, most in ranges:
+                value = getattr(part, field)
+                if part.HasField(field) and not least <= value <= most:
+                    report.add(under + path + (field,), f"{field} {value:g} is not from {least:g} to {most:g}")
+
+
+def check_address(text: str, path: tuple[str, ...], report: Report) -> None:
+    """host:port with a port from 0 to 65535."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or int(port) > 65_535:
+        report.add(path, f"{text!r} is not host:port")
+
+
+def check_logging(file: Any, report: Report, under: tuple[str, ...]) -> None:
+    if file.logging.level not in LEVELS:
+        report.add(under + ("logging", "level"), f"level {file.logging.level!r} is not one of {', '.join(LEVELS)}")
+    for place, field in enumerate(file.reports.field):
+        if field not in REPORT_FIELDS:
+            report.add(under + ("reports", "field", str(place)),
+                       f"report {field!r} is not one of {', '.join(REPORT_FIELDS)}")
+
+
+def check_names(held: Any, what: str, report: Report, under: tuple[str, ...]) -> set[str]:
+    """Names are there and differ; all of them."""
+    seen: set[str] = set()
+    for place, each in enumerate(held):
+        if not each.name or each.name in seen:
+            report.add(under + (what, str(place), "name"),
+                       f"{what} {each.name!r} stands twice" if each.name else f"a {what} without a name")
+        seen.add(each.name)
+    return seen
+
+
+def check_plans(file: Any, report: Report, under: tuple[str, ...]) -> None:
+    if not file.plan:
+        report.add(under, "no plan")
+    check_names(file.plan, "plan", report, under)
+    for place, plan in enumerate(file.plan):
+        here = under + ("plan", str(place))
+        if plan.limit_rate and plan.limit_rate < plan.reserve_rate:
+            report.add(here + ("limit_rate",), f"a limit of {plan.limit_rate:g} units a second under the reserve "
+                                               f"of {plan.reserve_rate:g}")
+        if plan.limit_rate and plan.limit_store < file.rules.largest_units:
+            report.add(here + ("limit_store",), f"a limit store of {plan.limit_store:g} units holds not one largest "
+                                                f"transfer of {file.rules.largest_units}")
+        if not plan.limit_rate and (plan.limit_store or plan.limit_slack):
+            report.add(here, f"plan {plan.name!r} has a limit store or slack without a limit_rate")
+
+
+def check_categories(file: Any, report: Report, under: tuple[str, ...]) -> None:
+    if not file.category:
+        report.add(under, "no category")
+    check_names(file.category, "category", report, under)
+    margin = file.door.answer_margin_ms
+    for place, each in enumerate(file.category):
+        here = under + ("category", str(place))
+        if each.target_ms > each.patience_ms:
+            report.add(here + ("target_ms",),
+                       f"a target time of {each.target_ms:g} ms past the patience of {each.patience_ms:g} ms")
+        if margin >= each.patience_ms:
+            report.add(here + ("patience_ms",),
+                       f"a patience of {each.patience_ms:g} ms within the answer margin of {margin:g} ms")
+        for field, words in (("repeats", REPEATS), ("group", GROUPS)):
+            if getattr(each, field) not in words:
+                report.add(here + (field,), f"{field} {getattr(each, field)!r} is not one of {', '.join(words)}")
+        if each.repeats == "ticketed" and not each.repeat_window_ms:
+            report.add(here + ("repeat_window_ms",), f"ticketed category {each.name!r} without a repeat window")
+        if each.in_order and not file.rules.HasField("key_rest_ms"):
+            report.add(here + ("in_order",), f"category {each.name!r} keeps order, but rules.key_rest_ms is missing")
+
+
+def check_volumes(file: Any, report: Report, under: tuple[str, ...]) -> None:
+    if not file.volume:
+        report.add(under, "no volume")
+    if len(file.volume) > MOST_VOLUMES:
+        report.add(under + ("volume", str(MOST_VOLUMES)), f"more than {MOST_VOLUMES} volumes")
+    check_names(file.volume, "volume", report, under)
+    plans, roots = {each.name for each in file.plan}, dict[str, str]()
+    for place, each in enumerate(file.volume):
+        here = under + ("volume", str(place))
+        if each.plan not in plans:
+            report.add(here + ("plan",), f"volume {each.name!r} stands on plan {each.plan!r}, which is missing")
+        if not each.root.startswith("/") or each.root == "/" or each.root.endswith("/") or "//" in each.root or any(
+                part in (".", "..") for part in each.root.split("/")):
+            report.add(here + ("root",), f"root {each.root!r} is not an absolute path below / without . and ..")
+        if each.root in roots:
+            report.add(here + ("root",), f"root {each.root!r} is that of volume {roots[each.root]!r} too")
+        roots[each.root] = each.name
+        if not each.cell:
+            report.add(here, f"volume {each.name!r} has no cell")
+        if len(set(each.cell)) < len(each.cell) or any(cell > MOST_CELLS for cell in each.cell):
+            report.add(here + ("cell",), f"cells of {each.name!r} stand twice or pass {MOST_CELLS}")
+        if each.gateways > file.gateways:
+            report.add(here + ("gateways",), f"{each.gateways} gateways of {file.gateways}")
+    for place, each in enumerate(file.volume):
+        parts = each.root.split("/")
+        above = [root for end in range(2, len(parts)) if (root := "/".join(parts[:end])) in roots]
+        if above:
+            report.add(under + ("volume", str(place), "root"), f"root {each.root!r} lies within {above[0]!r}")
+
+
+def check_routes(file: Any, report: Report, under: tuple[str, ...]) -> None:
+    categories, volumes = {each.name for each in file.category}, {each.name for each in file.volume}
+    if not file.route:
+        report.add(under, "no route")
+    for place, each in enumerate(file.route):
+        here = under + ("route", str(place))
+        if each.category not in categories:
+            report.add(here + ("category",), f"category {each.category!r} is missing")
+        if each.volume and each.volume not in volumes:
+            report.add(here + ("volume",), f"volume {each.volume!r} is missing")
+        for number, operation in enumerate(each.operation):
+            if operation not in OPERATIONS:
+                report.add(here + ("operation", str(number)),
+                           f"operation {operation!r} is not one of {', '.join(OPERATIONS)}")
+    last = file.route[-1] if file.route else None
+    if last is not None and (last.operation or last.volume or last.least_bytes):
+        report.add(under + ("route", str(len(file.route) - 1)), "the last route must fit every command")
+
+
+def check_against(file: Any, report: Report, under: tuple[str, ...]) -> None:
+    """Figures that contradict each other."""
+    rules, largest = file.rules, file.rules.unit_bytes * file.rules.largest_units
+    if largest + PACKET_ROOM > file.door.most_packet:
+        report.add(under + ("door", "most_packet"), f"a packet of {file.door.most_packet} bytes cannot hold a largest "
+                                                    f"transfer of {largest}")
+    if largest + PACKET_ROOM > file.links.most_buffered:
+        report.add(under + ("links", "most_buffered"), "most_buffered holds not one largest transfer")
+    if rules.unit_mean > rules.largest_units:
+        report.add(under + ("rules", "unit_mean"), f"a mean of {rules.unit_mean:g} units over the largest of "
+                                                   f"{rules.largest_units}")
+    if rules.HasField("further_window_ms") != (rules.HasField("further_ratio") or rules.HasField("further_free")):
+        report.add(under + ("rules",), "a budget of further dispatches needs further_window_ms and further_ratio or "
+                                       "further_free")
+    if rules.drain_grace_ms >= rules.ask_within_ms:
+        report.add(under + ("rules", "drain_grace_ms"), f"a drain grace of {rules.drain_grace_ms:g} ms is not under "
+                                                        f"ask_within_ms {rules.ask_within_ms:g}")
+    shortest = min((each.patience_ms for each in file.category), default=0)
+    if file.links.dial_ms >= shortest > 0:
+        report.add(under + ("links", "dial_ms"), f"dialling for {file.links.dial_ms:g} ms outlasts a patience of "
+                                                 f"{shortest:g} ms")
+
+
+TROUBLES = ("vanish", "slow", "pauses", "neighbour", "report_late", "burst", "tenant_burst", "hot_key", "scan",
+            "reconnect", "balancer_crash", "balancer_roll", "balancer_stall", "retry_abuse", "give_up", "drain",
+            "replace", "registry_away", "cut")
+TRAFFIC = ("read", "write", "list", "look", "new")
+MOST_EDGES, MOST_BOXES, MOST_SECONDS = 400, 400, 7200
+
+
+def check_scenario(file: Any, report: Report) -> None:
+    """Everything about a day of the laboratory."""
+    check_gateway(file.gateway, report, ("gateway",))
+    boxes = sum(each.count for each in file.box)
+    for field, value, most in (("edges", file.edges, MOST_EDGES), ("box", boxes, MOST_BOXES),
+                               ("seconds", file.seconds, MOST_SECONDS)):
+        if not 1 <= value <= most:
+            report.add((field,), f"{field} {value:g} is not from 1 to {most}")
+    kinds = check_names(file.kind, "kind", report, ())
+    for place, each in enumerate(file.box):
+        if each.kind not in kinds:
+            report.add(("box", str(place), "kind"), f"kind {each.kind!r} is missing")
+    for place, each in enumerate(file.gateway.volume):
+        if any(cell >= boxes for cell in each.cell):
+            report.add(("gateway", "volume", str(place), "cell"), f"a cell of {each.name!r} without a box")
+    plans = {each.name for each in file.gateway.plan}
+    categories = {each.name for each in file.gateway.category}
+    for place, each in enumerate(file.traffic):
+        if each.category not in categories:
+            report.add(("traffic", str(place), "category"), f"category {each.category!r} is missing")
+        if each.operation not in TRAFFIC:
+            report.add(("traffic", str(place), "operation"), f"operation {each.operation!r} is not one of "
+                                                             f"{', '.join(TRAFFIC)}")
+    for name, held in (("traffic", file.traffic), ("surge", file.surge), ("trouble", file.trouble)):
+        for place, each in enumerate(held):
+            if each.plan and each.plan not in plans:
+                report.add((name, str(place), "plan"), f"plan {each.plan!r} is missing")
+    for place, each in enumerate(file.trouble):
+        if each.what not in TROUBLES:
+            report.add(("trouble", str(place), "what"), f"{each.what!r} is not one of {', '.join(TROUBLES)}")
+        if not 0 <= each.part <= 1 or not 0 <= each.at_s <= MOST_SECONDS or not 0 <= each.for_s <= MOST_SECONDS:
+            report.add(("trouble", str(place)), f"part {each.part:g}, at_s {each.at_s:g} or for_s {each.for_s:g} is "
+                                                "out of range")
--- /dev/null
+++ b/tests/test_audit.py
@@ -0,0 +1,177 @@
+"""The auditor is able to fail: each rule is broken on purpose in a scripted record, and caught; a lawful one is not."""
+import base64
+import json
+import os
+import tempfile
+import unittest
+from unittest import mock
+
+from milletsill.files import extensions, packets
+from milletsill.files.extensions import Order, Terms, Verdict
+from milletsill.lab import audit, record
+from milletsill.settings.milletsill_pb2 import Scenario
+
+TERMS = """
+name: "x" edges: 1
+gateway { name: "e" gateways: 1 registry { address: "a:1" }
+  rules { drain_grace_ms: 250 cold_multiple: 2 cold_window_ms: 1000 cold_units: 5 further_free: 1 further_ratio: 0
+          further_window_ms: 5000 key_rest_ms: 500 unit_mean: 1 }
+  plan { name: "p" usual_rate: 1 limit_rate: 1 limit_store: 10 limit_slack: 1 }
+  category { name: "free" target_ms: 100 patience_ms: 1000 }
+  category { name: "marked" target_ms: 100 patience_ms: 1000 repeats: "ticketed" group: "cell" repeat_window_ms: 2000 }
+  category { name: "once" target_ms: 100 patience_ms: 1000 repeats: "exclusive" }
+  category { name: "turn" target_ms: 100 patience_ms: 1000 in_order: true }
+  volume { name: "v" root: "/v" plan: "p" cell: 0 } route { category: "free" } }
+traffic { category: "free" operation: "read" per_s: 1 work_ms: 1000 units: 1 }
+"""
+
+
+class Script:
+    """Records written by the laboratory's own recorder, at times of the test's choosing."""
+
+    def __init__(self, folder):
+        self.folder, self.at = folder, 0.0
+        self.clients = record.Recorder(f"{folder}/clients.rec", "clients", "c")
+        self.boxes = [record.Recorder(f"{folder}/box-{each}.rec", "box", str(each)) for each in (0, 1)]
+        self.registry = record.Recorder(f"{folder}/registry.rec", "registry", "r")
+        self.put(0, self.clients.note, what="connect", conn=1, edge="e")
+        for number, box in enumerate(self.boxes):
+            self.put(0, box.note, what="boot", box=number, cell=number, zone=0, cold=False, cores=1, cold_from=0.2,
+                     cold_s=10)
+
+    def put(self, at, call, *values, **named):
+        with mock.patch.object(record.time, "monotonic_ns", return_value=int((100 + at) * 1e9)):
+            call(*values, **named)
+
+    def command(self, at, id=1, mark="m", tries=0, patience=1000):
+        packet = extensions.put_terms(Terms(patience, tries, mark), packets.Read(id, b"h", 0, 1))
+        self.put(at, self.clients.put, 1, record.OUT, packets.encode(packet)[4:])
+
+    def answer(self, at, id=1, language=""):
+        self.put(at, self.clients.put, 1, record.IN, packets.encode(packets.Status(id, 0, "", language))[4:])
+
+    def dispatch(self, at, transfer=1, number=0, box=0, category="free", units=1.0, extent=5, mark="m~0", id=1,
+                 verdict=None, ended=None):
+        order = Order("e", 1, transfer, number, units, extent, 100, "t", 1, 1, category, mark,
+                      packets.Read(0, b"/v/a", 0, 1))
+        self.put(at, self.boxes[box].put, 1, record.IN, packets.encode(extensions.put_order(id, order))[4:])
+        if ended is not None:
+            reply = extensions.put_verdict(id, Verdict(verdict or 0, "", {}, None, 0, packets.Data(id, b"x")))
+            self.put(ended, self.boxes[box].put, 1, record.OUT, packets.encode(reply)[4:])
+
+    def told(self, at, state):
+        value = json.dumps({"id": 0, "state": state}).encode()
+        event = {"type": "PUT", "kv": {"key": "k0", "value": base64.b64encode(value).decode()}}
+        body = json.dumps({"result": {"events": [event]}}).encode()
+        self.put(at, self.registry.put, 0, record.OUT, b"e\n" + body, 1 << 20)
+
+    def breaches(self):
+        for each in [self.clients, self.registry, *self.boxes]:
+            each.close()
+        with open(os.path.join(self.folder, "stops.json"), "w", encoding="utf-8") as sink:
+            sink.write("[]")
+        from google.protobuf import text_format
+        found = audit.audit(audit.gather(self.folder, 2), text_format.Parse(TERMS, Scenario()))
+        return {rule: [each.text for each in breaches] for rule, breaches in found.items() if breaches}
+
+
+class Audited(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.script = Script(folder.name)
+
+    def only(self, rule, words):
+        found = self.script.breaches()
+        self.assertEqual(list(found), [rule], found)
+        self.assertIn(words, found[rule][0])
+
+    def test_a_lawful_day_has_no_breach(self):
+        self.script.command(1)
+        self.script.dispatch(1.01, ended=1.1)
+        self.script.answer(1.11)
+        self.assertEqual(self.script.breaches(), {})
+
+    def test_rule_1_no_answer(self):
+        self.script.command(1)
+        self.only(1, "no answer")
+
+    def test_rule_1_a_late_answer(self):
+        self.script.command(1)
+        self.script.answer(2.5)
+        self.only(1, "after patience")
+
+    def test_rule_1_two_answers(self):
+        self.script.command(1)
+        self.script.answer(1.1)
+        self.script.answer(1.2)
+        self.only(1, "not owed")
+
+    def test_rule_1_sent_after_the_answer(self):
+        self.script.command(1)
+        self.script.answer(1.1)
+        self.script.dispatch(1.3, ended=1.4)
+        self.only(1, "after the final answer")
+
+    def test_rule_2_an_exclusive_one_sent_twice(self):
+        self.script.dispatch(1, category="once", mark="")
+        self.script.dispatch(1.5, number=1, category="once", mark="", id=2)
+        self.only(2, "exclusive")
+
+    def test_rule_2_a_ticketed_one_outside_its_group_and_window(self):
+        self.script.dispatch(1, category="marked", mark="")
+        self.script.dispatch(1.5, number=1, box=1, category="marked", mark="")
+        self.only(2, "group")
+
+    def test_rule_2_a_ticketed_one_past_its_window(self):
+        self.script.dispatch(1, category="marked", mark="")
+        self.script.dispatch(3.5, number=1, category="marked", mark="", id=2)
+        self.only(2, "window")
+
+    def test_rule_2_a_decline_that_promises_too_much(self):
+        self.script.command(1)
+        self.script.dispatch(1.1, category="once")
+        self.script.answer(1.9, language="x-declined-100")
+        self.only(2, "declined though")
+
+    def test_rule_3_sent_to_a_draining_box(self):
+        self.script.told(1, "draining")
+        self.script.dispatch(1.2, mark="")
+        self.script.dispatch(1.5, transfer=2, mark="", id=2)
+        self.only(3, "draining")
+
+    def test_rule_4_a_cold_box_pushed(self):
+        self.script.put(1, self.script.boxes[0].note, what="boot", box=0, cell=0, zone=0, cold=True, cores=1,
+                        cold_from=0.2, cold_s=10)
+        for each in range(8):
+            self.script.dispatch(1.1 + each / 100, transfer=each, mark="", id=each, units=1.0)
+        self.only(4, "cold box bears")
+
+    def test_rule_4_a_box_that_fell(self):
+        self.script.put(1, self.script.boxes[0].note, what="fell", box=0)
+        self.only(4, "fell over")
+
+    def test_rule_5_two_of_one_key_at_once(self):
+        self.script.dispatch(1, category="turn", mark="", ended=2)
+        self.script.dispatch(1.5, transfer=2, category="turn", mark="", id=2, ended=1.8)
+        self.only(5, "at once")
+
+    def test_rule_6_more_further_dispatches_than_the_budget(self):
+        for number in range(3):
+            self.script.dispatch(1 + number / 10, number=number, mark="", id=number)
+        self.only(6, "further")
+
+    def test_rule_7_a_volume_past_its_limit(self):
+        for each in range(14):
+            self.script.dispatch(1 + each / 100, transfer=each, mark="", id=each)
+        self.only(7, "past its limit")
+
+    def test_a_record_torn_at_its_end_is_read_up_to_there(self):
+        self.script.command(1)
+        self.script.answer(1.1)
+        self.script.clients.sink.write(b"\0\0\0")
+        self.assertEqual(self.script.breaches(), {})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,143 @@
+"""The list follower: its table, the view, the JSON, the cache."""
+import json
+import os
+import tempfile
+import unittest
+
+from milletsill.interface import Readiness
+from milletsill.registry import cache, jsons
+from milletsill.registry.decide import BadBox, Box, Cue, Stage, Told, View, box_of, step
+
+VALUE = {"id": 7, "address": "127.0.0.1:9", "state": "ready", "size": 2, "cell": 3, "started": 0}
+
+
+def box(id=7, started=0, cell=3, readiness=Readiness.READY):
+    return Box(id, "127.0.0.1:9", readiness, 2.0, 0, 0, cell, started)
+
+
+class Table(unittest.TestCase):
+    def test_an_asking_ranges_then_watches(self):
+        self.assertEqual(step(Stage.IDLE, Cue.ASK), (Stage.RANGING, "range"))
+        self.assertEqual(step(Stage.RANGING, Cue.RANGE_OK), (Stage.JOINING, "whole"))
+        self.assertEqual(step(Stage.JOINING, Cue.JOIN_OK), (Stage.WATCHING, ""))
+
+    def test_every_failure_is_told_to_the_module_once(self):
+        for stage in (Stage.RANGING, Stage.JOINING, Stage.WATCHING):
+            self.assertEqual(step(stage, Cue.FAIL), (Stage.IDLE, "failed"))
+        self.assertEqual(step(Stage.IDLE, Cue.FAIL), (Stage.IDLE, ""))
+
+    def test_compaction_asks_for_the_whole_list(self):
+        self.assertEqual(step(Stage.WATCHING, Cue.COMPACTED), (Stage.RANGING, "range"))
+
+    def test_an_asking_while_the_watch_stands_is_confirmed(self):
+        self.assertEqual(step(Stage.WATCHING, Cue.ASK), (Stage.WATCHING, "confirm"))
+
+
+class Views(unittest.TestCase):
+    def test_changes_are_applied_once_and_in_order(self):
+        view = View(10, 1000)
+        view.replace({"a": box()}, 5)
+        drain = box(readiness=Readiness.DRAINING)
+        self.assertEqual(view.apply([Told("a", box(), 5), Told("a", drain, 6)]), [drain])
+        self.assertEqual(view.apply([Told("a", drain, 6)]), [])
+
+    def test_a_key_that_goes_makes_its_box_gone(self):
+        view = View(10, 1000)
+        view.replace({"a": box()}, 5)
+        self.assertEqual(view.apply([Told("a", None, 6)])[0].readiness, Readiness.GONE)
+
+    def test_a_box_that_another_key_still_claims_is_not_gone(self):
+        view = View(10, 1000)
+        view.replace({"a": box(), "b": box()}, 5)
+        self.assertEqual(view.apply([Told("a", None, 6)]), [])
+
+    def test_a_flood_of_boxes_is_bounded_and_counted(self):
+        view = View(10, 1000)
+        view.replace({str(each): box(each) for each in range(15)}, 5)
+        view.apply([Told("new", box(99), 6)])
+        self.assertEqual((len(view.by_key), view.overflow), (10, 6))
+
+    def test_a_step_of_the_wall_clock_does_not_make_a_box_new(self):
+        view = View(10, 100_000)
+        first = view.since_of(box(started=1_000_000), 50_000, 1_001_000)
+        self.assertEqual(first, 40_000)
+        self.assertEqual(view.since_of(box(started=1_000_000), 60_000, 9_999_999), first)
+        self.assertNotEqual(view.since_of(box(started=1_001_500), 60_000, 1_002_000), first)
+
+    def test_long_ago_is_none(self):
+        view = View(10, 1000)
+        self.assertIsNone(view.since_of(box(started=1), 50_000, 1_000_000))
+        self.assertIsNone(view.since_of(box(started=0), 0, 0))
+
+
+class Json(unittest.TestCase):
+    def kv(self, key="k/7", value=VALUE, revision=4):
+        text = value if isinstance(value, str) else json.dumps(value)
+        return {"key": jsons.encoded(key), "value": jsons.encoded(text), "mod_revision": str(revision)}
+
+    def test_a_list_with_one_bad_box_keeps_the_others_and_says_so(self):
+        said = []
+        body = {"header": {"revision": "9"}, "kvs": [self.kv(), self.kv("k/8", "nonsense"), self.kv("k/9", {"id": -1})]}
+        boxes, revision = jsons.read_range(json.dumps(body).encode(), said.append)
+        self.assertEqual((list(boxes), revision, len(said)), (["k/7"], 9, 2))
+
+    def test_a_watch_tells_changes_deletes_opening_and_compaction(self):
+        line = {"result": {"header": {"revision": "9"}, "events": [
+            {"kv": self.kv()}, {"type": "DELETE", "kv": {"key": jsons.encoded("k/8"), "mod_revision": "5"}}]}}
+        changes, _, opened, compacted = jsons.read_watch(json.dumps(line).encode(), print)
+        self.assertEqual([(each.key, each.box is None, each.revision) for each in changes],
+                         [("k/7", False, 4), ("k/8", True, 5)])
+        cancelled = {"result": {"canceled": True, "compact_revision": "12"}}
+        self.assertTrue(jsons.read_watch(json.dumps(cancelled).encode(), print)[3])
+
+    def test_nonsense_is_one_line(self):
+        for data in (b"[", b"1", b"{}", b'{"result": {"events": [1]}}', b'{"error": "x"}', b"[" * 100_000,
+                     b'{"result": {"events": [{"kv": {"key": "!"}}]}}'):
+            with self.assertRaises(jsons.BadAnswer):
+                jsons.read_watch(data, print)
+
+    def test_boxes_of_all_wrong_kinds_are_refused(self):
+        for field, value in (("id", True), ("id", "7"), ("size", 0), ("state", "up"), ("address", "x"), ("cell", None),
+                             ("started", -1), ("address", 5)):
+            with self.assertRaises(BadBox):
+                box_of({**VALUE, field: value})
+
+    def test_a_line_without_an_end_is_bounded(self):
+        lines = jsons.Lines(100)
+        self.assertEqual(lines.feed(b"a\nb"), [b"a"])
+        with self.assertRaises(jsons.BadAnswer):
+            lines.feed(b"x" * 200)
+
+
+class Cache(unittest.TestCase):
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.path = os.path.join(self.folder.name, "boxes")
+
+    def test_what_is_put_comes_back(self):
+        cache.put(self.path, {"k": box()}, 12)
+        self.assertEqual(cache.get(self.path), ({"k": box()}, 12))
+
+    def test_none_is_empty(self):
+        self.assertEqual(cache.get(self.path), ({}, 0))
+
+    def test_a_file_cut_or_flipped_anywhere_is_not_used(self):
+        cache.put(self.path, {"k": box()}, 12)
+        with open(self.path, "rb") as source:
+            data = source.read()
+        for at in range(0, len(data), 7):
+            for bad in (data[:at], data[:at] + bytes((data[at] ^ 1,)) + data[at + 1:]):
+                with open(self.path, "wb") as sink:
+                    sink.write(bad)
+                with self.assertRaises(cache.Unusable):
+                    cache.get(self.path)
+
+    def test_a_full_disk_leaves_the_old_list_and_one_line(self):
+        with self.assertRaises(cache.Unusable) as caught:
+            cache.put("/dev/full/x", {}, 1)
+        self.assertNotIn("\n", str(caught.exception))
+
+
+if __name__ == "__main__":
+    unittest.main()
