--- a/milletsill/edge/service.py
+++ b/milletsill/edge/service.py
@@ -59,6 +59,7 @@
         self.ports: list[Any] = []
         self.stopped: list[Callable[[], None]] = []
         self.look_call: Any = None
+        self.overdue_call: Any = None
         self.failed = False
 
     # Life.
@@ -77,7 +78,7 @@
         elif effect == "drain":
             self.log.info("draining", held=self.host.held)
             self.close_ports()
-            self.reactor.callLater(self.file.door.drain_s, self.step, Event.OVERDUE)
+            self.overdue_call = self.reactor.callLater(self.file.door.drain_s, self.step, Event.OVERDUE)
             self.emptied()
         elif effect == "stop":
             self.stop()
@@ -135,8 +136,9 @@
         self.host.stop()
         for pool in self.pools.values():
             pool.abort()
-        if self.look_call is not None and self.look_call.active():
-            self.look_call.cancel()
+        for call in (self.look_call, self.overdue_call):
+            if call is not None and call.active():
+                call.cancel()
         for each in self.stopped:
             each()
 
--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,164 @@
+"""What the end-to-end tests share: an edge, stand-in boxes and registry in this process, on loopback, and a client."""
+from __future__ import annotations
+
+import io
+import tempfile
+import time
+from random import Random
+
+from google.protobuf import text_format
+from twisted.internet import defer, protocol, reactor
+from twisted.internet.task import deferLater
+
+from milletsill.edge.logs import logger
+from milletsill.edge.service import Edge
+from milletsill.files import extensions, packets
+from milletsill.files.extensions import Terms
+from milletsill.files.framing import Deframer
+from milletsill.files.wire import Attrs
+from milletsill.lab.box import Box, Gates
+from milletsill.lab.files import Files
+from milletsill.lab.registry import Registry, site
+from milletsill.settings.milletsill_pb2 import BoxKind, GatewayFile, RegistryStand
+
+FILE = """
+name: "edge-t" listen: "127.0.0.1:0" gateways: 1 seed: 5
+registry { address: "127.0.0.1:1" call_ms: 400 connect_ms: 300 }
+door { answer_margin_ms: 20 most_outstanding: 8 most_handles: 6 drain_s: 3 }
+links { silent_ms: 300 dial_ms: 200 }
+rules { ask_within_ms: 2000 drain_grace_ms: 250 cold_window_ms: 500 warm_after_s: 2 cold_units: 100 key_rest_ms: 200 }
+logging { level: "debug" answers_per_s: 1000 }
+plan { name: "p" usual_rate: 500 reserve_rate: 500 }
+category { name: "read" target_ms: 300 patience_ms: 1000 }
+category { name: "write" target_ms: 300 patience_ms: 1000 repeats: "exclusive" write: true }
+volume { name: "hashed" root: "/h" plan: "p" cell: [0, 1, 2] }
+volume { name: "free" root: "/f" plan: "p" cell: [0, 1, 2] placement: FREE }
+volume { name: "folder" root: "/d" plan: "p" cell: [0, 1, 2] placement: BY_DIRECTORY }
+route { operation: "write" category: "write" }
+route { category: "read" }
+"""
+
+
+def later(seconds):
+    return deferLater(reactor, seconds, lambda: None)
+
+
+class Client(protocol.Protocol):
+    """A client of the door; `command` gives a Deferred of the answer."""
+
+    def __init__(self):
+        self.deframer, self.waiting, self.answers, self.ids = Deframer(1 << 24), {}, [], 0
+        self.lost, self.ready = defer.Deferred(), defer.Deferred()
+
+    def connectionMade(self):
+        self.transport.write(packets.encode(packets.Init(3)))
+
+    def dataReceived(self, data):
+        self.deframer.feed(data)
+        while (body := self.deframer.next()) is not None:
+            packet = packets.decode(body)
+            if isinstance(packet, packets.Version):
+                self.ready.callback(self)
+                continue
+            self.answers.append(packet)
+            done = self.waiting.pop(packet.id, None)
+            if done is not None:
+                done.callback(packet)
+
+    def connectionLost(self, reason=None):
+        self.lost.callback(None)
+
+    def command(self, packet, terms=None):
+        self.ids += 1
+        packet = packets.with_id(packet, self.ids)
+        if terms is not None:
+            packet = extensions.put_terms(terms, packet)
+        self.waiting[self.ids] = defer.Deferred()
+        self.transport.write(packets.encode(packet))
+        return self.waiting[self.ids]
+
+    async def open(self, path, flags=packets.READ_FLAG | packets.WRITE_FLAG | packets.CREATE_FLAG):
+        answer = await self.command(packets.Open(0, path, flags, Attrs()))
+        return answer.handle if isinstance(answer, packets.Handle) else answer
+
+
+class Rig:
+    """Boxes, registry and edges, ended by `stop`."""
+
+    def __init__(self, case, boxes=3, **kind):
+        self.case, self.log = case, io.StringIO()
+        folder = tempfile.TemporaryDirectory()
+        case.addCleanup(folder.cleanup)
+        self.folder, self.ports, self.edges, self.clients = folder.name, [], [], []
+        figures = {"error_rate": 0.0, "report_every_ms": 20.0, "cold_s": 1.0, **kind}
+        self.kind = BoxKind(name="k", **figures)
+        self.file = text_format.Parse(FILE, GatewayFile())
+        self.registry = Registry(reactor, RegistryStand(call_ms=1, notice_ms=10), 1)
+        self.registry_port = self.listen(site(self.registry))
+        self.file.registry.address = f"127.0.0.1:{self.registry_port.getHost().port}"
+        self.boxes = []
+        for number in range(boxes):
+            self.add_box(number, number, Files())
+        case.addCleanup(self.stop)
+
+    def listen(self, factory):
+        port = reactor.listenTCP(0, factory, interface="127.0.0.1")
+        self.ports.append(port)
+        return port
+
+    def add_box(self, number, cell, files, cold=False):
+        work = {"read": (0.002, 0.1), "write": (0.002, 0.1)}
+        box = Box(reactor, number, cell, 0, self.kind, self.file.rules, files, work, 5 + number, None)
+        box.port = self.listen(Gates(box))
+        if cold:
+            box.boot(cold=True)
+        self.boxes.append(box)
+        self.tell(box)
+        return box
+
+    def tell(self, box, state="ready"):
+        self.registry.put(f"{self.file.registry.prefix}{box.id}", box.listing(state))
+
+    async def edge(self, name="edge-t", **door):
+        file = GatewayFile()
+        file.CopyFrom(self.file)
+        file.name, file.state_dir = name, f"{self.folder}/{name}"
+        for field, value in door.items():
+            setattr(file.door, field, value)
+        edge = Edge(file, reactor, log=logger("debug", True, self.log))
+        self.edges.append(edge)
+        edge.start()
+        ends = time.monotonic() + 2
+        while time.monotonic() < ends and not (edge.ports and edge.follower.stage.name == "WATCHING"):
+            await later(0.01)
+        return edge
+
+    async def client(self, edge):
+        client = Client()
+        factory = protocol.Factory.forProtocol(lambda: client)
+        factory.noisy = False
+        from twisted.internet.endpoints import TCP4ClientEndpoint
+        port = edge.ports[0].getHost().port
+        await TCP4ClientEndpoint(reactor, "127.0.0.1", port).connect(factory)
+        self.clients.append(client)
+        return await client.ready
+
+    async def stop(self):
+        for client in self.clients:
+            client.transport.abortConnection()
+        for edge in self.edges:
+            if edge.process.name != "STOPPED":
+                edge.stop()
+        for box in self.boxes:
+            box.drop()
+        self.registry.set_away(True)
+        for port in self.ports:
+            await port.stopListening()
+        await later(0.05)
+
+    def traces(self):
+        return [line for line in self.log.getvalue().splitlines() if "Traceback" in line]
+
+
+def pattern(size, seed=1):
+    return Random(seed).randbytes(size)
--- /dev/null
+++ b/tests/test_host.py
@@ -0,0 +1,140 @@
+"""The host of the module on a clock of the test's own: what it tells the module, and when."""
+import unittest
+
+from twisted.internet.task import Clock
+
+from milletsill.edge.host import Host
+from milletsill.files import packets
+from milletsill.files.extensions import DONE, Verdict
+from milletsill.interface import Arrival, Outcome
+
+
+class Module:
+    """Notes what it is told."""
+
+    def __init__(self, facts, seed, now, port):
+        self.port, self.said = port, []
+
+    def __getattr__(self, name):
+        return lambda now, *values: self.said.append((name, now, *values))
+
+    def of(self, name):
+        return [each[1:] for each in self.said if each[0] == name]
+
+
+class Sending:
+    over, link = False, None
+
+
+class Pool:
+    """Keeps dispatches; the test ends them."""
+
+    def __init__(self):
+        self.held, self.withdrawn = [], 0
+
+    def dispatch(self, order, ended):
+        self.held.append((order, ended))
+        return Sending()
+
+    def withdraw(self, sending):
+        self.withdrawn += 1
+
+
+class Asker:
+    def __init__(self):
+        self.told = []
+
+    def satisfied(self, verdict):
+        self.told.append("satisfied")
+
+    def declined(self, pause):
+        self.told.append(("declined", pause))
+
+    def aborted(self):
+        self.told.append("aborted")
+
+
+class Hosted(unittest.TestCase):
+    def setUp(self):
+        self.clock, self.pool, self.asker, self.log = Clock(), Pool(), Asker(), []
+        self.host = Host(self.clock, lambda: int(self.clock.seconds() * 10_000 + 0.5), {}, 1, Module, "e", 1,
+                         {7: self.pool}.get, lambda: None, self.log.append, lambda *values: None)
+        arrival = Arrival(1, 5, 1, 1, 0, 0, False, False, 0, 2.0, 10_000)
+        self.host.take(arrival, self.asker, packets.Read(0, b"/a", 0, 1), "t", "m", "read")
+        self.module = self.host.module
+
+    def verdict(self):
+        return Verdict(DONE, "0", {"queue": 3.0}, None, 2, packets.Data(0, b"x"))
+
+    def test_events_of_one_moment_are_settled_once(self):
+        self.host.abandon(1)
+        self.clock.advance(0)
+        self.assertEqual([len(self.module.of(each)) for each in ("taken", "abandoned", "settle")], [1, 1, 1])
+
+    def test_a_satisfied_dispatch_answers_once_and_tells_the_module_that_it_is_over(self):
+        self.host.send(1, 7, 500)
+        self.pool.held[0][1](Outcome.SATISFIED, self.verdict())
+        self.pool.held[0][1](Outcome.SATISFIED, self.verdict())
+        answer, = [each[1] for each in self.module.of("returned")]
+        self.assertEqual((self.asker.told, answer.over, answer.elsewhere, dict(answer.report), self.host.live),
+                         (["satisfied"], True, 2, {"queue": 3.0}, {}))
+
+    def test_a_time_out_is_told_and_the_box_is_told_too(self):
+        self.host.send(1, 7, 500)
+        self.clock.advance(0.051)
+        answer, = [each[1] for each in self.module.of("returned")]
+        self.assertEqual((answer.outcome, self.pool.withdrawn, self.asker.told), (Outcome.TIMED_OUT, 1, []))
+
+    def test_no_time_out_means_until_the_client_leaves(self):
+        self.host.send(1, 7, 0)
+        self.clock.advance(0.9)
+        self.assertEqual(self.module.of("returned"), [])
+        self.clock.advance(0.11)
+        self.assertEqual(self.module.of("returned")[0][1].outcome, Outcome.TIMED_OUT)
+
+    def test_after_a_stall_an_answer_in_the_socket_goes_before_its_time_out(self):
+        self.host.send(1, 7, 500)
+        self.clock.rightNow = 2.0  # the process stood; nothing was read
+        self.host.ring()
+        self.assertEqual(self.module.of("returned"), [])
+        self.pool.held[0][1](Outcome.SATISFIED, self.verdict())
+        self.clock.advance(0)
+        self.assertEqual(self.module.of("returned")[0][1].outcome, Outcome.SATISFIED)
+
+    def test_a_node_without_links_is_unreached_later(self):
+        self.host.send(1, 8, 500)
+        self.assertEqual(self.module.of("returned"), [])
+        self.clock.advance(0.001)
+        self.assertEqual(self.module.of("returned")[0][1].outcome, Outcome.UNREACHED)
+
+    def test_nothing_is_sent_after_the_final_answer(self):
+        self.host.decline(1, 70)
+        self.host.send(1, 7, 500)
+        self.host.abort(1)
+        self.assertEqual((self.pool.held, self.asker.told, len(self.log)), ([], [("declined", 70)], 1))
+
+    def test_a_transfer_stays_until_its_dispatches_have_ended_without_its_data(self):
+        self.host.send(1, 7, 500)
+        self.host.abandon(1)
+        self.assertIsNone(self.host.live[1].command)
+        self.pool.held[0][1](Outcome.RESET, None)
+        self.assertEqual(self.host.live, {})
+
+    def test_a_cancel_ends_a_dispatch_but_not_from_within(self):
+        self.host.send(1, 7, 500)
+        self.host.cancel(1, 0)
+        self.assertEqual(self.module.of("returned"), [])
+        self.clock.advance(0.001)
+        self.assertEqual(self.module.of("returned")[0][1].outcome, Outcome.CANCELLED)
+
+    def test_wakes_come_in_order_and_one_timer_serves_all(self):
+        for at, what in ((300, "c"), (100, "a"), (200, "b")):
+            self.host.wake(at, what)
+        self.assertEqual(len([each for each in self.clock.getDelayedCalls() if each.func == self.host.ring]), 1)
+        for _ in range(40):
+            self.clock.advance(0.001)
+        self.assertEqual([each[1] for each in self.module.of("woken")], ["a", "b", "c"])
+
+
+if __name__ == "__main__":
+    unittest.main()
