--- a/milletsill/lab/engine.py
+++ b/milletsill/lab/engine.py
@@ -113,6 +113,7 @@
         ended: list[Job] = []
         while True:
             self.fill()
+            self.pause()
             step, soon = now - self.at, None
             rate = self.rate(self.at)
             if rate > 0 and self.working:
@@ -120,7 +121,7 @@
                 step = min(step, soon.left / rate)
             elif self.at < self.speed.still_until:
                 step = min(step, self.speed.still_until - self.at)
-            self.pause(now)
+            step = min([step] + [at - self.at for at in (self.next_pause, self.next_flush) if at > self.at])
             for each in self.working:
                 each.left -= rate * step
             self.at += step
@@ -131,7 +132,7 @@
                 self.at = max(self.at, now)
                 return ended
 
-    def pause(self, now: float) -> None:
+    def pause(self) -> None:
         """The box's own pauses, and the work put off, done in one go."""
         if self.at >= self.next_pause:
             self.next_pause = self.at + self.drawn(self.kind.pause_every_s)
--- a/milletsill/lab/run.py
+++ b/milletsill/lab/run.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import time
+from pathlib import Path
 from random import Random
 from typing import Any, Callable
 
@@ -165,8 +166,8 @@
             json.dump(self.stops, sink)
         evidence = gather(self.out, len(glob.glob(f"{self.out}/box-*.rec")))
         breaches = audit(evidence, self.scenario)
-        faults = [name for name in sorted(glob.glob(f"{self.out}/*.log")) if b"Traceback" in open(name, "rb").read()]
-        result.update(exits=exits, faults=[os.path.basename(each) for each in faults], breaches=breaches, commands=len(evidence.commands),
+        result.update(exits=exits, faults=[os.path.basename(each) for each in sorted(glob.glob(f"{self.out}/*.log"))
+                                           if b"Traceback" in Path(each).read_bytes()], breaches=breaches, commands=len(evidence.commands),
                       dispatches=len(evidence.dispatches), module=self.module or "BD-EDF")
         return result
 
