--- a/milletsill/edge/service.py
+++ b/milletsill/edge/service.py
@@ -128,6 +128,7 @@
 
     def stop(self) -> None:
         """Cut everything that is left."""
+        self.process = Process.STOPPED
         self.log.info("stopped", held=self.host.held)
         self.close_ports()
         self.follower.stop()
@@ -169,7 +170,7 @@
                     pool.close()
                 self.pools[box.id] = Pool(
                     self.reactor, self.now, box.address, self.bounds, self.file.name, self.incarnation,
-                    self.file.links.most_buffered, lambda text, id=box.id: self.remark("link", box=id, reason=text))
+                    self.file.links.most_packet, lambda text, id=box.id: self.remark("link", box=id, reason=text))
         for id in self.pools.keys() - {each.id for each in boxes}:
             self.pools.pop(id).close()
 
--- a/milletsill/lab/day.py
+++ b/milletsill/lab/day.py
@@ -155,6 +155,8 @@
             continue
         trouble = made.trouble.add(what=each["kind"], at_s=each["at"] / MICRO, for_s=each["len"] / MICRO,
                                    size=each["size"], extra=each["extra"])
+        if each["kind"] == "reconnect":
+            trouble.part = min(max(each["size"], 0.0), 1.0)
         if each["kind"] in ("tenant_burst", "retry_abuse"):
             trouble.plan = names[each["which"] % len(names)]
         if each["on"]:
--- a/milletsill/registry/follower.py
+++ b/milletsill/registry/follower.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Protocol
+from twisted.internet.threads import deferToThread
 from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IBodyProducer
@@ -15,6 +16,7 @@
 from milletsill.registry import cache, jsons
 from milletsill.registry.decide import NEWS, Box, Cue, Stage, View, step
 
+SAVE_WITHIN = 0.5  # seconds
 Hear = Callable[[News, "list[Listed]"], None]
 
 
@@ -92,6 +94,7 @@
         self.stream: Gather | None = None
         self.complaints: dict[str, None] = {}
         self.cache_failing = self.stopped = False
+        self.save_call: Any = None
 
     def start(self) -> None:
         """Tell the module the last list, or an empty one."""
@@ -236,17 +239,30 @@
             self.complaints.pop(next(iter(self.complaints)))
 
     def save(self) -> None:
-        """Keep the list for a restart; a disk that refuses is said once until it takes one again."""
-        try:
-            cache.put(self.cache_path, self.view.by_key, self.view.revision)
-            self.cache_failing = False
-        except cache.Unusable as error:
-            if not self.cache_failing:
-                self.remark(f"the list cannot be kept: {error}")
-            self.cache_failing = True
+        """Keep the list for a restart, soon: a flood of changes is written once, and never by the reactor's thread."""
+        if self.save_call is None:
+            self.save_call = self.reactor.callLater(SAVE_WITHIN, self.save_now)
+
+    def save_now(self) -> None:
+        self.save_call = None
+        writing = deferToThread(cache.put, self.cache_path, dict(self.view.by_key), self.view.revision)
+        writing.addCallbacks(lambda _: self.saved(""), lambda failure: self.saved(failure.getErrorMessage()))
+
+    def saved(self, complaint: str) -> None:
+        """A disk that refuses is said once until it takes a list again."""
+        if complaint and not self.cache_failing:
+            self.remark(f"the list cannot be kept: {complaint}")
+        self.cache_failing = bool(complaint)
 
     def stop(self) -> None:
         self.stopped = True
+        if self.save_call is not None:
+            self.save_call.cancel()
+            self.save_call = None
+            try:
+                cache.put(self.cache_path, self.view.by_key, self.view.revision)
+            except cache.Unusable as error:
+                self.saved(str(error))
         self.close_stream()
         if getattr(self, "pending", None) is not None:
             self.pending.cancel()
--- a/milletsill/settings/decide.py
+++ b/milletsill/settings/decide.py
@@ -16,7 +16,7 @@
              ("idle_s", 1, 86_400), ("answer_margin_ms", 0, 10_000), ("drain_s", 0.1, 3600),
              ("locations", 16, 10_000_000)),
     "links": (("connections", 1, 64), ("streams", 1, 4096), ("handshakes", 1, 16), ("dial_ms", 1, 60_000),
-              ("idle_s", 0.1, 86_400), ("silent_ms", 10, 600_000), ("most_buffered", 65_536, 1 << 30)),
+              ("idle_s", 0.1, 86_400), ("silent_ms", 10, 600_000), ("most_packet", 65_536, 1 << 30)),
     "registry": (("call_ms", 10, 60_000), ("connect_ms", 10, 60_000), ("most_line", 1024, 64_000_000),
                  ("most_boxes", 1, 100_000)),
     "rules": (("drain_grace_ms", 0, 60_000), ("ask_within_ms", 100, 3_600_000), ("cold_from", 0, 1),
@@ -194,8 +194,13 @@
     if largest + PACKET_ROOM > file.door.most_packet:
         report.add(under + ("door", "most_packet"), f"a packet of {file.door.most_packet} bytes cannot hold a largest "
                                                     f"transfer of {largest}")
-    if largest + PACKET_ROOM > file.links.most_buffered:
-        report.add(under + ("links", "most_buffered"), "most_buffered holds not one largest transfer")
+    if largest + PACKET_ROOM > file.links.most_packet:
+        report.add(under + ("links", "most_packet"), "most_packet holds not one largest transfer")
+    # A client that does not read is not read either, so what it can leave unread is what it has out.
+    unread = file.door.most_outstanding * (largest + PACKET_ROOM)
+    if unread > file.door.most_buffered:
+        report.add(under + ("door", "most_buffered"), f"{file.door.most_outstanding} commands of {largest} bytes may "
+                                                      f"leave {unread} bytes unread, over {file.door.most_buffered}")
     if rules.unit_mean > rules.largest_units:
         report.add(under + ("rules", "unit_mean"), f"a mean of {rules.unit_mean:g} units over the largest of "
                                                    f"{rules.largest_units}")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -26,6 +26,7 @@
     ("127.0.0.1:2379", "127.0.0.1", 3, "host:port"), ("usual_rate: 10", "usual_rate: nan", 4, "not from"),
     ("gateways: 3", "gatevays: 3", 2, "gatevays"), ("gateways: 3", 'gateways: "x"', 2, ""),
     ("gateways: 3\n", "gateways: 3\ndoor { most_packet: 34000 }\nrules { unit_bytes: 8192 }\n", 3, "cannot hold a largest"),
+    ("gateways: 3\n", "gateways: 3\ndoor { most_buffered: 65536 }\n", 3, "unread"),
     ("gateways: 3\n", "gateways: 3\nrules {\n  further_ratio: 0.1\n}\n", 3, "budget"),
     ("gateways: 3\n", "gateways: 3\nlinks {\n  dial_ms: 5000\n}\n", 4, "outlasts"),
     ('name: "edge-1"\n', "", 0, "missing name")]
