Patience runs while a command lies unread: after a stall of the process, or a full door

A beat of 50 ms now tells that the process stood; what is read in the round after is dated back to the last beat, and what a full door left unread to when it filled. This guards against any stall; the harm is that what came at a stall's very end is given up sooner than need be.

Measured: the test blocks the process for 0.6 s of a 0.9 s patience; answered in time, before it was not.

--- a/milletsill/edge/commands.py
+++ b/milletsill/edge/commands.py
@@ -43,13 +43,13 @@
     """One command that costs boxes work. Made, then `start`; `answered` is called once, unless it is abandoned."""
 
     def __init__(self, edge: Edge, command: Any, terms: Terms, volume: VolumePlace, path: str, opened: Opened | None,
-                 answered: Answered) -> None:
+                 answered: Answered, came: int) -> None:
         self.edge, self.command, self.terms, self.answered = edge, command, terms, answered
         self.volume, self.path, self.opened = volume, path, opened
         self.operation = OPERATIONS[type(command)]
         self.size = len(command.data) if isinstance(command, packets.Write) else getattr(command, "length", 0)
         self.category = edge.atlas.category(self.operation, volume, self.size)
-        self.began = edge.now()
+        self.began = came
         figures = edge.host.facts["categories"][self.category]
         self.ends = ends_at(self.began, figures["patience"], terms.patience * 10, edge.margin)
         self.mark = f"{volume.number}/{terms.mark}" if terms.mark else edge.mark()
--- a/milletsill/edge/decide.py
+++ b/milletsill/edge/decide.py
@@ -336,10 +336,22 @@
     return late > LATE_BEAT and not put_off
 
 
-def ends_at(now: int, patience: int, told_patience: int, margin: int) -> int:
-    """When the client gives up, less the margin: the lesser of the operator's patience and the client's own; 0 is
+BEAT = 500  # how often the process looks whether it stood
+
+
+def taken_since(now: int, beat_due: int, last_beat: int) -> int | None:
+    """Since when bytes that are read now may have lain in the socket; None where they are as new as they look.
+
+    Guards rule 1 against any stall of the process (stopped, starved, a long garbage collection): a client counts its
+    patience from its own send. Harm: what came at the very end of a stall is given up sooner than need be.
+    """
+    return last_beat if now - beat_due > LATE_BEAT else None
+
+
+def ends_at(came: int, patience: int, told_patience: int, margin: int) -> int:
+    """When the client gives up, less the margin, from when its command may have come: the lesser of the operator's patience and the client's own; 0 is
     none told."""
-    return now + min(patience, told_patience or patience) - margin
+    return came + min(patience, told_patience or patience) - margin
 
 
 class AnswerLog:
--- a/milletsill/edge/door.py
+++ b/milletsill/edge/door.py
@@ -29,6 +29,7 @@
         self.handles: dict[bytes, Opened] = {}
         self.handle_count, self.unread, self.reading = 0, False, False
         self.octets = 0  # of the packet at hand
+        self.full_since: int | None = None
         self.ends: tuple[str, int, str, int] = ("0.0.0.0", 0, "0.0.0.0", 0)
         self.heard = self.stuck_since = edge.now()
 
@@ -94,6 +95,8 @@
     def knock(self, sign: Knock) -> None:
         """Read the table and act."""
         self.door, effect = knock(self.door, sign)
+        if effect == "pause":
+            self.full_since = self.edge.now()
         if effect == "version":
             self.reply(packets.Version(packets.VERSION_SPOKEN, extensions.offered()))
         elif effect == "pause":
@@ -101,6 +104,7 @@
         elif effect == "resume":
             self.transport.resumeProducing()
             self.read()
+            self.edge.after_round(self.caught_up)
         elif effect in ("cut", "close", "abandon"):
             out, self.out = list(self.out.values()), {}
             for each in out:
@@ -112,6 +116,11 @@
             elif effect == "close":
                 self.transport.loseConnection()
 
+    def caught_up(self) -> None:
+        """What lay unread while the door was full has been read."""
+        if self.door is Door.OPEN:
+            self.full_since = None
+
     def send(self, packet: Any) -> int:
         """Bytes written to the client."""
         if self.door is Door.CLOSED:
@@ -259,11 +268,16 @@
 
     def run(self, packet: Any, terms: Terms, volume: Any, path: str, opened: Opened | None) -> None:
         """Put a command on its way to the boxes."""
-        running = Running(self.edge, packet, terms, volume, path, opened, lambda answer: self.answer(running, answer))
+        running = Running(self.edge, packet, terms, volume, path, opened, lambda answer: self.answer(running, answer), self.came())
         running.octets = self.octets
         self.out[packet.id] = running
         running.start()
 
+    def came(self) -> int:
+        """When the packet at hand may have come: it lay unread while this door was full or the process stood."""
+        known = [each for each in (self.full_since, self.edge.stood_since) if each is not None]
+        return min(known, default=self.edge.now())
+
     def answer(self, running: Running, packet: Any) -> None:
         """The one answer of a command."""
         self.out.pop(running.command.id, None)
--- a/milletsill/edge/service.py
+++ b/milletsill/edge/service.py
@@ -10,8 +10,8 @@
 
 from milletsill.edge import facts
 from milletsill.edge.commands import Running
-from milletsill.edge.decide import (FREE, AnswerLog, Event, Locations, Process, VolumePlace, admit,
-                                    canonical, pass_on)
+from milletsill.edge.decide import (BEAT, FREE, AnswerLog, Event, Locations, Process, VolumePlace, admit,
+                                    canonical, pass_on, taken_since)
 from milletsill.edge.door import Clients, Connection
 from milletsill.edge.host import Host, Make
 from milletsill.edge.identity import next_incarnation
@@ -60,6 +60,8 @@
         self.ports: list[Any] = []
         self.stopped: list[Callable[[], None]] = []
         self.look_call: Any = None
+        self.beat_call: Any = None
+        self.last_beat, self.stood_since = now(), None
         self.overdue_call: Any = None
         self.failed = False
 
@@ -77,6 +79,25 @@
         self.follower.start()
         self.step(Event.LISTED)
         self.look_call = self.reactor.callLater(LOOK_EVERY, self.look, self.now())
+        self.last_beat = self.now()
+        self.beat_call = self.reactor.callLater(BEAT / 10_000, self.beat)
+
+    def beat(self) -> None:
+        """Whether the process stood since the last beat: the sockets are read right after this."""
+        now = self.now()
+        since = taken_since(now, self.last_beat + BEAT, self.last_beat)
+        if since is not None:
+            self.stood_since = since
+            self.after_round(self.caught_up)
+        self.last_beat = now
+        self.beat_call = self.reactor.callLater(BEAT / 10_000, self.beat)
+
+    def caught_up(self) -> None:
+        self.stood_since = None
+
+    def after_round(self, call: Callable[[], None]) -> None:
+        """Once the sockets have been read: a timer of now comes before that, one set by it after."""
+        self.reactor.callLater(0, self.reactor.callLater, 0, call)
 
     def step(self, event: Event) -> None:
         """Read the table and act."""
@@ -147,7 +168,7 @@
             pool.abort()
         if self.flows is not None:
             self.flows.stop()
-        for call in (self.look_call, self.overdue_call):
+        for call in (self.look_call, self.overdue_call, self.beat_call):
             if call is not None and call.active():
                 call.cancel()
         for each in self.stopped:
--- a/tests/test_edge_decide.py
+++ b/tests/test_edge_decide.py
@@ -4,7 +4,7 @@
 from milletsill.edge.decide import (BY_DIRECTORY, FREE, HASHED, AnswerLog, Atlas, BadPath, Course, Door, Event, Knock,
                                     Leg, Locations, Process, Reply, RouteRule, Spot, VolumePlace, admit, advance,
                                     canonical, course_of, ends_at, first_leg, fullness, io_first, knock, page, pass_on,
-                                    reply_of, spot_of, spot_text, told)
+                                    reply_of, spot_of, spot_text, taken_since, told)
 from milletsill.files import packets
 from milletsill.files.wire import Attrs
 
@@ -161,6 +161,9 @@
         self.assertEqual([io_first(*each) for each in ((20_000, False), (20_000, True), (10, False))],
                          [True, False, False])
 
+    def test_what_is_read_after_a_stall_may_be_as_old_as_the_last_beat(self):
+        self.assertEqual([taken_since(1500, 1490, 990), taken_since(9000, 1490, 990)], [None, 990])
+
     def test_answers_are_logged_at_a_bounded_rate_and_the_rest_counted(self):
         log = AnswerLog(2)
         self.assertEqual([log.take(0), log.take(0), log.take(0), log.take(0), log.take(10_000)], [0, 0, None, None, 2])
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -278,6 +278,21 @@
             self.assertLess(time.monotonic(), ends, answer)
             await later(0.2)
 
+    async def test_patience_runs_while_a_command_lies_unread_in_a_stalled_process(self):
+        rig = Rig(self)
+        edge = await rig.edge()
+        client = await rig.client(edge)
+        handle = await client.open("/h/x")
+        for box in rig.boxes:
+            box.vanish()
+        asking = extensions.put_terms(Terms(900, 0, "m"), packets.Read(99, handle, 0, 4))
+        client.transport.socket.send(packets.encode(asking))
+        began = time.monotonic()
+        time.sleep(0.6)
+        while not any(each.id == 99 for each in client.answers):
+            await later(0.005)
+        self.assertLess(time.monotonic() - began, 0.9)
+
     async def test_term_in_a_surge_answers_all_that_is_held_and_ends(self):
         rig = Rig(self)
         edge = await rig.edge()
