--- a/milletsill/cli/main.py
+++ b/milletsill/cli/main.py
@@ -118,3 +118,87 @@
         for each in breaches[:20]:
             click.echo("  " + "\n    ".join([each.text, *each.packets]))
     sys.exit(1 if any(found.values()) else 0)
+
+
+@main.group()
+def flows() -> None:
+    """Flow export: hear, decode and explain it."""
+
+
+@flows.command("collect")
+@click.option("--listen", default="127.0.0.1:4739", show_default=True, help="host:port for UDP and TCP alike.")
+@click.option("--seconds", type=click.FloatRange(0.1, 86_400), help="End by itself after so long.")
+@click.option("--within", multiple=True, help="Only flows with an end in this prefix; may be given again.")
+@click.option("--table", "as_table", is_flag=True, help="A table at the end in place of a line for each record.")
+def flows_collect(listen: str, seconds: float | None, within: tuple[str, ...], as_table: bool) -> None:
+    """Hear IPFIX and NetFlow 9, decode strictly, print JSON lines; at the end what it came to."""
+    import signal
+
+    from twisted.internet import reactor
+    from twisted.internet.error import CannotListenError
+
+    from milletsill.flows.collect import Collector, Ear, Lines, table
+    collector = Collector((lambda row: None) if as_table else lambda row: click.echo(json.dumps(row)),
+                          lambda text: click.echo(text, err=True), prefixes(within))
+    host, _, port = listen.rpartition(":")
+    if not host or not port.isdecimal() or int(port) > 65_535:
+        click.echo(f"milletsill: {listen!r} is not host:port", err=True)
+        sys.exit(2)
+    try:
+        reactor.listenUDP(int(port), Ear(collector), interface=host, maxPacketSize=65_535)
+        reactor.listenTCP(int(port), Lines(collector), interface=host)
+    except CannotListenError as error:
+        click.echo(f"milletsill: {error}", err=True)
+        sys.exit(1)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: reactor.callFromThread(reactor.stop))
+    if seconds:
+        reactor.callLater(seconds, reactor.stop)
+    reactor.run(installSignalHandlers=False)
+    click.echo(table(collector.summary()) if as_table else json.dumps(collector.summary()))
+
+
+def prefixes(given: tuple[str, ...]) -> Any:
+    """An address set, or None for all; a bad prefix is one line and status 2."""
+    from netaddr import AddrFormatError, IPSet
+    try:
+        return IPSet(given) if given else None
+    except (AddrFormatError, ValueError) as error:
+        click.echo(f"milletsill: {error}", err=True)
+        sys.exit(2)
+
+
+@flows.command("decode")
+@click.argument("file", type=click.Path())
+@click.option("--within", multiple=True, help="Only flows with an end in this prefix; may be given again.")
+def flows_decode(file: str, within: tuple[str, ...]) -> None:
+    """Decode FILE, IPFIX messages one behind the other (RFC 5655). Exit status 1 where it ends in the middle of one."""
+    from milletsill.flows.collect import Collector, Session
+    from milletsill.flows.ipfix import Cutter, Malformed
+    collector = Collector(lambda row: click.echo(json.dumps(row)), lambda text: click.echo(text, err=True),
+                          prefixes(within))
+    session, cutter, at = Session(None), Cutter(), 0
+    try:
+        with open(file, "rb") as source:
+            while data := source.read(65_536):
+                for message in cutter.feed(data):
+                    collector.message(session, message, f"{file} at {at}")
+                    at += len(message)
+    except OSError as error:
+        click.echo(f"{file}: {error.strerror}", err=True)
+        sys.exit(2)
+    except Malformed as error:
+        click.echo(f"{file} at {at}: {error}", err=True)
+        sys.exit(1)
+    if cutter.held:
+        click.echo(f"{file}: cut {len(cutter.held)} bytes into a message at {at}", err=True)
+    sys.exit(1 if cutter.held or collector.malformed else 0)
+
+
+@flows.command("elements")
+def flows_elements() -> None:
+    """Print our enterprise elements."""
+    from milletsill.flows.elements import ELEMENTS, OURS
+    for each in ELEMENTS.values():
+        if each.space == OURS:
+            click.echo(f"{each.id:>3} {each.name:<32} {each.type:<12} {each.semantics:<13} {each.text}")
--- a/milletsill/flows/decide.py
+++ b/milletsill/flows/decide.py
@@ -123,11 +123,19 @@
 # --- Templates.
 
 
-def templates_due(over_udp: bool, told: bool, now: int, told_at: int, messages: int, every: int, every_messages: int) -> bool:
-    """Whether templates go before the next record: once on each connection, on UDP again by time and by count."""
-    if not told:
+FIRST_AGAIN, SLOWER = SECOND, 4
+
+
+def templates_due(over_udp: bool, times: int, now: int, told_at: int, messages: int, every: int, every_messages: int) -> bool:
+    """Whether templates go before the next record: once on each connection; on UDP again by time and by count.
+
+    `times` they were told on this stream. The first few are soon told again: a datagram lost at the start would leave the
+    collector blind for as long as `every`.
+    """
+    if not times:
         return True
-    return over_udp and (now - told_at >= every or messages >= every_messages)
+    soon = min(FIRST_AGAIN * SLOWER ** min(times - 1, 20), every)
+    return over_udp and (now - told_at >= soon or messages >= every_messages)
 
 
 # --- Collectors.
@@ -158,16 +166,22 @@
     return int(min(FIRST_WAIT * 2 ** min(failures, 20), MOST_WAIT) * chance(0.5, 1.0))
 
 
-def receivers(states: Sequence[Post], copies: bool, chosen: int) -> list[int]:
+PROVEN = 30 * SECOND  # a collector that was away or stuck is doubted until it has been up for so long
+
+
+def receivers(states: Sequence[Post], doubted: Sequence[bool], copies: bool, chosen: int) -> list[int]:
     """The places of the collectors that get the next record, in the operator's order.
 
-    Copies: all of them, up or not (their queues hold what fits). Failover: the first that is up; while none is, the one
-    chosen last goes on gathering, so that what is kept lies in one queue and in order.
+    Copies: all of them, up or not (their queues hold what fits). Failover: the first that is up and not doubted, else the
+    first that is up; while none is, the one chosen last goes on gathering, so that what is kept lies in one queue and
+    in order. Doubt guards against one that accepts and never reads: it is up again after each cut, and would eat what
+    its socket holds each time.
     """
     if copies:
         return list(range(len(states)))
     up = [place for place, each in enumerate(states) if each is Post.UP]
-    return [up[0] if up else chosen] if states else []
+    sure = [place for place in up if not doubted[place]]
+    return [(sure or up or [chosen])[0]] if states else []
 
 
 @dataclass(slots=True)
--- a/milletsill/flows/exporter.py
+++ b/milletsill/flows/exporter.py
@@ -14,7 +14,7 @@
 from twisted.internet.protocol import DatagramProtocol, Factory, Protocol
 
 from milletsill.flows import ipfix, netflow9
-from milletsill.flows.decide import (SECOND, STUCK_FOR, Account, Kind, Level, Metering, Post, Tally, Word, back_off, post,
+from milletsill.flows.decide import (PROVEN, SECOND, STUCK_FOR, Account, Kind, Level, Metering, Post, Tally, Word, back_off, post,
                                      receivers, shed, templates_due)
 from milletsill.flows.elements import ELEMENTS, OURS, RELIABILITY, SELECTION, TEMPLATES, TYPE_INFO
 from milletsill.flows.ipfix import Record
@@ -67,7 +67,8 @@
         self.failures, self.due_at, self.stuck_at = 0, 0, 0
         self.queues = {kind: deque[Out]() for kind in Kind}
         self.account, self.sequence = Account(), 0
-        self.told, self.told_at, self.since_told = False, 0, 0
+        self.told, self.told_at, self.since_told = 0, 0, 0  # how often templates were told on this stream; when; messages since
+        self.up_at = 0
         host, _, port = given.address.rpartition(":")
         self.host, self.port = host, int(port)
         self.stream_began = 0
@@ -102,7 +103,7 @@
         if effect == "connect":
             self.connect()
         elif effect == "begin":
-            self.failures, self.told = 0, False
+            self.told, self.up_at = 0, now
             if not self.udp:
                 self.sequence, self.stream_began = 0, now  # RFC 7011: a connection is a stream of its own
             self.exporter.remark("collector_up", address=self.given.address)
@@ -130,6 +131,8 @@
         """Time has passed."""
         if self.state is Post.AWAY and now >= self.due_at:
             self.word(Word.DUE)
+        elif self.state is Post.UP and self.failures and now - self.up_at >= PROVEN:
+            self.failures = 0
         elif self.state is Post.STUCK and now - self.stuck_at >= STUCK_FOR:
             self.word(Word.OVERDUE)
 
@@ -163,7 +166,7 @@
 
     def send_templates(self, now: int) -> None:
         """All templates and what RFC 5610 tells of our elements, in messages of their own."""
-        self.told, self.told_at, self.since_told = True, now, 0
+        self.told, self.told_at, self.since_told = self.told + 1, now, 0
         wanted = [each for each in TEMPLATES if self.codec is ipfix or not each.scope]
         rows = list(self.encoder.template_sets(wanted))
         if self.codec is ipfix:
@@ -248,7 +251,8 @@
 
     def put(self, out: Out) -> None:
         """A record that left the cache, to whom it goes."""
-        places = receivers([each.state for each in self.senders], self.file.copies, self.chosen)
+        places = receivers([each.state for each in self.senders], [each.failures > 0 for each in self.senders],
+                           self.file.copies, self.chosen)
         for place in places:
             self.senders[place].offer(out)
         if places and not self.file.copies and places[0] != self.chosen:
--- a/milletsill/lab/box.py
+++ b/milletsill/lab/box.py
@@ -33,7 +33,7 @@
         self.chance, self.recorder = Random(seed), recorder
         self.speed, self.report_late = Speed(), 0.0
         self.connections: set[Gate] = set()
-        self.counted = 0
+        self.counted = self.answered = 0
         self.silent = self.draining = self.down = False
         self.port: Any = None
         self.call: Any = None
@@ -225,6 +225,7 @@
     def answer(self, id: int, verdict: Verdict, order: Order) -> None:
         if self.box.silent:
             return
+        self.box.answered += 1
         told = Verdict(verdict.verdict, verdict.text, self.box.report(), verdict.used, verdict.elsewhere,
                        verdict.answer)
         self.send(extensions.put_verdict(id, told))
