--- a/milletsill/cli/main.py
+++ b/milletsill/cli/main.py
@@ -60,7 +60,9 @@
               help="What decides; several are played one after another. Baselines stand in only here.")
 @click.option("--per-process", default=1, show_default=True, type=click.IntRange(1, 400), help="Edges of one process.")
 @click.option("--seed", type=int, help="In place of the scenario's.")
-def lab_run(scenario: str, out: str, modules: tuple[str, ...], per_process: int, seed: int | None) -> None:
+@click.option("--flows", default="off", show_default=True, type=click.Choice(["off", "on", "away", "stuck"]),
+              help="Flow export: none, to a collector, to nobody, to one that never reads.")
+def lab_run(scenario: str, out: str, modules: tuple[str, ...], per_process: int, seed: int | None, flows: str) -> None:
     """Play SCENARIO and audit what crossed the sockets. Exit status 1 where a rule was broken by the module."""
     from milletsill.lab.run import Run, broken, report
     day = taken(scenario, Scenario, check_scenario)
@@ -71,7 +73,7 @@
         name = "" if module == "bd-edf" else module
         try:
             result = Run(day, os.path.join(out, module) if len(modules) > 1 else out, name, per_process,
-                         lambda text: click.echo(text, err=True)).play()
+                         lambda text: click.echo(text, err=True), flows).play()
         except (RuntimeError, OSError) as error:
             click.echo(f"milletsill: {error}", err=True)
             sys.exit(1)
@@ -129,8 +131,10 @@
 @click.option("--listen", default="127.0.0.1:4739", show_default=True, help="host:port for UDP and TCP alike.")
 @click.option("--seconds", type=click.FloatRange(0.1, 86_400), help="End by itself after so long.")
 @click.option("--within", multiple=True, help="Only flows with an end in this prefix; may be given again.")
+@click.option("--quiet", is_flag=True, help="No line for each record, what it came to alone.")
 @click.option("--table", "as_table", is_flag=True, help="A table at the end in place of a line for each record.")
-def flows_collect(listen: str, seconds: float | None, within: tuple[str, ...], as_table: bool) -> None:
+def flows_collect(listen: str, seconds: float | None, within: tuple[str, ...], quiet: bool,
+                  as_table: bool) -> None:
     """Hear IPFIX and NetFlow 9, decode strictly, print JSON lines; at the end what it came to."""
     import signal
 
@@ -138,7 +142,7 @@
     from twisted.internet.error import CannotListenError
 
     from milletsill.flows.collect import Collector, Ear, Lines, table
-    collector = Collector((lambda row: None) if as_table else lambda row: click.echo(json.dumps(row)),
+    collector = Collector((lambda row: None) if as_table or quiet else lambda row: click.echo(json.dumps(row)),
                           lambda text: click.echo(text, err=True), prefixes(within))
     host, _, port = listen.rpartition(":")
     if not host or not port.isdecimal() or int(port) > 65_535:
--- a/milletsill/flows/collect.py
+++ b/milletsill/flows/collect.py
@@ -63,7 +63,7 @@
         self.boxes: Counter[str] = Counter()
         self.outcomes: Counter[str] = Counter()
         self.options: OrderedDict[Any, dict[str, Any]] = OrderedDict()
-        self.messages = self.records = self.unknown = self.malformed = self.templates = 0
+        self.messages = self.records = self.unknown = self.malformed = self.templates = self.bytes = 0
 
     def datagram(self, data: bytes, source: Any) -> None:
         """One datagram from an address."""
@@ -87,6 +87,7 @@
             self.malformed += 1
             return self.complain(f"{source}: {error}")
         self.messages += 1
+        self.bytes += len(data)
         self.unknown += made.unknown
         self.templates += made.templates
         if version == ipfix.VERSION:
@@ -141,7 +142,7 @@
         return sum(each.missing for each in self.gaps)
 
     def summary(self) -> dict[str, Any]:
-        return {"messages": self.messages, "records": self.records, "templates": self.templates,
+        return {"messages": self.messages, "bytes": self.bytes, "records": self.records, "templates": self.templates,
                 "unknown_sets": self.unknown, "malformed": self.malformed, "missing": self.missing,
                 "doubled": sum(each.again for each in self.gaps), "sums": dict(self.sums),
                 "stores": dict(self.stores.most_common(20)), "boxes": dict(self.boxes.most_common(20)),
--- a/milletsill/lab/__main__.py
+++ b/milletsill/lab/__main__.py
@@ -12,6 +12,21 @@
 from milletsill.settings.milletsill_pb2 import GatewayFile, Scenario
 
 
+def deaf(port: int) -> None:
+    """Accepts connections and never reads, for an hour at most."""
+    import socket
+    import time
+    held = []
+    with socket.create_server(("127.0.0.1", port), backlog=512) as server:
+        server.settimeout(1)
+        ends = time.monotonic() + 3600
+        while time.monotonic() < ends:
+            try:
+                held.append(server.accept()[0])
+            except TimeoutError:
+                pass
+
+
 def main(what: str, *values: str) -> None:
     """Play one part until it ends."""
     gc.freeze()
@@ -19,6 +34,8 @@
         from milletsill.edge.process import run
         from milletsill.lab.baselines import MODULES
         sys.exit(run([load(each, GatewayFile, check_gateway) for each in values[1:]], values[1:], MODULES[values[0]]))
+    if what == "deaf":
+        return deaf(int(values[0]))
     out, start, rest = values
     scenario = load(f"{out}/scenario.textproto", Scenario, check_scenario)
     if what == "stand":
--- a/milletsill/lab/run.py
+++ b/milletsill/lab/run.py
@@ -71,7 +71,8 @@
     """One play of a scenario; `module` names a baseline, '' the module itself."""
 
     def __init__(self, scenario: Scenario, out: str, module: str = "", per_process: int = 1,
-                 say: Callable[[str], None] = lambda text: None) -> None:
+                 say: Callable[[str], None] = lambda text: None, flows: str = "off") -> None:
+        self.flows, self.flow_port = flows, 0
         self.scenario, self.out, self.module, self.say = scenario, os.path.abspath(out), module, say
         self.chance = Random(scenario.seed + 3)
         self.processes: list[subprocess.Popen[bytes]] = []
@@ -96,6 +97,10 @@
             file.CopyFrom(self.scenario.gateway)
             file.name, file.listen, file.gateways = name, f"127.0.0.1:{ports[1 + number]}", len(self.names)
             file.registry.address = f"127.0.0.1:{ports[0]}"
+            if self.flows != "off":
+                file.flows.SetInParent()
+                file.flows.collector.add(address=f"127.0.0.1:{self.flow_port}")
+                file.flows.idle_s = min(file.flows.idle_s, 5.0)
             file.state_dir, file.seed = f"{self.out}/{name}.state", self.scenario.seed * 1000 + number
             with open(f"{self.out}/{name}.textproto", "w", encoding="utf-8") as sink:
                 sink.write(text_format.MessageToString(file))
@@ -124,13 +129,14 @@
                     each.wait()
 
     def played(self) -> dict[str, Any]:
-        ports = free_ports(1 + len(self.names))
+        *ports, self.flow_port = free_ports(2 + len(self.names))
         self.write_files(ports)
         begin = time.monotonic()
         start = begin + LEAD + 0.15 * len(self.groups) + 0.02 * len(self.names) + 2
         lab = [sys.executable, "-m", "milletsill.lab"]
         stand = self.spawn(lab + ["stand", self.out, str(start), str(ports[0])], "stand")
         self.wait_for(ports[0], "the stand-ins")
+        collector = self.start_collector()
         for each in self.groups:
             each.start()
         for number, name in enumerate(self.names):
@@ -148,9 +154,32 @@
             while self.actions and self.actions[0][0] <= now:
                 self.actions.pop(0)[1]()
             time.sleep(0.01)
-        return self.finish(load, stand)
-
-    def finish(self, load: Any, stand: Any) -> dict[str, Any]:
+        return self.finish(load, stand, collector)
+
+    def start_collector(self) -> Any:
+        """What flow export meets: a collector, one that never reads, or none."""
+        address = f"127.0.0.1:{self.flow_port}"
+        if self.flows == "on":
+            return self.spawn([sys.executable, "-m", "milletsill", "flows", "collect", "--quiet", "--listen", address],
+                              "collector")
+        if self.flows == "stuck":
+            return self.spawn([sys.executable, "-m", "milletsill.lab", "deaf", str(self.flow_port)], "collector")
+        return None
+
+    def heard(self, collector: Any, evidence: Any) -> dict[str, Any]:
+        """What the collector counted beside what boxes and clients recorded."""
+        if self.flows != "on":
+            return {}
+        collector.send_signal(signal.SIGTERM)
+        collector.wait(30)
+        told = json.loads(Path(f"{self.out}/collector.log").read_text(encoding="utf-8").splitlines()[-1])
+        sums = told["sums"]
+        return {"commands": (sums.get("client commandDeltaCount", 0), len(evidence.commands)),
+                "dispatches": (sums.get("box dispatchDeltaCount", 0), len(evidence.dispatches)),
+                "missing": told["missing"], "malformed": told["malformed"], "unknown": told["unknown_sets"],
+                "bytes": told["bytes"], "traffic": sum(count for name, count in sums.items() if "ctet" in name)}
+
+    def finish(self, load: Any, stand: Any, collector: Any = None) -> dict[str, Any]:
         """End the edges as an operator would, then the rest; audit."""
         exits = []
         for each in self.groups:
@@ -171,6 +200,7 @@
             json.dump(self.stops, sink)
         evidence = gather(self.out, len(glob.glob(f"{self.out}/box-*.rec")))
         breaches = audit(evidence, self.scenario)
+        result["flows"] = self.heard(collector, evidence)
         result.update(exits=exits, faults=[os.path.basename(each) for each in sorted(glob.glob(f"{self.out}/*.log"))
                                            if b"Traceback" in Path(each).read_bytes()], breaches=breaches, commands=len(evidence.commands),
                       dispatches=len(evidence.dispatches), module=self.module or "BD-EDF")
@@ -236,6 +266,8 @@
                  f"dispatches, {result['unended']} without an end; the lab itself was at most "
                  f"{result['worst_lag_ms']:.0f} ms late{LATE if result['worst_lag_ms'] > MOST_LATE else ''}")
     lines.append("counts: " + ", ".join(f"{name} {count}" for name, count in sorted(result["counts"].items())))
+    if result["flows"]:
+        lines.append("flow export, counted against recorded: " + ", ".join(f"{k} {v}" for k, v in result["flows"].items()))
     lines.append(f"edges ended with {result['exits']}; faults in the logs of {result['faults'] or 'none'}")
     for rule, found in result["breaches"].items():
         lines.append(f"rule {rule}, {RULES[rule]}: {'kept' if not found else f'{len(found)} BREACHES'}")
