--- a/milletsill/edge/decide.py
+++ b/milletsill/edge/decide.py
@@ -72,7 +72,7 @@
     """The operator's map from commands to transfers; built once, pure afterwards."""
 
     def __init__(self, volumes: Sequence[VolumePlace], routes: Sequence[RouteRule], unit_bytes: int,
-                 largest_units: int, extent_bytes: int, meta_units: float = 0.1) -> None:
+                 largest_units: int, extent_bytes: int, meta_units: float = 0.5) -> None:
         self.roots = {each.root: each for each in volumes}
         self.routes, self.unit_bytes = tuple(routes), unit_bytes
         self.largest, self.extent_bytes, self.meta_units = largest_units, extent_bytes, meta_units
--- a/milletsill/lab/day.py
+++ b/milletsill/lab/day.py
@@ -1,11 +1,12 @@
 """A day that the bench drew as a scenario: sizes kept, or cut down with the traffic in proportion.
 
 Carried over: boxes with their speeds, queues, cold starts and pauses; categories, plans, volumes with their cells and
-gateways; the rates; clients' habits; the list's delays; troubles. Not carried over, since the bench knows more than a
-day file says: surges of single volumes (drawn from its seed), noise of one attempt, correlated arrivals.
+gateways; the rates; clients' habits; the list's delays; troubles. A day file says which volumes surge, how far and for how
+long, not when: that is drawn here. Not carried over: noise of one attempt, correlated arrivals, pauses that grow.
 """
 from __future__ import annotations
 
+from random import Random
 from typing import Any
 
 from milletsill.settings.decide import TROUBLES
@@ -14,6 +15,7 @@
 MICRO = 1_000_000
 REPEATS = {"safe": "rerunnable", "keyed": "ticketed", "unsafe": "exclusive"}
 REPORTS = {"inflight": "inflight", "queue": "queue", "util": "busy", "latency_ms": "service_ms"}
+SURGE_EVERY = 30.0  # seconds, as the bench's page has it
 OF_BOXES = ("vanish", "slow", "pauses", "neighbour")
 
 
@@ -102,9 +104,22 @@
         cells = sorted({node % count for node in each["nodes"]})
         made.gateway.volume.add(name=f"v{number}", root=f"/v{number}", plan=names[each["plan"]], cell=cells,
                                 gateways=max(min(each["hosts"], made.edges), 1))
+        made.volume_base.append(each["base"])
+        fill_surges(made, number, each)
     made.files = 8
 
 
+def fill_surges(made: Any, number: int, volume: Any) -> None:
+    """A volume's surges, about one in SURGE_EVERY seconds."""
+    if volume["high"] <= 0:
+        return
+    chance = Random(made.seed * 1000 + number)
+    at = chance.uniform(0, SURGE_EVERY) - volume["len"] / 2
+    while at < made.seconds:
+        made.surge.add(on=[number], at_s=max(at, 0.0), for_s=volume["len"] + min(at, 0.0), times=volume["high"])
+        at += SURGE_EVERY * chance.uniform(0.7, 1.3) + volume["len"] / 2
+
+
 def fill_boxes(made: Any, day: Any, count: int) -> None:
     tier, fam = day["tiers"][0], day["fam"]
     for number, server in enumerate(day["servers"][:count]):
@@ -117,7 +132,7 @@
             remembers=int(fam["remembers"]), seek=fam["seek"], defer=fam["defer"], flush_s=fam["flush"] / MICRO,
             cancel=kind["cancel"], drops_expired=kind["drops_expired"], error_rate=kind["error_rate"],
             ticket_s=max(each["window"] for each in day["classes"]) / MICRO,
-            most_connections=int(tier["conn_cap_per_core"] * kind["cores"]))
+            thrash=kind["thrash"], knee=kind["knee"], most_connections=int(tier["conn_cap_per_core"] * kind["cores"]))
         made.box.add(kind=f"k{number}", zone=server["zone"])
 
 
--- a/milletsill/lab/engine.py
+++ b/milletsill/lab/engine.py
@@ -58,8 +58,10 @@
 
     def capacity(self, now: float) -> float:
         """Seconds of work a second."""
-        kind = self.kind
-        return kind.cores * kind.speed * (1 - self.speed.taken) / self.speed.slow * self.warmth(now)
+        kind, held = self.kind, len(self.working) + len(self.queue)
+        over = min(max(held / kind.knee - 1, 0.0), 1.0) if kind.knee else 0.0
+        return kind.cores * kind.speed * (1 - self.speed.taken) * (1 - kind.thrash * over) / self.speed.slow * (
+            self.warmth(now))
 
     def take(self, now: float, work: float, units: float, extent: int, first: bool, write: bool, expires: float,
              what: Any) -> Job | None:
--- a/milletsill/lab/load.py
+++ b/milletsill/lab/load.py
@@ -7,6 +7,7 @@
 import json
 import time
 from collections import OrderedDict
+from itertools import accumulate
 from random import Random
 from typing import Any, Callable
 
@@ -24,7 +25,7 @@
 from milletsill.lab.service import Claim, Done, reckon
 
 BLOCK = Random(11).randbytes(1 << 17) * 3
-MOST_HANDLES, AGAIN, LATE = 200, 0.25, 0.05  # of a connection; seconds until a lost one is dialled again
+MOST_HANDLES, AGAIN, WEIGHED_FOR = 200, 0.25, 0.1  # of a connection; seconds until a lost one is dialled again
 PATTERN = (1 << 17) - 1
 
 
@@ -230,6 +231,8 @@
         self.histograms = {name: HdrHistogram(1, 60_000_000, 3) for name in self.categories}
         self.worst: dict[int, list[float]] = {}
         self.done: list[Done] = []
+        self.shares: dict[str, tuple[float, list[float]]] = {}
+        self.weighed_until = 0.0
         self.lag = 0.0
         self.new_files: list[tuple[Any, str, int]] = []
         self.edges = [EdgeDoor(self, name, address, scenario.clients.connections) for name, address in edges]
@@ -246,7 +249,8 @@
         for volume in self.volumes:
             hosts = min(volume.gateways or count, count)
             self.ways.append(chance.sample(range(count), hosts))
-            self.weights.append(self.plans[volume.plan].usual_rate)
+            base = list(self.scenario.volume_base)[len(self.weights):len(self.weights) + 1] or [1.0]
+            self.weights.append(self.plans[volume.plan].usual_rate * base[0])
         self.leads = [chance.randrange(len(way)) for way in self.ways]
         self.shift_soon()
 
@@ -293,15 +297,29 @@
         hurried += [each.size * category.target_ms for each in self.troubles("give_up") if each.plan in ("", plan)]
         return min(hurried + [category.patience_ms * self.scenario.clients.try_share]) / 1000
 
-    def times(self, plan: str) -> float:
-        at, by = self.now() - self.start_at, 1.0
+    def times(self, number: int) -> float:
+        """What a volume asks for now, in multiples of its usual rate."""
+        at, by, plan = self.now() - self.start_at, 1.0, self.volumes[number].plan
         for each in self.troubles("burst", "tenant_burst"):
             by *= each.size if each.what == "burst" or each.plan in ("", plan) else 1.0
         for each in self.scenario.surge:
-            if each.at_s <= at < each.at_s + each.for_s and each.plan in ("", plan) and not each.volumes:
+            if each.at_s <= at < each.at_s + each.for_s and each.plan in ("", plan) and not each.volumes and (
+                    not each.on or number in each.on):
                 by *= each.times
         return by
 
+    def weigh(self) -> None:
+        """What volumes ask for now, by the plan of a row; reckoned a few times a second."""
+        now = self.now()
+        if now < self.weighed_until:
+            return
+        self.weighed_until = now + WEIGHED_FOR
+        asked = [weight * self.times(number) for number, weight in enumerate(self.weights)]
+        for plan in {row.plan for row in self.scenario.traffic}:
+            usual = [w if plan in ("", v.plan) else 0.0 for v, w in zip(self.volumes, self.weights)]
+            there = [w if plan in ("", v.plan) else 0.0 for v, w in zip(self.volumes, asked)]
+            self.shares[plan] = (sum(there) / (sum(usual) or 1.0), list(accumulate(there)))
+
     def hot(self) -> tuple[float, list[int]]:
         """Extra traffic as a share of all, and the volumes that ask for it."""
         found = self.troubles("hot_key", "scan")
@@ -325,11 +343,12 @@
         span = min(now, ended) - max(self.tick_at, self.start_at)
         self.tick_at = now
         if span > 0:
+            self.weigh()
+            share, few = self.hot()
             for place, row in enumerate(self.scenario.traffic):
-                mean = sum(row.per_s * share * self.times(plan) for plan, share in self.shares(row)) * span
-                share, few = self.hot()
-                self.arrive(place, row, mean, None)
-                self.arrive(place, row, row.per_s * span * share, few)
+                self.arrive(place, row, row.per_s * self.shares[row.plan][0] * span, None)
+                if share:
+                    self.arrive(place, row, row.per_s * span * share, few)
         if now < ended:
             self.reactor.callLater(0.004, self.run)
         elif self.live and now < ended + self.scenario.tail_s:
@@ -337,13 +356,6 @@
         else:
             self.finish()
 
-    def shares(self, row: Any) -> list[tuple[str, float]]:
-        """The plans' shares of a row's traffic, by their usual rates and volumes."""
-        plans = [row.plan] if row.plan else list(self.plans)
-        weight = {plan: sum(w for v, w in zip(self.volumes, self.weights) if v.plan == plan) for plan in plans}
-        whole = sum(weight.values()) or 1.0
-        return [(plan, weight[plan] / whole) for plan in plans]
-
     def arrive(self, place: int, row: Any, mean: float, few: list[int] | None) -> None:
         chance, gap = self.chance, 0.0
         while mean > 0 and (gap := gap + chance.expovariate(1 / max(row.run, 1))) < mean * max(row.run, 1):
@@ -392,9 +404,8 @@
             self.new_files.append((operation.volume, operation.path, operation.length))
 
     def draw(self, row: Any) -> int:
-        weights = [weight * self.times(volume.plan) if row.plan in ("", volume.plan) else 0.0
-                   for volume, weight in zip(self.volumes, self.weights)]
-        return self.chance.choices(range(len(weights)), weights)[0]
+        """A volume by what it asks for now."""
+        return self.chance.choices(range(len(self.volumes)), cum_weights=self.shares[row.plan][1])[0]
 
     def edge_of(self, volume: int) -> EdgeDoor:
         """One of its edges, its leading one more often."""
--- a/milletsill/settings/decide.py
+++ b/milletsill/settings/decide.py
@@ -287,6 +287,9 @@
         if each.operation not in TRAFFIC:
             report.add(("traffic", str(place), "operation"), f"operation {each.operation!r} is not one of "
                                                              f"{', '.join(TRAFFIC)}")
+    for place, each in enumerate(file.surge):
+        if any(number >= len(file.gateway.volume) for number in each.on):
+            report.add(("surge", str(place), "on"), f"a surge on one of {len(file.gateway.volume)} volumes that is none")
     for name, held in (("traffic", file.traffic), ("surge", file.surge), ("trouble", file.trouble)):
         for place, each in enumerate(held):
             if each.plan and each.plan not in plans:
--- a/tests/test_edge_decide.py
+++ b/tests/test_edge_decide.py
@@ -45,7 +45,7 @@
         self.assertEqual([atlas().units("read", each) for each in (0, 1, 4096, 4097, 1 << 30)], [1, 1, 1, 2, 8])
 
     def test_a_command_that_moves_no_data_is_a_part_of_a_unit(self):
-        self.assertEqual(atlas().units("look", 0), 0.1)
+        self.assertEqual(atlas().units("look", 0), 0.5)
 
 
 class Homes(unittest.TestCase):
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -51,12 +51,13 @@
     "fam": {"most_units": 8.0, "mean_units": 2.0, "worths": [1.0, 0.4, 0.1], "meter": 1_000_000, "unit_work": 20_000,
             "run": [1, 2], "seek": 0.5, "defer": 0.3, "flush": 1_000_000, "remembers": 1, "shift_s": 9, "skew": 1,
             "plans": [{"rate": 5, "reserve": 2, "weight": 1, "price": 1, "limit": 0, "limit_burst": 0, "slack": 0}],
-            "volumes": [{"nodes": [0, 5], "hosts": 3, "plan": 0}, {"nodes": [2], "hosts": 1, "plan": 0}]},
+            "volumes": [{"nodes": [0, 5], "hosts": 3, "plan": 0, "base": 1.2, "high": 9.0, "len": 5},
+                        {"nodes": [2], "hosts": 1, "plan": 0, "base": 0.8, "high": 0.0, "len": 0}]},
     "tiers": [{"stated_cold_from": 0.2, "stated_cold": 9_000_000, "report_how": "answers", "report_fields": ["queue"],
                "report_period": 1000, "report_delay": 100, "streams": 32, "connect_timeout": 250_000,
                "handshake_work": 500, "conn_cap_per_core": 100, "kinds": [
                    {"cores": 2, "slots": 8, "queue": 50, "cold_from": 0.2, "cold": 5_000_000, "pause_every": 5_000_000,
-                    "pause": 50_000, "cancel": "all", "drops_expired": False, "error_rate": 0.0}]}],
+                    "pause": 50_000, "cancel": "all", "drops_expired": False, "error_rate": 0.0, "thrash": 0.2, "knee": 9}]}],
     "allow": {"cancel": True, "second_copies": True, "max_attempts": 3},
     "classes": [{"name": "r", "share": 0.7, "work": 30_000, "cv": 0.5, "aim": 300_000, "deadline": 900_000, "worth": 2,
                  "late_worth": 0.2, "effect": "safe", "group": "all", "window": 5_000_000, "write": False},
@@ -182,6 +183,7 @@
             with open(path, "w", encoding="utf-8") as sink:
                 sink.write(made.output)
             self.assertEqual(self.run_it("check", "--scenario", path).exit_code, 0)
+        self.assertLessEqual({tuple(each.on) for each in scenario.surge}, {(0,)})
         self.assertEqual((scenario.edges, len(scenario.box), scenario.seconds, [each.what for each in scenario.trouble],
                           list(scenario.gateway.volume[0].cell)), (2, 3, 4.0, ["slow"], [0, 2]))
 
