--- /dev/null
+++ b/milletsill/trace/decide.py
@@ -0,0 +1,104 @@
+"""What tracing decides: what is shed when the hand-over is full, when blocks and files end, what a failing disk means,
+which files go, and how much of a broken file counts. No I/O and no clock; times are tenths of a millisecond.
+"""
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Mapping, Sequence
+
+SECOND = 10_000
+
+# --- What the writer does as the disk takes it or not.
+
+# OFF: nothing is written. ON: it is. AILING: the disk refused; tried again after a while.
+Tracing = Enum("Tracing", "OFF ON AILING")
+Word = Enum("Word", "START STOP FAILED RETRY WROTE")
+TRACING_TABLE: Mapping[tuple[Tracing, Word], tuple[Tracing, str]] = {
+    (Tracing.OFF, Word.START): (Tracing.ON, "open"),
+    (Tracing.ON, Word.STOP): (Tracing.OFF, "finish"),
+    (Tracing.AILING, Word.STOP): (Tracing.OFF, ""),
+    # Guards traffic and log against a full or failing disk, whatever fails: one line, records shed and counted, a new
+    # file when it recovers. Never the same file again: what it holds cannot be vouched for. Harm: a hole in the trace.
+    (Tracing.ON, Word.FAILED): (Tracing.AILING, "give_up"),
+    (Tracing.AILING, Word.RETRY): (Tracing.ON, "open"),
+}
+FIRST_RETRY, MOST_RETRY = SECOND, 300 * SECOND
+
+
+def step(tracing: Tracing, word: Word) -> tuple[Tracing, str]:
+    """The next state and what to do; what the table does not name changes nothing."""
+    return TRACING_TABLE.get((tracing, word), (tracing, ""))
+
+
+def retry_after(failures: int) -> int:
+    """How long an ailing disk is left alone."""
+    return min(FIRST_RETRY * 2 ** min(failures, 20), MOST_RETRY)
+
+
+# --- What a full hand-over sheds.
+
+# The least needed first: what can be told from the others, then what explains, then what decides. A replay needs all but the
+# first group; a summary needs arrivals, outcomes and answers.
+SHED_ORDER = (("wake", "settled", "remark"), ("woken", "listing", "listed", "watch", "cancelled"),
+              ("dispatch", "outcome"), ("arrival", "abandoned"), ("declined", "aborted", "satisfied", "plan", "gap"))
+RANK = {name: rank for rank, names in enumerate(SHED_ORDER) for name in names}
+SHARES = (0.5, 0.7, 0.85, 0.95, 1.0)  # of the hand-over's bound, past which a group is no longer taken
+
+
+def takes(name: str, held: int, most: int) -> bool:
+    """Whether a record is taken while so many wait for the writer. Groups are shut out one after another as it fills, so
+    that the last places are left for answers."""
+    return held < most * SHARES[RANK.get(name, 0)]
+
+
+@dataclass(slots=True)
+class Shed:
+    """What was shed of one kind since it was last told."""
+
+    count: int = 0
+    since: int = 0
+
+    def add(self, now: int) -> None:
+        if not self.count:
+            self.since = now
+        self.count += 1
+
+
+# --- When blocks and files end.
+
+MOST_ROWS, MOST_AGE = 16_384, 5 * SECOND
+
+
+def block_ends(rows: int, first: int, now: int) -> bool:
+    """A block is written when it is full, or old: what a kill loses is bounded by its age."""
+    return rows >= MOST_ROWS or rows > 0 and now - first >= MOST_AGE
+
+
+def file_ends(size: int, opened: int, now: int, most_bytes: int, most_age: int) -> bool:
+    return size >= most_bytes or now - opened >= most_age
+
+
+def to_delete(files: Sequence[tuple[str, int]], most_total: int) -> list[str]:
+    """The names that go, of (name, size) from oldest to newest: as many of the oldest as it takes; the newest, which is
+    being written, stays."""
+    total, gone = sum(size for _, size in files), []
+    for name, size in files[:-1]:
+        if total <= most_total:
+            break
+        gone.append(name)
+        total -= size
+    return gone
+
+
+# --- How much of a broken file counts.
+
+Verdict = Enum("Verdict", "WHOLE OPEN BROKEN")
+
+
+def judge(blocks_end: int, size: int, footer: bool, bad_after: bool) -> Verdict:
+    """What a file is: WHOLE with its footer; OPEN where its blocks reach its end without one (being written, or cut between
+    blocks); BROKEN where something follows that is no block."""
+    if footer:
+        return Verdict.WHOLE
+    return Verdict.OPEN if blocks_end == size and not bad_after else Verdict.BROKEN
--- /dev/null
+++ b/milletsill/trace/format.py
@@ -0,0 +1,217 @@
+"""The file, exact to the byte (docs/trace-format.md): header, blocks, footer. No files are opened here.
+
+    header   "MTRACE\\r\\n", u16 major, u16 minor, u32 size, u32 crc32, then JSON: who wrote, facts, seed, clock origin
+    block    "MBLK", u32 size, u32 raw size, u32 records, i64 first time, i64 last time, u32 crc32 of the body,
+             32 bytes filter of stores, u32 crc32 of this head, then the body: zstandard
+    footer   "MFTR", u32 size, u32 crc32, then zstandard: for each block u64 offset, u32 records, i64, i64, 32 bytes
+    trailer  u64 offset of the footer, "MEND"
+
+All little-endian. A body is columns: the records' kinds, their times, then for each kind and field u8 kind, u8 field and a
+column; what a reader does not know it skips. The footer is a help: blocks alone say all of it.
+"""
+from __future__ import annotations
+
+import json
+import zlib
+from dataclasses import dataclass
+from struct import Struct
+from typing import Any, Iterator, Sequence
+
+import xxhash
+import zstandard
+
+from milletsill.trace import columns
+from milletsill.trace.records import BY_NUMBER, STEP, PLAIN, STORE_FIELD, Kind
+
+MAGIC, BLOCK, FOOTER, END = b"MTRACE\r\n", b"MBLK", b"MFTR", b"MEND"
+MAJOR, MINOR = 1, 0
+HEAD, BLOCK_HEAD, FOOTER_HEAD, TRAILER = Struct("<8sHHII"), Struct("<4sIIIqqI32sI"), Struct("<4sII"), Struct("<Q4s")
+ENTRY = Struct("<QIqq32s")
+FIELD = Struct("<BB")
+LEVEL, FILTER_BITS, FILTER_HASHES = 6, 256, 3
+MOST_BODY, MOST_RAW, MOST_RECORDS, MOST_HEADER, MOST_FOOTER = 1 << 26, 1 << 27, 1 << 20, 1 << 24, 1 << 28
+
+
+class Malformed(Exception):
+    """Bytes that are no trace, or no longer one; one line."""
+
+
+Row = tuple[int, Kind, tuple[Any, ...]]  # time, kind, values of its fields
+
+
+@dataclass(frozen=True, slots=True)
+class BlockHead:
+    """What stands before a block's body. `offset` is of the head, `size` of the body."""
+
+    offset: int
+    size: int
+    raw: int
+    records: int
+    first: int
+    last: int
+    crc: int
+    stores: bytes
+
+    @property
+    def end(self) -> int:
+        return self.offset + BLOCK_HEAD.size + self.size
+
+
+def store_bits(store: str) -> list[int]:
+    """The bits that a store sets in a filter."""
+    data = store.encode("utf-8", "surrogateescape")
+    return [xxhash.xxh32_intdigest(data, seed=each) % FILTER_BITS for each in range(FILTER_HASHES)]
+
+
+def filter_of(stores: Sequence[str]) -> bytes:
+    """A filter of 256 bits, three for each store; all set where a block holds so many that it would say nothing."""
+    bits = 0
+    for store in set(stores):
+        for bit in store_bits(store):
+            bits |= 1 << bit
+    return bits.to_bytes(32, "little")
+
+
+def may_hold(stores: bytes, store: str) -> bool:
+    """Whether a block with this filter may hold records of the store."""
+    bits = int.from_bytes(stores, "little")
+    return all(bits >> bit & 1 for bit in store_bits(store))
+
+
+def put_header(about: dict[str, Any]) -> bytes:
+    body = json.dumps(about, sort_keys=True).encode()
+    return HEAD.pack(MAGIC, MAJOR, MINOR, len(body), zlib.crc32(body)) + body
+
+
+def get_header(data: bytes) -> tuple[dict[str, Any], int]:
+    """What the header says, and where it ends. `data` holds the file's beginning."""
+    if len(data) < HEAD.size:
+        raise Malformed("too short for a trace")
+    magic, major, minor, size, crc = HEAD.unpack_from(data)
+    if magic != MAGIC:
+        raise Malformed("not a trace")
+    if major != MAJOR:
+        raise Malformed(f"format {major}.{minor}, {MAJOR}.x is read")
+    body = data[HEAD.size:HEAD.size + size]
+    if size > MOST_HEADER or len(body) < size or zlib.crc32(body) != crc:
+        raise Malformed("the header is cut or damaged")
+    try:
+        about = json.loads(body)
+    except (ValueError, RecursionError):
+        raise Malformed("the header is not JSON") from None
+    if not isinstance(about, dict):
+        raise Malformed("the header is not a JSON object")
+    return {**about, "minor": minor}, HEAD.size + size
+
+
+def header_size(start: bytes) -> int:
+    """How many bytes of a file its header takes, from the first HEAD.size of them."""
+    if len(start) < HEAD.size:
+        raise Malformed("too short for a trace")
+    size = HEAD.unpack_from(start)[3]
+    if size > MOST_HEADER:
+        raise Malformed(f"a header of {size} bytes")
+    return HEAD.size + size
+
+
+def put_block(rows: Sequence[Row]) -> bytes:
+    """A block of these records, in their order."""
+    parts = [columns.put([kind.number for _, kind, _ in rows], PLAIN), columns.put([at for at, _, _ in rows], STEP)]
+    by_kind: dict[int, list[tuple[Any, ...]]] = {}
+    for _, kind, values in rows:
+        by_kind.setdefault(kind.number, []).append(values)
+    stores: Sequence[str] = ()
+    for number, held in sorted(by_kind.items()):
+        kind = BY_NUMBER[number]
+        for place, ((name, coding), column) in enumerate(zip(kind.fields, zip(*held)), 1):
+            parts.append(FIELD.pack(number, place) + columns.put(column, coding))
+            if (kind.name, name) == STORE_FIELD:
+                stores = column
+    raw = b"".join(parts)
+    body = zstandard.ZstdCompressor(level=LEVEL).compress(raw)
+    times = [at for at, _, _ in rows]
+    head = BLOCK_HEAD.pack(BLOCK, len(body), len(raw), len(rows), min(times), max(times), zlib.crc32(body),
+                           filter_of(stores), 0)
+    return head[:-4] + zlib.crc32(head[:-4]).to_bytes(4, "little") + body
+
+
+def get_head(data: bytes, offset: int) -> BlockHead:
+    """The head of the block whose bytes begin `data`."""
+    if len(data) < BLOCK_HEAD.size:
+        raise Malformed("a block's head is cut short")
+    magic, size, raw, records, first, last, crc, stores, own = BLOCK_HEAD.unpack_from(data)
+    if magic != BLOCK or zlib.crc32(data[:BLOCK_HEAD.size - 4]) != own:
+        raise Malformed("no block here, or its head is damaged")
+    if size > MOST_BODY or raw > MOST_RAW or not 0 < records <= MOST_RECORDS:
+        raise Malformed(f"a block of {size} bytes and {records} records")
+    return BlockHead(offset, size, raw, records, first, last, crc, stores)
+
+
+def unpack(body: bytes, most: int, what: str) -> bytes:
+    """Unpacked bytes, at most so many: a body that claims or yields more is refused before memory is taken."""
+    try:
+        if zstandard.frame_content_size(body) > most:
+            raise Malformed(f"{what} unpacks to more than {most} bytes")
+        return zstandard.ZstdDecompressor().decompress(body, max_output_size=most)
+    except zstandard.ZstdError as error:
+        raise Malformed(f"{what} cannot be unpacked: {error}") from None
+
+
+def get_rows(head: BlockHead, body: bytes) -> list[Row]:
+    """The records of a block, those of unknown kinds left out; `Malformed` where the body is not what the head says."""
+    if len(body) != head.size or zlib.crc32(body) != head.crc:
+        raise Malformed("a block is cut or damaged")
+    raw = unpack(body, head.raw, "a block")
+    if len(raw) != head.raw:
+        raise Malformed("a block unpacks to another size")
+    try:
+        return list(rows_of(raw, head.records))
+    except columns.Malformed as error:
+        raise Malformed(f"in a block: {error}") from None
+
+
+def rows_of(raw: bytes, records: int) -> Iterator[Row]:
+    kinds, at = columns.get(raw, 0)
+    times, at = columns.get(raw, at)
+    if len(kinds) != records or len(times) != records:
+        raise columns.Malformed(f"{len(kinds)} kinds and {len(times)} times of {records} records")
+    held: dict[int, dict[int, list[object]]] = {}
+    while at < len(raw):
+        if len(raw) - at < FIELD.size:
+            raise columns.Malformed("bytes left over")
+        number, place = FIELD.unpack_from(raw, at)
+        held.setdefault(number, {})[place], at = columns.get(raw, at + FIELD.size)
+    counts = {number: kinds.count(number) for number in set(kinds)}
+    walks: dict[object, Iterator[tuple[Any, ...]]] = {}
+    for number, count in counts.items():
+        kind = BY_NUMBER.get(number)  # type: ignore[call-overload]
+        if kind is None:
+            continue
+        fields = [held.get(kind.number, {}).get(place) for place in range(1, len(kind.fields) + 1)]
+        if any(each is None or len(each) != count for each in fields):
+            raise columns.Malformed(f"fields of {kind.name} are missing or of another length")
+        walks[number] = zip(*fields) if fields else iter([()] * count)  # type: ignore[arg-type]
+    for number, time in zip(kinds, times):
+        if number in walks:
+            yield time, BY_NUMBER[number], next(walks[number])  # type: ignore[misc,index]
+
+
+def put_footer(heads: Sequence[BlockHead], offset: int) -> bytes:
+    """The index and the trailer, to stand at `offset`."""
+    raw = b"".join(ENTRY.pack(each.offset, each.records, each.first, each.last, each.stores) for each in heads)
+    body = zstandard.ZstdCompressor(level=LEVEL).compress(raw)
+    return FOOTER_HEAD.pack(FOOTER, len(body), zlib.crc32(body)) + body + TRAILER.pack(offset, END)
+
+
+def get_footer(data: bytes) -> list[tuple[int, int, int, int, bytes]]:
+    """The index from a footer's bytes, the trailer left out: offset, records, first, last, filter."""
+    if len(data) < FOOTER_HEAD.size:
+        raise Malformed("the footer is cut short")
+    magic, size, crc = FOOTER_HEAD.unpack_from(data)
+    body = data[FOOTER_HEAD.size:FOOTER_HEAD.size + size]
+    if magic != FOOTER or len(body) != size or zlib.crc32(body) != crc:
+        raise Malformed("the footer is cut or damaged")
+    raw = unpack(body, MOST_FOOTER, "the footer")
+    if len(raw) % ENTRY.size:
+        raise Malformed("the footer is no list of blocks")
+    return list(ENTRY.iter_unpack(raw))
--- /dev/null
+++ b/tests/test_trace.py
@@ -0,0 +1,291 @@
+"""Traces: round trips, every cut of a small file, flipped bits, hostile files, a failing disk, shedding."""
+import os
+import tempfile
+import unittest
+
+import zstandard
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from milletsill.trace import columns, format
+from milletsill.trace.decide import (MOST_AGE, MOST_ROWS, Tracing, Verdict, Word, block_ends, file_ends, judge, retry_after,
+                                     step, takes, to_delete)
+from milletsill.trace.format import BLOCK_HEAD, Malformed
+from milletsill.trace.reader import Trace, repair, verify
+from milletsill.trace.records import BY_NAME, FLOAT, KINDS, TEXT
+from milletsill.trace.writer import Writer
+
+INTS = st.integers(-(1 << 63), (1 << 63) - 1)
+
+
+def rows(count=60, start=0, store="s"):
+    made = []
+    for each in range(count):
+        at = start + each * 7
+        made += [(at, BY_NAME["arrival"], (each, (1 << 63) + each, 1, f"{store}{each % 3}", 2, 0, 0, 0, 1, -1, 2.5, at + 15_000,
+                                           f"/v/{each}\udcff")),
+                 (at, BY_NAME["settled"], ()), (at + 3, BY_NAME["satisfied"], (each, 3))]
+    return made
+
+
+def whole(*blocks):
+    """A file's bytes, and where its blocks end."""
+    data, heads, ends = format.put_header({"name": "g", "seed": 5}), [], []
+    for each in blocks:
+        block = format.put_block(each)
+        heads.append(format.get_head(block, len(data)))
+        data += block
+        ends.append(len(data))
+    return data + format.put_footer(heads, len(data)), ends
+
+
+class Files(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = folder.name
+
+    def file(self, data, name="t.mtrace"):
+        path = os.path.join(self.folder, name)
+        with open(path, "wb") as sink:
+            sink.write(data)
+        return path
+
+    def read(self, data, **given_range):
+        with Trace(self.file(data)) as trace:
+            return list(trace.rows(**given_range)), trace.map
+
+
+class Columns(unittest.TestCase):
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(st.lists(INTS), st.sampled_from((1, 2)))
+    def test_numbers_come_back(self, values, coding):
+        data = columns.put(values, coding)
+        self.assertEqual(columns.get(data, 0), (values, len(data)))
+
+    def test_numbers_past_the_signed_range_come_back(self):
+        values = [(1 << 64) - 1, 0, 1 << 63]
+        self.assertEqual(columns.get(columns.put(values, 2), 0)[0], values)
+
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(st.lists(st.text(st.characters(codec="utf-8"), max_size=50)))
+    def test_texts_come_back(self, values):
+        self.assertEqual(columns.get(columns.put(values, TEXT), 0)[0], values)
+
+    def test_floats_come_back_bit_for_bit(self):
+        values = [0.1, -0.0, 1e308, 5e-324]
+        self.assertEqual([each.hex() for each in columns.get(columns.put(values, FLOAT), 0)[0]], [v.hex() for v in values])
+
+    def test_neighbours_cost_a_byte(self):
+        self.assertLess(len(columns.put(list(range(10**9, 10**9 + 1000)), 1)), 1100)
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(st.binary(max_size=80))
+    def test_any_bytes_are_a_column_or_refused(self, data):
+        try:
+            columns.get(data, 0)
+        except columns.Malformed as error:
+            self.assertNotIn("\n", str(error))
+
+
+class Reading(Files):
+    def test_a_whole_file_comes_back_and_tells_who_wrote_it(self):
+        one, two = rows(), rows(40, 10_000)
+        found, known = self.read(whole(one, two)[0])
+        self.assertEqual((found, known.about["seed"], known.verdict, known.breaks), (one + two, 5, Verdict.WHOLE, []))
+
+    def test_every_kind_of_record_comes_back(self):
+        held = [(each, kind, tuple({1: 5, 2: -7, 3: 0.5, 4: "x"}[coding] for _, coding in kind.fields))
+                for each, kind in enumerate(KINDS)]
+        self.assertEqual(self.read(whole(held)[0])[0], held)
+
+    def test_a_file_cut_at_every_byte_reads_up_to_the_break(self):
+        blocks = [rows(3, each * 1000) for each in range(3)]
+        data, ends = whole(*blocks)
+        header = format.header_size(data[:format.HEAD.size])
+        for cut in range(len(data)):
+            if cut < header:
+                with self.assertRaises(Malformed):
+                    self.read(data[:cut])
+                continue
+            found, known = self.read(data[:cut])
+            there = sum(end <= cut for end in ends)
+            self.assertEqual(found, [row for each in blocks[:there] for row in each], cut)
+            self.assertEqual(known.verdict, Verdict.OPEN if cut in [header] + ends else Verdict.BROKEN, cut)
+
+    def test_a_flipped_bit_costs_its_block_and_no_other(self):
+        blocks = [rows(5, each * 1000) for each in range(3)]
+        data, ends = whole(*blocks)
+        start = ends[0]
+        for at in range(start, ends[1], 11):
+            bad = bytearray(data)
+            bad[at] ^= 4
+            found, known = self.read(bytes(bad))
+            self.assertEqual((found, len(known.breaks)), (blocks[0] + blocks[2], 1), at)
+
+    def test_a_zeroed_page_in_the_middle_is_passed_over(self):
+        blocks = [rows(5, each * 1000) for each in range(4)]
+        data, ends = whole(*blocks)
+        bad = data[:ends[0] + 9] + bytes(ends[2] - ends[0] - 20) + data[ends[2] - 11:ends[3]]
+        found, known = self.read(bad)
+        self.assertEqual((found, known.verdict), (blocks[0] + blocks[3], Verdict.BROKEN))
+
+    def test_a_time_range_reads_only_its_blocks(self):
+        blocks = [rows(50, each * 1000) for each in range(20)]
+        data, _ = whole(*blocks)
+        found, known = self.read(data, since=7000, until=7100)
+        self.assertEqual(found, [row for row in blocks[7] if row[0] < 7100])
+        self.assertLess(known.read, len(data) / 4)
+        self.assertEqual(self.read(data, since=7900, until=7990)[0], [])
+
+    def test_a_store_that_appears_once_is_found_by_its_blocks_filter(self):
+        blocks = [rows(50, each * 1000, "common") for each in range(19)] + [rows(1, 99_000, "rare")]
+        found, known = self.read(whole(*blocks)[0], store="rare0")
+        self.assertIn("rare0", [row[2][3] for row in found if row[1].name == "arrival"])
+        self.assertLess(len(found), 500)
+
+    def test_a_newer_minor_version_with_unknown_kinds_and_fields_is_read(self):
+        block = rows(2)
+        raw = b"".join((columns.put([1, 99, 3], 2), columns.put([5, 6, 7], 1),
+                        format.FIELD.pack(99, 1) + columns.put([1], 2), format.FIELD.pack(3, 1) + columns.put([8], 2),
+                        format.FIELD.pack(3, 9) + columns.put(["new"], TEXT)))
+        raw += b"".join(format.FIELD.pack(1, place) + columns.put([value], coding) for place, ((_, coding), value) in
+                        enumerate(zip(BY_NAME["arrival"].fields, block[0][2]), 1))
+        self.assertEqual([(at, kind.name) for at, kind, _ in format.rows_of(raw, 3)], [(5, "arrival"), (7, "abandoned")])
+
+    def test_another_major_version_is_refused_in_one_line(self):
+        data = bytearray(whole(rows(1))[0])
+        data[8] = 2
+        with self.assertRaises(Malformed) as caught:
+            self.read(bytes(data))
+        self.assertIn("format 2.0", str(caught.exception))
+
+    def test_a_bomb_and_lengths_that_lie_take_no_memory(self):
+        body = zstandard.ZstdCompressor().compress(bytes(1 << 28))
+        head = BLOCK_HEAD.pack(format.BLOCK, len(body), 1000, 5, 0, 9, __import__("zlib").crc32(body), bytes(32), 0)
+        block = head[:-4] + __import__("zlib").crc32(head[:-4]).to_bytes(4, "little") + body
+        found, known = self.read(format.put_header({}) + block)
+        self.assertEqual((found, "more than 1000 bytes" in known.breaks[0].reason), ([], True))
+
+    def test_repair_keeps_whole_blocks_byte_for_byte(self):
+        blocks = [rows(5, each * 1000) for each in range(3)]
+        data, ends = whole(*blocks)
+        path, out = self.file(data[:ends[1] + 30]), os.path.join(self.folder, "mended")
+        found = repair(path, out)
+        with open(out, "rb") as source:
+            self.assertTrue(source.read().startswith(data[:ends[1]]))
+        self.assertEqual((len(found.breaks), verify(out).verdict, len(verify(out).heads)), (1, Verdict.WHOLE, 2))
+        with self.assertRaises(FileExistsError):
+            repair(path, out)
+
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(st.integers(0, 1 << 20), st.binary(min_size=1, max_size=30))
+    def test_any_damage_reads_or_is_refused_with_one_line(self, at, noise):
+        data, _ = whole(rows(4), rows(4, 1000))
+        at %= len(data)
+        try:
+            self.read(data[:at] + noise + data[at + len(noise):])
+        except Malformed as error:
+            self.assertNotIn("\n", str(error))
+
+
+class Decided(unittest.TestCase):
+    def test_a_disk_that_refuses_is_left_alone_and_tried_again(self):
+        self.assertEqual([step(*each) for each in ((Tracing.ON, Word.FAILED), (Tracing.AILING, Word.RETRY),
+                                                   (Tracing.AILING, Word.FAILED))],
+                         [(Tracing.AILING, "give_up"), (Tracing.ON, "open"), (Tracing.AILING, "")])
+        self.assertEqual([retry_after(each) for each in (0, 1, 99)], [10_000, 20_000, 3_000_000])
+
+    def test_the_least_needed_is_shed_first_and_answers_last(self):
+        self.assertEqual([takes(each, 60, 100) for each in ("wake", "woken", "arrival", "declined")],
+                         [False, True, True, True])
+        self.assertEqual([takes(each, 96, 100) for each in ("wake", "woken", "arrival", "declined")],
+                         [False, False, False, True])
+
+    def test_blocks_and_files_end_by_size_and_age(self):
+        self.assertEqual([block_ends(*each) for each in ((MOST_ROWS, 0, 0), (1, 0, MOST_AGE), (0, 0, MOST_AGE), (1, 0, 1))],
+                         [True, True, False, False])
+        self.assertEqual([file_ends(*each) for each in ((10, 0, 1, 10, 99), (1, 0, 99, 10, 99), (1, 0, 1, 10, 99))],
+                         [True, True, False])
+
+    def test_the_oldest_go_and_the_one_being_written_stays(self):
+        self.assertEqual(to_delete([("a", 5), ("b", 5), ("c", 50)], 50), ["a", "b"])
+
+    def test_what_a_file_is(self):
+        self.assertEqual([judge(*each) for each in ((5, 9, True, False), (9, 9, False, False), (5, 9, False, True))],
+                         [Verdict.WHOLE, Verdict.OPEN, Verdict.BROKEN])
+
+
+class Writing(Files):
+    def writer(self, folder=None, **given_bounds):
+        self.said, self.now = [], 0
+        return Writer(folder or self.folder, "g", {"seed": 1}, lambda: self.now, self.said.append, sync=False, **given_bounds)
+
+    def files(self):
+        return sorted(each for each in os.listdir(self.folder) if each.endswith(".mtrace"))
+
+    def test_what_is_put_is_read_and_a_stop_ends_the_file(self):
+        writer = self.writer()
+        writer.start()
+        for each in range(100):
+            writer.put("satisfied", each, each, 7)
+        writer.stop()
+        name, = self.files()
+        with Trace(os.path.join(self.folder, name)) as trace:
+            self.assertEqual((len(list(trace.rows())), trace.map.verdict), (100, Verdict.WHOLE))
+
+    def test_files_turn_over_by_size_and_the_oldest_go(self):
+        writer = self.writer(most_bytes=2000, most_total=6000)
+        writer.word(Word.START)
+        for each in range(20):
+            for number in range(200):
+                writer.put("satisfied", each * 60_000, number * 7919 % 1009, number * 31 % 503)
+            self.now = each * 60_000 + MOST_AGE
+            writer.look()
+        self.assertLess(sum(os.path.getsize(os.path.join(self.folder, each)) for each in self.files()), 10_000)
+        self.assertGreater(writer.count, len(self.files()))
+
+    def test_a_full_disk_turns_tracing_off_with_one_line_and_on_again(self):
+        writer = self.writer(folder="/dev/full/x")
+        writer.word(Word.START)
+        for _ in range(3):
+            writer.put("satisfied", 5, 1, 1)
+            self.now += 10**7
+            writer.look()
+        self.assertEqual((writer.tracing, len(self.said), writer.lost), (Tracing.AILING, 1, 3))
+        writer.folder = self.folder
+        self.now += 10**7
+        writer.look()
+        writer.put("satisfied", 9, 2, 2)
+        writer.run_down = writer.stop
+        writer.ending.set()
+        writer.run()
+        with Trace(os.path.join(self.folder, self.files()[0])) as trace:
+            found = [(kind.name, values) for _, kind, values in trace.rows()]
+        self.assertEqual(found, [("gap", (34, 3, 5)), ("satisfied", (2, 2))])
+
+    def test_a_full_hand_over_sheds_by_kind_and_says_so(self):
+        writer = self.writer(most_held=100)
+        writer.word(Word.START)
+        for each in range(200):
+            writer.put("wake", each, each)
+        for each in range(60):
+            writer.put("declined", 300, each, 0)
+        self.assertEqual(writer.lost, 150 + 10)
+        writer.ending.set()
+        writer.run()
+        with Trace(os.path.join(self.folder, self.files()[0])) as trace:
+            gaps = [values for _, kind, values in trace.rows() if kind.name == "gap"]
+        self.assertEqual(sorted(gaps), [(17, 10, 300), (20, 150, 50)])
+
+    def test_a_restart_never_appends_to_a_file_that_is_there(self):
+        for _ in range(2):
+            writer = self.writer()
+            writer.start()
+            writer.put("satisfied", 1, 1, 1)
+            writer.stop()
+        self.assertEqual(len(self.files()), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
