--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -2,7 +2,8 @@
 
     python -m benchmarks.gateway load     commands a second, several runs, and the latency added at 200 a second
     python -m benchmarks.gateway profile  the share of the module, the codec, Twisted and the rest, by cProfile
-    python -m benchmarks.gateway soak     resident memory of an edge under load for --seconds, sampled
+    python -m benchmarks.gateway soak     resident memory of an edge under load for --seconds, sampled; with --away its
+                                          flow export has a collector that is never there
 
 All processes run on this machine; figures are of stand-ins on loopback.
 """
@@ -160,8 +161,8 @@
 class Bench:
     """One edge before stand-in boxes; a context."""
 
-    def __init__(self, profile: str = "") -> None:
-        self.profile, self.processes = profile, []
+    def __init__(self, profile: str = "", away: bool = False) -> None:
+        self.profile, self.away, self.processes = profile, away, []
 
     def __enter__(self) -> Bench:
         self.folder = tempfile.TemporaryDirectory()
@@ -169,6 +170,9 @@
         file = text_format.Parse(FILE, GatewayFile())
         file.listen, file.state_dir = f"127.0.0.1:{self.door}", self.folder.name
         file.registry.address = f"127.0.0.1:{self.registry}"
+        if self.away:
+            file.flows.collector.add(address=f"127.0.0.1:{free_ports(1)[0]}")
+            file.flows.closest, file.flows.idle_s = "commands", 1.0
         path = f"{self.folder.name}/edge.textproto"
         with open(path, "w", encoding="utf-8") as sink:
             sink.write(text_format.MessageToString(file))
@@ -252,8 +256,8 @@
         found.sort_stats("tottime").print_stats(22)
 
 
-def soak(seconds: float) -> None:
-    with Bench() as bench:
+def soak(seconds: float, away: bool) -> None:
+    with Bench(away=away) as bench:
         ends, begun = time.monotonic() + seconds, time.monotonic()
         while time.monotonic() < ends:
             rate, *_ = bench.play(4, 4, 500, min(20, seconds))
@@ -267,11 +271,14 @@
     parser.add_argument("what", choices=("load", "profile", "soak"))
     parser.add_argument("--runs", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=8)
+    parser.add_argument("--away", action="store_true")
     given = parser.parse_args()
     if given.what == "load":
         load(given.runs, given.seconds)
+    elif given.what == "profile":
+        profile(given.seconds)
     else:
-        {"profile": profile, "soak": soak}[given.what](given.seconds)
+        soak(given.seconds, given.away)
 
 
 if __name__ == "__main__":
--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -531,8 +531,8 @@
         self.let_go(transfer)
 
     def let_go(self, transfer: Transfer) -> None:
-        """Cuts the circle of transfer and dispatches once nothing is out: freed at once, no host stands still while
-        a garbage collector looks for it. Rule 5 needs only that it is over."""
+        """Cuts the circle of transfer and dispatches once nothing is out: freed at once, no host stands still
+        while a garbage collector looks for it. Rule 5 needs only that it is over."""
         if transfer.phase is Phase.OVER and all(each.outcome is not None for each in transfer.dispatches):
             transfer.dispatches = []
 
