--- a/milletsill/flows/exporter.py
+++ b/milletsill/flows/exporter.py
@@ -230,6 +230,7 @@
         self.meter = Meter(self.cache, self.metering, now, timer)
         self.senders = [Sender(self, place, each) for place, each in enumerate(file.collector)]
         self.chosen, self.steps, self.call, self.udp_port = 0, 0, None, None
+        self.began = now()
         self.looked_at, self.spent_before, self.spent = now(), 0.0, 0.0
 
     def wall(self, at: int) -> int:
@@ -286,6 +287,7 @@
         """What export costs, and what follows."""
         spent, elapsed = self.spent + self.meter.spent, (now - self.looked_at) / SECOND
         share = (spent - self.spent_before) / elapsed if elapsed > 0 else 0.0
+        self.began = now()
         self.looked_at, self.spent_before = now, spent
         if self.metering.look(share, self.file.cpu_share):
             self.remark("metering", level=self.metering.level.name.lower(), interval=self.metering.interval,
@@ -316,6 +318,10 @@
                     each.lose(queue.popleft(), "stopped")
         if self.call is not None and self.call.active():
             self.call.cancel()
+        elapsed = (self.now() - self.began) / SECOND
+        self.remark("flows_ended", share=round((self.spent + self.meter.spent) / max(elapsed, 0.001), 5),
+                    evicted=self.cache.evicted, messages=sum(each.account.messages for each in self.senders),
+                    dropped=sum(each.account.lost().records for each in self.senders))
 
     def stop(self) -> None:
         """Let the connections go; what they hold still leaves."""
