--- a/milletsill/flows/exporter.py
+++ b/milletsill/flows/exporter.py
@@ -287,7 +287,6 @@
         """What export costs, and what follows."""
         spent, elapsed = self.spent + self.meter.spent, (now - self.looked_at) / SECOND
         share = (spent - self.spent_before) / elapsed if elapsed > 0 else 0.0
-        self.began = now()
         self.looked_at, self.spent_before = now, spent
         if self.metering.look(share, self.file.cpu_share):
             self.remark("metering", level=self.metering.level.name.lower(), interval=self.metering.interval,
