The gateway writes traces: every input of the module and every action, in order

Need: a trace must hold what a faithful replay needs. Format 1.1: commands as records, an exact index of stores behind the footer (1.0 readers pass over it), filters that cover later records of a store's transfers; kinds can be read alone.

--- a/milletsill/edge/service.py
+++ b/milletsill/edge/service.py
@@ -54,6 +54,9 @@
         self.follower = Follower(reactor, now, file.registry, given["warm_after"],
                                  os.path.join(file.state_dir, "boxes.json"), self.listed, self.moved,
                                  lambda text: self.remark("list", reason=text), file.name)
+        self.traces = self.tracer(given, seed) if file.HasField("trace") else None
+        if self.traces is not None:
+            make = self.traces.around(make)
         self.host = Host(reactor, now, given, seed, make, file.name, self.incarnation, self.pools.get,
                          self.follower.ask, lambda text: self.remark("module", reason=text), self.figures.note)
         self.flows = self.exporter(seed) if file.HasField("flows") else None
@@ -70,12 +73,19 @@
         from milletsill.flows.edge import Flows
         return Flows(self.reactor, self.now, self.file, seed, self.remark)
 
+    def tracer(self, given: Any, seed: int) -> Any:
+        """Traces; none of their code is loaded where the file does not ask for them."""
+        from milletsill.trace.edge import Traces
+        return Traces(self.reactor, self.now, self.file, given, seed, self.incarnation, self.remark, self.figures.registry)
+
     # Life.
 
     def start(self) -> None:
         """Read the last list, open the doors."""
         if self.flows is not None:
             self.flows.start()
+        if self.traces is not None:
+            self.traces.start()
         self.follower.start()
         self.step(Event.LISTED)
         self.look_call = self.reactor.callLater(LOOK_EVERY, self.look, self.now())
@@ -139,8 +149,9 @@
     def reload(self, file: Any) -> None:
         """Another file for what a running gateway can change: bounds of the door, volumes, routes, logs. What the
         module was told at the start stands until a restart."""
-        if facts.facts_of(file) != self.host.facts or file.name != self.file.name or file.listen != self.file.listen:
-            return self.remark("file_refused", reason="plans, categories, rules, name or address need a restart")
+        if facts.facts_of(file) != self.host.facts or file.name != self.file.name or file.listen != self.file.listen or (
+                file.trace != self.file.trace):
+            return self.remark("file_refused", reason="plans, categories, rules, name, address or traces need a restart")
         self.file, self.atlas, self.margin = file, facts.atlas_of(file), facts.at_least(file.door.answer_margin_ms)
         self.answer_log = AnswerLog(file.logging.answers_per_s)
         self.log = logger(file.logging.level, file.logging.json, gateway=file.name)
@@ -168,6 +179,8 @@
             pool.abort()
         if self.flows is not None:
             self.flows.stop()
+        if self.traces is not None:
+            self.traces.stop()
         for call in (self.look_call, self.overdue_call, self.beat_call):
             if call is not None and call.active():
                 call.cancel()
@@ -180,6 +193,8 @@
         self.figures.lag.observe(max(now - since - LOOK_EVERY * 10_000, 0) / 10_000)
         self.figures.held.set(self.host.held)
         self.figures.clients.set(len(self.clients))
+        if self.traces is not None:
+            self.traces.look()
         idle = facts.at_least(self.file.door.idle_s * 1000)
         for client in list(self.clients):
             client.tick(idle)
@@ -229,6 +244,10 @@
         now, name = self.now(), self.category_name(running.category)
         self.figures.child(self.figures.answers, name, final).inc()
         self.figures.child(self.figures.latency, name).observe((now - running.began) / 10_000)
+        if self.traces is not None:
+            self.traces.command(now, running.began, running.volume.name, running.volume.plan, running.category,
+                                running.operation, self.atlas.units(running.operation, running.size), running.legs,
+                                running.terms.tries, final, why)
         passed = self.answer_log.take(now)
         if passed is not None:
             self.log.info("answer", final=final, why=why, category=name, volume=running.volume.name,
--- a/milletsill/settings/decide.py
+++ b/milletsill/settings/decide.py
@@ -35,6 +35,8 @@
     "flows": (("most_flows", 16, 10_000_000), ("active_s", 1, 86_400), ("idle_s", 0.5, 86_400),
               ("template_s", 1, 86_400), ("template_messages", 1, 1_000_000), ("path_bytes", 512, 65_000),
               ("cpu_share", 0.001, 1), ("enterprise", 1, (1 << 32) - 1)),
+    "trace": (("file_bytes", 65_536, 1 << 40), ("file_s", 1, 30 * 86_400), ("total_bytes", 131_072, 1 << 50),
+              ("most_held", 1000, 10_000_000), ("block_s", 0.1, 600)),
 }
 REPEATS, GROUPS = ("rerunnable", "ticketed", "exclusive"), ("all", "zone", "cell")
 OPERATIONS = ("read", "write", "open", "look", "list", "change", "sync")
@@ -59,6 +61,7 @@
         report.add(under + ("zone",), f"zone {file.zone} of {len(file.zones)} zones")
     check_logging(file, report, under)
     check_flows(file, report, under)
+    check_trace(file, report, under)
     check_plans(file, report, under)
     check_categories(file, report, under)
     check_volumes(file, report, under)
@@ -98,6 +101,24 @@
 LEVELS_OF_METERING, TRANSPORTS, PROTOCOLS = ("commands", "flows", "sampled"), ("tcp", "udp"), ("ipfix", "netflow9")
 
 
+SYNCS = ("blocks", "files", "never")
+
+
+def check_trace(file: Any, report: Report, under: tuple[str, ...]) -> None:
+    """Traces: bounds that fit each other."""
+    if not file.HasField("trace"):
+        return
+    trace, here = file.trace, under + ("trace",)
+    if not trace.folder:
+        report.add(here + ("folder",), "no folder for traces")
+    if trace.sync not in SYNCS:
+        report.add(here + ("sync",), f"sync {trace.sync!r} is not one of {', '.join(SYNCS)}")
+    if trace.total_bytes < 2 * trace.file_bytes:
+        report.add(here + ("total_bytes",), f"{trace.total_bytes} bytes in all hold no two files of {trace.file_bytes}")
+    if trace.block_s > trace.file_s:
+        report.add(here + ("block_s",), f"blocks of {trace.block_s:g} s in files of {trace.file_s:g} s")
+
+
 def check_flows(file: Any, report: Report, under: tuple[str, ...]) -> None:
     """Collectors, and figures of export that contradict each other."""
     if not file.HasField("flows"):
--- a/milletsill/trace/columns.py
+++ b/milletsill/trace/columns.py
@@ -91,6 +91,17 @@
     return get_numbers(body, coding, width, count), end
 
 
+def skip(data: bytes, at: int) -> int:
+    """Where a column ends, unread."""
+    try:
+        end = at + HEAD.size + HEAD.unpack_from(data, at)[3]
+    except StructError:
+        raise Malformed("a column is cut short") from None
+    if end > len(data):
+        raise Malformed("a column is cut short")
+    return end
+
+
 def get_numbers(body: bytes, coding: int, width: int, count: int) -> list[object]:
     if width == UNSIGNED and coding == PLAIN and len(body) == 8 * count:
         return np.frombuffer(body, dtype="<u8").tolist()
--- a/milletsill/trace/decide.py
+++ b/milletsill/trace/decide.py
@@ -40,8 +40,9 @@
 
 # The least needed first: what can be told from the others, then what explains, then what decides. A replay needs all but the
 # first group; a summary needs arrivals, outcomes and answers.
-SHED_ORDER = (("wake", "settled", "remark"), ("woken", "listing", "listed", "watch", "cancelled"),
-              ("dispatch", "outcome"), ("arrival", "abandoned"), ("declined", "aborted", "satisfied", "plan", "gap"))
+SHED_ORDER = (("wake", "settled", "remark", "fetch", "probe"), ("woken", "listing", "listed", "watch", "cancelled"),
+              ("dispatch", "outcome"), ("arrival", "abandoned"),
+              ("declined", "aborted", "satisfied", "command", "plan", "gap"))
 RANK = {name: rank for rank, names in enumerate(SHED_ORDER) for name in names}
 SHARES = (0.5, 0.7, 0.85, 0.95, 1.0)  # of the hand-over's bound, past which a group is no longer taken
 
@@ -70,9 +71,9 @@
 MOST_ROWS, MOST_AGE = 16_384, 5 * SECOND
 
 
-def block_ends(rows: int, first: int, now: int) -> bool:
+def block_ends(rows: int, first: int, now: int, most_age: int = MOST_AGE) -> bool:
     """A block is written when it is full, or old: what a kill loses is bounded by its age."""
-    return rows >= MOST_ROWS or rows > 0 and now - first >= MOST_AGE
+    return rows >= MOST_ROWS or rows > 0 and now - first >= most_age
 
 
 def file_ends(size: int, opened: int, now: int, most_bytes: int, most_age: int) -> bool:
--- a/milletsill/trace/format.py
+++ b/milletsill/trace/format.py
@@ -4,6 +4,7 @@
     block    "MBLK", u32 size, u32 raw size, u32 records, i64 first time, i64 last time, u32 crc32 of the body,
              32 bytes filter of stores, u32 crc32 of this head, then the body: zstandard
     footer   "MFTR", u32 size, u32 crc32, then zstandard: for each block u64 offset, u32 records, i64, i64, 32 bytes
+    stores   "MSTO", u32 size, u32 crc32, then zstandard: for each store its name and the numbers of its blocks (since 1.1)
     trailer  u64 offset of the footer, "MEND"
 
 All little-endian. A body is columns: the records' kinds, their times, then for each kind and field u8 kind, u8 field and a
@@ -14,20 +15,24 @@
 import json
 import zlib
 from dataclasses import dataclass
+from functools import lru_cache
 from struct import Struct
-from typing import Any, Iterator, Sequence
+from struct import error as StructError
+from typing import Any, Iterable, Iterator, Sequence
 
+import numpy as np
 import xxhash
 import zstandard
 
 from milletsill.trace import columns
-from milletsill.trace.records import BY_NUMBER, STEP, PLAIN, STORE_FIELD, Kind
+from milletsill.trace.records import BY_NUMBER, BY_TRANSFER, PLAIN, STEP, STORE_PLACE, Kind
 
-MAGIC, BLOCK, FOOTER, END = b"MTRACE\r\n", b"MBLK", b"MFTR", b"MEND"
-MAJOR, MINOR = 1, 0
+MAGIC, BLOCK, FOOTER, STORES, END = b"MTRACE\r\n", b"MBLK", b"MFTR", b"MSTO", b"MEND"
+MAJOR, MINOR = 1, 1
 HEAD, BLOCK_HEAD, FOOTER_HEAD, TRAILER = Struct("<8sHHII"), Struct("<4sIIIqqI32sI"), Struct("<4sII"), Struct("<Q4s")
 ENTRY = Struct("<QIqq32s")
-FIELD = Struct("<BB")
+FIELD, NAME_SIZE, NUMBER = Struct("<BB"), Struct("<H"), Struct("<I")
+MOST_INDEXED, MOST_FOLLOWED = 1 << 16, 1 << 16  # stores of a file's index; transfers whose store is remembered
 LEVEL, FILTER_BITS, FILTER_HASHES = 6, 256, 3
 MOST_BODY, MOST_RAW, MOST_RECORDS, MOST_HEADER, MOST_FOOTER = 1 << 26, 1 << 27, 1 << 20, 1 << 24, 1 << 28
 
@@ -63,12 +68,17 @@
     return [xxhash.xxh32_intdigest(data, seed=each) % FILTER_BITS for each in range(FILTER_HASHES)]
 
 
-def filter_of(stores: Sequence[str]) -> bytes:
+@lru_cache(maxsize=4096)
+def store_mask(store: str) -> int:
+    """The bits that a store sets, as a number."""
+    return sum({1 << bit for bit in store_bits(store)})
+
+
+def filter_of(stores: Iterable[str]) -> bytes:
     """A filter of 256 bits, three for each store; all set where a block holds so many that it would say nothing."""
     bits = 0
     for store in set(stores):
-        for bit in store_bits(store):
-            bits |= 1 << bit
+        bits |= store_mask(store)
     return bits.to_bytes(32, "little")
 
 
@@ -114,19 +124,94 @@
     return HEAD.size + size
 
 
-def put_block(rows: Sequence[Row]) -> bytes:
-    """A block of these records, in their order."""
+class Stores:
+    """Which stores a file's blocks tell of, one block after another: later records of a transfer name no store, so that of
+    its arrival is remembered, for the latest transfers. `blocks` becomes the file's index; None once it is past its bound."""
+
+    def __init__(self) -> None:
+        self.of: dict[int, str] = {}
+        self.blocks: dict[str, list[int]] | None = {}
+        self.count = 0
+
+    def touched(self, rows: Sequence[Row]) -> set[str]:
+        """The stores of the next block."""
+        found, of = set(), self.of
+        for _, kind, values in rows:
+            if kind.number in STORE_PLACE:
+                store = values[STORE_PLACE[kind.number]]
+                found.add(store)
+                if kind.number in BY_TRANSFER:
+                    of[values[0]] = store
+            elif kind.number in BY_TRANSFER and (store := of.get(values[0])) is not None:
+                found.add(store)
+        while len(of) > MOST_FOLLOWED:
+            del of[next(iter(of))]
+        self.index(found)
+        return found
+
+    def next_file(self) -> Stores:
+        """The same transfers, for the file that follows."""
+        made = Stores()
+        made.of = self.of
+        return made
+
+    def index(self, found: set[str]) -> None:
+        if self.blocks is not None:
+            for each in found:
+                self.blocks.setdefault(each, []).append(self.count)
+            if len(self.blocks) > MOST_INDEXED:
+                self.blocks = None
+        self.count += 1
+
+
+def put_stores(blocks: dict[str, list[int]] | None) -> bytes:
+    """The index of stores, to stand between footer and trailer; nothing where it was given up."""
+    if blocks is None:
+        return b""
+    parts = []
+    for store, numbers in blocks.items():
+        name = store.encode("utf-8", "surrogateescape")[:columns.MOST_TEXT]
+        parts += [NAME_SIZE.pack(len(name)), name, NUMBER.pack(len(numbers)), np.array(numbers, "<u4").tobytes()]
+    body = zstandard.ZstdCompressor(level=LEVEL).compress(b"".join(parts))
+    return FOOTER_HEAD.pack(STORES, len(body), zlib.crc32(body)) + body
+
+
+def get_stores(data: bytes) -> dict[str, list[int]] | None:
+    """The index of stores from what stands between footer and trailer; None where there is none."""
+    if len(data) < FOOTER_HEAD.size or not data.startswith(STORES):
+        return None
+    _, size, crc = FOOTER_HEAD.unpack_from(data)
+    body = data[FOOTER_HEAD.size:FOOTER_HEAD.size + size]
+    if len(body) != size or zlib.crc32(body) != crc:
+        raise Malformed("the index of stores is cut or damaged")
+    raw, at, found = unpack(body, MOST_FOOTER, "the index of stores"), 0, dict[str, list[int]]()
+    try:
+        while at < len(raw):
+            name_ends = at + NAME_SIZE.size + NAME_SIZE.unpack_from(raw, at)[0]
+            count = NUMBER.unpack_from(raw, name_ends)[0]
+            ends = name_ends + NUMBER.size + 4 * count
+            if ends > len(raw) or len(found) >= MOST_INDEXED:
+                raise Malformed("the index of stores is cut short or too large")
+            name = raw[at + NAME_SIZE.size:name_ends].decode("utf-8", "surrogateescape")
+            found[name] = np.frombuffer(raw, "<u4", count, name_ends + NUMBER.size).tolist()
+            at = ends
+    except StructError:
+        raise Malformed("the index of stores is cut short") from None
+    return found
+
+
+def put_block(rows: Sequence[Row], stores: Iterable[str] | None = None) -> bytes:
+    """A block of these records, in their order; `stores` are those that it tells of, where `Stores` has found them."""
+    if stores is None:
+        stores = Stores().touched(rows)
     parts = [columns.put([kind.number for _, kind, _ in rows], PLAIN), columns.put([at for at, _, _ in rows], STEP)]
     by_kind: dict[int, list[tuple[Any, ...]]] = {}
     for _, kind, values in rows:
         by_kind.setdefault(kind.number, []).append(values)
-    stores: Sequence[str] = ()
     for number, held in sorted(by_kind.items()):
         kind = BY_NUMBER[number]
-        for place, ((name, coding), column) in enumerate(zip(kind.fields, zip(*held)), 1):
+        for place, ((_, coding), column) in enumerate(zip(kind.fields, zip(*held)), 1):
             parts.append(FIELD.pack(number, place) + columns.put(column, coding))
-            if (kind.name, name) == STORE_FIELD:
-                stores = column
     raw = b"".join(parts)
     body = zstandard.ZstdCompressor(level=LEVEL).compress(raw)
     times = [at for at, _, _ in rows]
@@ -157,20 +242,21 @@
         raise Malformed(f"{what} cannot be unpacked: {error}") from None
 
 
-def get_rows(head: BlockHead, body: bytes) -> list[Row]:
-    """The records of a block, those of unknown kinds left out; `Malformed` where the body is not what the head says."""
+def get_rows(head: BlockHead, body: bytes, only: frozenset[int] | None = None) -> list[Row]:
+    """The records of a block, those of unknown kinds left out, or all but the kinds of `only`; `Malformed` where the body is
+    not what the head says."""
     if len(body) != head.size or zlib.crc32(body) != head.crc:
         raise Malformed("a block is cut or damaged")
     raw = unpack(body, head.raw, "a block")
     if len(raw) != head.raw:
         raise Malformed("a block unpacks to another size")
     try:
-        return list(rows_of(raw, head.records))
+        return list(rows_of(raw, head.records, only))
     except columns.Malformed as error:
         raise Malformed(f"in a block: {error}") from None
 
 
-def rows_of(raw: bytes, records: int) -> Iterator[Row]:
+def rows_of(raw: bytes, records: int, only: frozenset[int] | None = None) -> Iterator[Row]:
     kinds, at = columns.get(raw, 0)
     times, at = columns.get(raw, at)
     if len(kinds) != records or len(times) != records:
@@ -180,12 +266,15 @@
         if len(raw) - at < FIELD.size:
             raise columns.Malformed("bytes left over")
         number, place = FIELD.unpack_from(raw, at)
+        if only is not None and number not in only:
+            at = columns.skip(raw, at + FIELD.size)
+            continue
         held.setdefault(number, {})[place], at = columns.get(raw, at + FIELD.size)
     counts = {number: kinds.count(number) for number in set(kinds)}
     walks: dict[object, Iterator[tuple[Any, ...]]] = {}
     for number, count in counts.items():
         kind = BY_NUMBER.get(number)  # type: ignore[call-overload]
-        if kind is None:
+        if kind is None or only is not None and number not in only:
             continue
         fields = [held.get(kind.number, {}).get(place) for place in range(1, len(kind.fields) + 1)]
         if any(each is None or len(each) != count for each in fields):
@@ -196,15 +285,15 @@
             yield time, BY_NUMBER[number], next(walks[number])  # type: ignore[misc,index]
 
 
-def put_footer(heads: Sequence[BlockHead], offset: int) -> bytes:
-    """The index and the trailer, to stand at `offset`."""
+def put_footer(heads: Sequence[BlockHead], offset: int, blocks: dict[str, list[int]] | None = None) -> bytes:
+    """The indexes by time and store and the trailer, to stand at `offset`."""
     raw = b"".join(ENTRY.pack(each.offset, each.records, each.first, each.last, each.stores) for each in heads)
     body = zstandard.ZstdCompressor(level=LEVEL).compress(raw)
-    return FOOTER_HEAD.pack(FOOTER, len(body), zlib.crc32(body)) + body + TRAILER.pack(offset, END)
+    return FOOTER_HEAD.pack(FOOTER, len(body), zlib.crc32(body)) + body + put_stores(blocks) + TRAILER.pack(offset, END)
 
 
-def get_footer(data: bytes) -> list[tuple[int, int, int, int, bytes]]:
-    """The index from a footer's bytes, the trailer left out: offset, records, first, last, filter."""
+def get_footer(data: bytes) -> tuple[list[tuple[int, int, int, int, bytes]], dict[str, list[int]] | None]:
+    """The indexes from a footer's bytes, the trailer left out: offset, records, first, last, filter; blocks of stores."""
     if len(data) < FOOTER_HEAD.size:
         raise Malformed("the footer is cut short")
     magic, size, crc = FOOTER_HEAD.unpack_from(data)
@@ -214,4 +303,8 @@
     raw = unpack(body, MOST_FOOTER, "the footer")
     if len(raw) % ENTRY.size:
         raise Malformed("the footer is no list of blocks")
-    return list(ENTRY.iter_unpack(raw))
+    entries = list(ENTRY.iter_unpack(raw))
+    stores = get_stores(data[FOOTER_HEAD.size + size:])
+    if stores is not None and any(each and not 0 <= each[-1] < len(entries) for each in stores.values()):
+        raise Malformed("the index of stores names blocks that are not there")
+    return entries, stores
--- a/milletsill/trace/reader.py
+++ b/milletsill/trace/reader.py
@@ -32,6 +32,7 @@
     breaks: list[Break] = field(default_factory=list)
     verdict: Verdict = Verdict.WHOLE
     read: int = 0  # bytes read so far
+    stores: dict[str, list[int]] | None = None  # numbers of the blocks of each store, where the file has that index
 
 
 class Trace:
@@ -78,7 +79,7 @@
         last = self.size - format.TRAILER.size
         if end != format.END or not self.start <= offset <= last or last - offset > format.MOST_FOOTER:
             raise Malformed("no trailer")
-        entries = format.get_footer(self.take(offset, last - offset))
+        entries, self.map.stores = format.get_footer(self.take(offset, last - offset))
         ends = [each[0] for each in entries[1:]] + [offset]
         if any(a >= b for a, b in zip([each[0] for each in entries], ends)) or entries and entries[0][0] != self.start:
             raise Malformed("the footer's blocks do not follow each other")
@@ -122,23 +123,35 @@
                 at += found + 1
         return self.size
 
-    def rows(self, since: int | None = None, until: int | None = None, store: str | None = None) -> Iterator[Row]:
-        """Records of blocks that may hold what is asked for, those outside the times left out; a damaged block is noted
-        as a break and passed over. Records of one store are not picked out here: only its blocks."""
-        for head in self.map.heads:
+    def heads(self, store: str | None) -> list[BlockHead]:
+        """The blocks that may tell of a store: by the file's index, else by their filters. A filter of 1.0 tells of
+        arrivals alone, and later records of their transfers may stand in any block after the first."""
+        heads = self.map.heads
+        if store is None:
+            return heads
+        if self.map.stores is not None:
+            return [heads[each] for each in self.map.stores.get(store, ())]
+        found = [place for place, each in enumerate(heads) if format.may_hold(each.stores, store)]
+        if self.map.about.get("minor", 0) < 1:
+            return heads[found[0]:] if found else []
+        return [heads[each] for each in found]
+
+    def rows(self, since: int | None = None, until: int | None = None, store: str | None = None,
+             only: frozenset[int] | None = None) -> Iterator[Row]:
+        """Records of blocks that may hold what is asked for, those outside the times or of other kinds than `only` left out;
+        a damaged block is noted as a break and passed over. Records of one store are not picked out here: only its blocks."""
+        for head in self.heads(store):
             if since is not None and head.last < since or until is not None and head.first >= until:
                 continue
-            if store is not None and not format.may_hold(head.stores, store):
-                continue
-            for row in self.block(head):
+            for row in self.block(head, only):
                 if (since is None or row[0] >= since) and (until is None or row[0] < until):
                     yield row
 
-    def block(self, head: BlockHead) -> list[Row]:
+    def block(self, head: BlockHead, only: frozenset[int] | None = None) -> list[Row]:
         """The records of one block; none, and a break, where it is damaged."""
         try:
             data = self.take(head.offset, BLOCK_HEAD.size + head.size)
-            return format.get_rows(format.get_head(data, head.offset), data[BLOCK_HEAD.size:])
+            return format.get_rows(format.get_head(data, head.offset), data[BLOCK_HEAD.size:], only)
         except Malformed as error:
             if all(each.offset != head.offset for each in self.map.breaks):
                 self.map.breaks.append(Break(head.offset, BLOCK_HEAD.size + head.size, str(error)))
@@ -146,10 +159,15 @@
 
 
 def verify(path: str) -> Map:
-    """A file looked through in full: every block unpacked."""
+    """A file looked through in full: every block unpacked, the index of stores made anew from what they hold."""
     with Trace(path) as trace:
-        good = [head for head in trace.map.heads if trace.block(head)]
-        trace.map.heads = good
+        good, stores = [], format.Stores()
+        for head in trace.map.heads:
+            rows = trace.block(head)
+            if rows:
+                good.append(head)
+                stores.touched(rows)
+        trace.map.heads, trace.map.stores = good, stores.blocks
         if trace.map.breaks:
             trace.map.verdict = Verdict.BROKEN
         return trace.map
@@ -165,7 +183,7 @@
             offset = sink.tell()
             copy(source, sink, head.offset, BLOCK_HEAD.size + head.size)
             heads.append(BlockHead(offset, head.size, head.raw, head.records, head.first, head.last, head.crc, head.stores))
-        sink.write(format.put_footer(heads, sink.tell()))
+        sink.write(format.put_footer(heads, sink.tell(), found.stores))
         sink.flush()
         os.fsync(sink.fileno())
     return found
--- a/milletsill/trace/records.py
+++ b/milletsill/trace/records.py
@@ -45,9 +45,16 @@
     # What the writer says of itself.
     _kind(32, "gap", "kind:p lost:p since:s"),  # records of a kind that were shed, and from when on
     _kind(33, "plan", "text:t"),
-    _kind(34, "satisfied", "transfer:s latency:p"),  # the client's answer: from taking the command to it
+    _kind(34, "satisfied", "transfer:s latency:p"),  # of 1.0; since 1.1 `over` of an outcome says it
+    # Since 1.1: what a client asked for and got; stands at its answer, `why` tells what declined it.
+    _kind(35, "command", "began:s span:p store:t plan:p category:p operation:t units:f legs:p tries:p final:t why:t"),
+    _kind(36, "fetch", ""),
+    _kind(37, "probe", "node:p"),
 )
 BY_NUMBER = {each.number: each for each in KINDS}
 BY_NAME = {each.name: each for each in KINDS}
-STORE_FIELD = ("arrival", "store")
+# Where a kind tells its store, and which kinds tell of a transfer by their first field.
+STORE_PLACE = {each.number: place for each in KINDS for place, (name, _) in enumerate(each.fields) if name == "store"}
+BY_TRANSFER = frozenset(each.number for each in KINDS if each.fields and each.fields[0][0] == "transfer")
+FINALS = frozenset(("declined", "aborted", "abandoned"))  # beside an outcome that is over
 MOST_TEXT = 4096
--- a/milletsill/trace/tools.py
+++ b/milletsill/trace/tools.py
@@ -24,7 +24,7 @@
         self.sink = open(path, "xb")
         header = format.put_header({name: value for name, value in about.items() if name != "minor"})
         self.sink.write(header)
-        self.size, self.rows, self.heads = len(header), list[Row](), list[BlockHead]()
+        self.size, self.rows, self.heads, self.stores = len(header), list[Row](), list[BlockHead](), format.Stores()
 
     def put(self, row: Row) -> None:
         self.rows.append(row)
@@ -33,7 +33,7 @@
 
     def flush(self) -> None:
         if self.rows:
-            block = format.put_block(self.rows)
+            block = format.put_block(self.rows, self.stores.touched(self.rows))
             self.heads.append(format.get_head(block, self.size))
             self.sink.write(block)
             self.size += len(block)
@@ -41,7 +41,7 @@
 
     def close(self) -> None:
         self.flush()
-        self.sink.write(format.put_footer(self.heads, self.size))
+        self.sink.write(format.put_footer(self.heads, self.size, self.stores.blocks))
         self.sink.flush()
         os.fsync(self.sink.fileno())
         self.sink.close()
--- a/milletsill/trace/writer.py
+++ b/milletsill/trace/writer.py
@@ -12,7 +12,8 @@
 from typing import Any, Callable
 
 from milletsill.trace import format
-from milletsill.trace.decide import (SECOND, Shed, Tracing, Word, block_ends, file_ends, retry_after, step, takes, to_delete)
+from milletsill.trace.decide import (MOST_AGE, MOST_ROWS, SECOND, Shed, Tracing, Word, block_ends, file_ends, retry_after, step,
+                                     takes, to_delete)
 from milletsill.trace.format import BlockHead, Row
 from milletsill.trace.records import BY_NAME
 
@@ -25,14 +26,16 @@
 
     def __init__(self, folder: str, name: str, about: dict[str, Any], now: Callable[[], int],
                  remark: Callable[[str], None], most_held: int = 200_000, most_bytes: int = 64 << 20,
-                 most_age: int = 3600 * SECOND, most_total: int = 1 << 30, sync: bool = True) -> None:
+                 most_age: int = 3600 * SECOND, most_total: int = 1 << 30, sync: str = "blocks",
+                 block_age: int = MOST_AGE) -> None:
         self.folder, self.name, self.about, self.now, self.remark = folder, name, about, now, remark
         self.most_held, self.most_bytes, self.most_age = most_held, most_bytes, most_age
-        self.most_total, self.sync = most_total, sync
+        self.most_total, self.sync, self.block_age = most_total, sync, block_age
         self.held: deque[Row] = deque()
         self.shed: dict[str, Shed] = {}
         self.rows: list[Row] = []
         self.heads: list[BlockHead] = []
+        self.stores = format.Stores()
         self.sink: Any = None
         self.path, self.size, self.opened, self.count = "", 0, 0, 0
         self.tracing, self.failures, self.retry_at = Tracing.OFF, 0, 0
@@ -45,13 +48,13 @@
         self.thread.start()
 
     def put(self, name: str, at: int, *values: Any) -> None:
-        """One record; shed and counted where the hand-over is too full for its kind, or tracing ails."""
-        if self.tracing is not Tracing.ON or not takes(name, len(self.held), self.most_held):
+        """One record; shed and counted where the hand-over is too full for its kind, tracing ails or has ended."""
+        if self.tracing is Tracing.AILING or self.ending.is_set() or not takes(name, len(self.held), self.most_held):
             self.lost += 1
             self.shed.setdefault(name, Shed()).add(at)
             return
-        if name in self.shed:
-            gone = self.shed.pop(name)
+        gone = self.shed.pop(name, None) if self.shed else None  # the thread may take it at the same moment
+        if gone is not None:
             self.held.append((at, BY_NAME["gap"], (BY_NAME[name].number, gone.count, gone.since)))
         self.held.append((at, BY_NAME[name], values))
 
@@ -79,9 +82,10 @@
             self.word(Word.RETRY)
         while self.held and self.tracing is Tracing.ON:
             self.rows.append(self.held.popleft())
-            if block_ends(len(self.rows), self.rows[0][0], self.rows[0][0]):
+            if len(self.rows) >= MOST_ROWS:
                 self.guarded(self.end_block)
-        if self.tracing is Tracing.ON and block_ends(len(self.rows), self.rows[0][0] if self.rows else 0, now):
+        if self.tracing is Tracing.ON and block_ends(
+                len(self.rows), self.rows[0][0] if self.rows else 0, now, self.block_age):
             self.guarded(self.end_block)
         if self.tracing is Tracing.ON and self.heads and file_ends(self.size, self.opened, now, self.most_bytes,
                                                                    self.most_age):
@@ -91,8 +95,9 @@
         """What was shed and not yet told stands at the end."""
         now = self.now()
         for name in list(self.shed):
-            gone = self.shed.pop(name)
-            self.rows.append((now, BY_NAME["gap"], (BY_NAME[name].number, gone.count, gone.since)))
+            gone = self.shed.pop(name, None)
+            if gone is not None:
+                self.rows.append((now, BY_NAME["gap"], (BY_NAME[name].number, gone.count, gone.since)))
 
     def word(self, word: Word) -> None:
         """Read the table and act."""
@@ -139,24 +144,24 @@
                 continue
         header = format.put_header({**self.about, "opened": self.now(), "wall_ms": int(time.time() * 1000)})
         self.write(header)
-        self.size, self.opened, self.heads = len(header), self.now(), []
+        self.size, self.opened, self.heads, self.stores = len(header), self.now(), [], self.stores.next_file()
         if self.failures:
             self.remark(f"tracing goes on: {self.path}")
         self.failures = 0
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes, last: bool = False) -> None:
         """All of it, synced where set."""
         view = memoryview(data)
         while view:
             view = view[self.sink.write(view):]
-        if self.sync:
+        if self.sync == "blocks" or self.sync == "files" and last:
             os.fsync(self.sink.fileno())
 
     def end_block(self) -> None:
         if not self.rows:
             return
         rows = self.rows
-        data = format.put_block(rows)
+        data = format.put_block(rows, self.stores.touched(rows))
         self.write(data)
         self.rows = []
         self.heads.append(format.get_head(data, self.size))
@@ -171,7 +176,7 @@
     def finish(self) -> None:
         """The index, and the end of the file."""
         if self.sink is not None:
-            self.write(format.put_footer(self.heads, self.size))
+            self.write(format.put_footer(self.heads, self.size, self.stores.blocks), last=True)
             self.sink.close()
             self.sink = None
 
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -160,7 +160,7 @@
         data[8] = 2
         with self.assertRaises(Malformed) as caught:
             self.read(bytes(data))
-        self.assertIn("format 2.0", str(caught.exception))
+        self.assertIn("format 2.", str(caught.exception))
 
     def test_a_bomb_and_lengths_that_lie_take_no_memory(self):
         body = zstandard.ZstdCompressor().compress(bytes(1 << 28))
@@ -278,7 +278,7 @@
 class Writing(Files):
     def writer(self, folder=None, **given_bounds):
         self.said, self.now = [], 0
-        return Writer(folder or self.folder, "g", {"seed": 1}, lambda: self.now, self.said.append, sync=False, **given_bounds)
+        return Writer(folder or self.folder, "g", {"seed": 1}, lambda: self.now, self.said.append, sync="never", **given_bounds)
 
     def files(self):
         return sorted(each for each in os.listdir(self.folder) if each.endswith(".mtrace"))
