--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -12,6 +12,7 @@
 import argparse
 import os
 import pstats
+import socket
 import statistics
 import subprocess
 import sys
@@ -162,8 +163,9 @@
 class Bench:
     """One edge before stand-in boxes; a context."""
 
-    def __init__(self, profile: str = "", away: bool = False) -> None:
+    def __init__(self, profile: str = "", away: bool = False, trace: str = "", block_s: float = 5.0) -> None:
         self.profile, self.away, self.processes = profile, away, []
+        self.trace, self.block_s = trace, block_s
 
     def __enter__(self) -> Bench:
         self.folder = tempfile.TemporaryDirectory()
@@ -174,16 +176,34 @@
         if self.away:
             file.flows.collector.add(address=f"127.0.0.1:{free_ports(1)[0]}")
             file.flows.closest, file.flows.idle_s = "commands", 1.0
+        if self.trace:
+            file.trace.folder, file.trace.block_s = self.trace, self.block_s
         path = f"{self.folder.name}/edge.textproto"
         with open(path, "w", encoding="utf-8") as sink:
             sink.write(text_format.MessageToString(file))
         self.start("benchmarks.gateway", "boxes", str(self.registry), "4")
         time.sleep(1)
         profiled = ["-m", "cProfile", "-o", self.profile] if self.profile else []
-        self.edge = self.start("milletsill", "edge", path, before=profiled)
+        self.words = ("milletsill", "edge", path)
+        self.edge = self.start(*self.words, before=profiled)
         time.sleep(2)
         return self
 
+    def restart(self) -> None:
+        """The edge anew, after it was killed."""
+        self.processes.remove(self.edge)
+        self.edge = self.start(*self.words)
+
+    def await_door(self) -> None:
+        """Until the edge listens."""
+        ends = time.monotonic() + 20
+        while time.monotonic() < ends:
+            with socket.socket() as probe:
+                if probe.connect_ex(("127.0.0.1", self.door)) == 0:
+                    return
+            time.sleep(0.02)
+        raise RuntimeError("the edge does not listen")
+
     def start(self, *words: str, before: list[str] = []) -> subprocess.Popen[bytes]:
         made = subprocess.Popen([sys.executable, *before, "-m", *words], stderr=subprocess.DEVNULL)
         self.processes.append(made)
--- a/milletsill/cli/main.py
+++ b/milletsill/cli/main.py
@@ -10,6 +10,7 @@
 import click
 from google.protobuf import text_format
 
+from milletsill.cli.traces import trace
 from milletsill.settings.decide import check_gateway, check_scenario
 from milletsill.settings.load import Refused, load, text_from
 from milletsill.settings.milletsill_pb2 import GatewayFile, Scenario
@@ -209,97 +210,4 @@
             click.echo(f"{each.id:>3} {each.name:<32} {each.type:<12} {each.semantics:<13} {each.text}")
 
 
-@main.group()
-def trace() -> None:
-    """Traces: look into them, cut, merge, anonymise, mend."""
-
-
-def said(call: Callable[[], Any]) -> Any:
-    """What a call on traces gives; a bad or missing file is one line and status 2."""
-    from milletsill.trace.format import Malformed
-    try:
-        return call()
-    except (Malformed, OSError) as error:
-        what = f"{error.filename}: {error.strerror}" if isinstance(error, OSError) else str(error)
-        click.echo(f"milletsill: {what}", err=True)
-        sys.exit(2)
-
-
-@trace.command("summary")
-@click.argument("files", nargs=-1, required=True, type=click.Path())
-def trace_summary(files: tuple[str, ...]) -> None:
-    """What each of FILES holds, a line of JSON for each."""
-    from milletsill.trace.tools import summary
-    for file in files:
-        click.echo(json.dumps(said(lambda file=file: summary(file))))
-
-
-@trace.command("dump")
-@click.argument("file", type=click.Path())
-@click.option("--since", type=int, help="Tenths of a millisecond on the writer's clock.")
-@click.option("--until", type=int, help="Up to, not with.")
-def trace_dump(file: str, since: int | None, until: int | None) -> None:
-    """Print FILE's records as JSON lines."""
-    from milletsill.trace.tools import lines
-    said(lambda: lines(file, since, until, lambda row: click.echo(json.dumps(row))))
-
-
-@trace.command("verify")
-@click.argument("files", nargs=-1, required=True, type=click.Path())
-def trace_verify(files: tuple[str, ...]) -> None:
-    """Unpack every block of FILES. Exit status 1 where anything is broken."""
-    from milletsill.trace.reader import verify
-    broken = False
-    for file in files:
-        found = said(lambda file=file: verify(file))
-        click.echo(f"{file}: {found.verdict.name.lower()}, {len(found.heads)} blocks")
-        for each in found.breaks:
-            broken = True
-            click.echo(f"  at {each.offset}, {each.size} bytes: {each.reason}")
-    sys.exit(1 if broken else 0)
-
-
-@trace.command("repair")
-@click.argument("file", type=click.Path())
-@click.argument("out", type=click.Path())
-def trace_repair(file: str, out: str) -> None:
-    """Write the whole blocks of FILE, as they stand, to the new file OUT, with an index."""
-    from milletsill.trace.reader import repair
-    found = said(lambda: repair(file, out))
-    click.echo(f"{out}: {len(found.heads)} blocks kept, {sum(each.size for each in found.breaks)} bytes left out")
-
-
-@trace.command("cut")
-@click.argument("file", type=click.Path())
-@click.argument("out", type=click.Path())
-@click.option("--since", type=int, help="Tenths of a millisecond on the writer's clock.")
-@click.option("--until", type=int, help="Up to, not with.")
-@click.option("--store", help="This store's transfers alone.")
-def trace_cut(file: str, out: str, since: int | None, until: int | None, store: str | None) -> None:
-    """Write a part of FILE to the new file OUT."""
-    from milletsill.trace.tools import cut
-    count, read = said(lambda: cut(file, out, since, until, store))
-    click.echo(f"{out}: {count} records, {read} bytes read")
-
-
-@trace.command("merge")
-@click.argument("out", type=click.Path())
-@click.argument("files", nargs=-1, required=True, type=click.Path())
-def trace_merge(out: str, files: tuple[str, ...]) -> None:
-    """Write FILES of many gateways as one, by wall time, to the new file OUT."""
-    from milletsill.trace.tools import merge
-    click.echo(f"{out}: {said(lambda: merge(list(files), out))} records")
-
-
-@trace.command("anonymise")
-@click.argument("file", type=click.Path())
-@click.argument("out", type=click.Path())
-@click.option("--key-file", required=True, type=click.Path(), help="A secret of 16 bytes or more; one key, equal names.")
-def trace_anonymise(file: str, out: str, key_file: str) -> None:
-    """Write FILE to the new file OUT with stores and paths replaced."""
-    from milletsill.trace.tools import anonymise
-    key = said(lambda: Path(key_file).read_bytes()[:4096])
-    if len(key) < 16:
-        click.echo(f"{key_file}: a key of {len(key)} bytes, 16 at least", err=True)
-        sys.exit(2)
-    click.echo(f"{out}: {said(lambda: anonymise(file, out, key))} records")
+main.add_command(trace)
--- a/milletsill/lab/load.py
+++ b/milletsill/lab/load.py
@@ -5,9 +5,11 @@
 from __future__ import annotations
 
 import json
+import os
 import time
 from collections import OrderedDict
 from itertools import accumulate
+from math import ceil
 from random import Random
 from typing import Any, Callable
 
@@ -22,7 +24,10 @@
 from milletsill.files.framing import Deframer
 from milletsill.files.wire import Attrs
 from milletsill.lab.record import IN, OUT, Recorder
-from milletsill.lab.service import Claim, Done, reckon
+from milletsill.lab.service import Claim, Done
+from milletsill.trace.records import BY_NAME
+from milletsill.trace.service import SECOND, ServiceTerms, put_terms, reckoned
+from milletsill.trace.tools import Sink
 
 BLOCK = Random(11).randbytes(1 << 17) * 3
 MOST_HANDLES, AGAIN, WEIGHED_FOR = 200, 0.25, 0.1  # of a connection; seconds until a lost one is dialled again
@@ -231,6 +236,9 @@
         self.histograms = {name: HdrHistogram(1, 60_000_000, 3) for name in self.categories}
         self.worst: dict[int, list[float]] = {}
         self.done: list[Done] = []
+        self.trace: list[Any] = []  # one command a row, as many as the scenario's operations
+        self.category_places = {each.name: place for place, each in enumerate(scenario.gateway.category)}
+        self.plan_places = {each.name: place for place, each in enumerate(scenario.gateway.plan)}
         self.shares: dict[str, tuple[float, list[float]]] = {}
         self.weighed_until = 0.0
         self.lag = 0.0
@@ -430,6 +438,10 @@
         in_time = final == "satisfied" and took * 1000 <= category.target_ms
         counts = 1.0 if in_time else category.late_utility if final == "satisfied" else 0.0
         units = max(operation.length / self.scenario.gateway.rules.unit_bytes, 1)
+        span, place = ceil(took * SECOND), self.category_places[category.name]
+        self.trace.append((int((operation.began - self.start_at) * SECOND) + span, BY_NAME["command"], (
+            int((operation.began - self.start_at) * SECOND), span, operation.volume.name, self.plan_places[plan.name], place,
+            operation.row.operation, units, 1, 0, final, "")))
         self.done.append(Done(second, self.number_of[operation.volume.name], category.name, units,
                               category.utility * plan.price, counts, not in_time))
         if final == "satisfied":
@@ -437,17 +449,30 @@
             slot[0] += utility if in_time else 0.0
             self.histograms[category.name].record_value(max(int(took * 1e6), 1))
 
-    def counted(self) -> dict[str, float]:
-        """Service by reserve, share and the rest, in all ('') and by category."""
+    def terms(self) -> ServiceTerms:
+        """What the service figure needs."""
         rules, scenario = self.scenario.gateway.rules, self.scenario
         kinds = {each.name: each for each in scenario.kind}
         cores = sum(kinds[each.kind].cores * kinds[each.kind].speed * each.count for each in scenario.box)
         asked = sum(row.per_s * row.units for row in scenario.traffic) or 1.0
         work = sum(row.per_s * row.units * row.work_ms / 1000 / rules.unit_mean for row in scenario.traffic) / asked
         claims = [Claim(self.plans[each.plan].reserve_rate, self.plans[each.plan].weight) for each in self.volumes]
-        found = reckon(self.done, claims, cores / max(work, 1e-9), rules.largest_units, rules.share_utility,
-                       rules.spare_utility)
-        return {name: counted / due if due else 0.0 for name, (counted, due) in sorted(found.items())}
+        categories = [(each.name, int(each.target_ms * 10), each.utility, each.late_utility) for each in scenario.gateway.category]
+        return ServiceTerms(categories, [each.price for each in scenario.gateway.plan], dict(self.number_of), claims,
+                     cores / max(work, 1e-9), rules.largest_units, rules.share_utility, rules.spare_utility)
+
+    def counted(self) -> dict[str, float]:
+        """Service by reserve, share and the rest, in all ('') and by category."""
+        return reckoned(self.done, self.terms())
+
+    def write_trace(self) -> None:
+        """What the clients asked for and got, as a trace; times count from the day's start."""
+        about = {"name": "clients", "seed": self.scenario.seed, "opened": 0, "wall_ms": int(time.time() * 1000),
+                 "terms": put_terms(self.terms())}
+        path = f"{self.out}/clients.mtrace"
+        if os.path.exists(path):
+            os.unlink(path)
+        Sink(path, about).put_all(self.trace)
 
     def finish(self) -> None:
         """Write what came of it and end."""
@@ -458,6 +483,7 @@
         result = {"rows": [{"category": c, "plan": p, **row} for (c, p), row in sorted(self.rows.items())],
                   "latency_ms": quantiles, "counted": self.counted(), "counts": self.counts, "operations": self.operations,
                   "unended": self.live, "worst_lag_ms": self.lag * 1000, "seconds": self.worst}
+        self.write_trace()
         with open(f"{self.out}/load.json", "w", encoding="utf-8") as sink:
             json.dump(result, sink, indent=1)
         self.reactor.addSystemEventTrigger("after", "shutdown", self.recorder.close)
--- a/milletsill/trace/decide.py
+++ b/milletsill/trace/decide.py
@@ -4,8 +4,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from datetime import datetime, timezone
 from enum import Enum
-from typing import Mapping, Sequence
+from statistics import median
+from typing import Any, Mapping, Sequence
 
 SECOND = 10_000
 
@@ -103,3 +105,62 @@
     if footer:
         return Verdict.WHOLE
     return Verdict.OPEN if blocks_end == size and not bad_after else Verdict.BROKEN
+
+
+# --- Whose clock says what.
+
+TOLERATED = SECOND  # between two gateways that hear the same news: the list's own way, not their clocks
+
+
+def align(origins: Sequence[int], news: Sequence[Mapping[Any, int]]) -> list[tuple[int, int | None]]:
+    """For each of several files how much to add to its wall time, and what that may be off by (None where it shares nothing).
+
+    `origins` are the wall times of their clocks' zeros, `news` when each heard of what several may have heard of. An event's
+    time is the median over those who heard it; a file is off by the median of its own distances. What is within TOLERATED is
+    left alone: news takes its time, and wall clocks are mostly right. Guards a merge against a clock that is seconds off,
+    whatever set it so; harm: a gateway that was cut off for long hears all of it late and is taken for one whose clock is.
+    """
+    heard: dict[Any, list[int]] = {}
+    for origin, events in zip(origins, news):
+        for event, at in events.items():
+            heard.setdefault(event, []).append(origin + at)
+    middles = {event: median(times) for event, times in heard.items() if len(times) > 1}
+    made: list[tuple[int, int | None]] = []
+    for origin, events in zip(origins, news):
+        off = sorted(origin + at - middles[event] for event, at in events.items() if event in middles)
+        if not off:
+            made.append((0, None))
+            continue
+        middle = median(off)
+        spread = max(off[-1] - middle, middle - off[0])
+        made.append((-round(middle), round(spread)) if abs(middle) > TOLERATED else (0, round(max(abs(middle), spread))))
+    return made
+
+
+# --- What a time on the command line means.
+
+class Unclear(Exception):
+    """A text that is no time; one line."""
+
+
+SPANS = {"s": SECOND, "m": 60 * SECOND, "h": 3600 * SECOND}
+
+
+def moment(text: str, opened: int, wall_ms: int) -> int:
+    """A time on a writer's clock: its own tenths of a millisecond, `+90s` after its opening, or ISO 8601 wall time (UTC where
+    it names no zone)."""
+    if text.lstrip("-").isdecimal():
+        return int(text)
+    if text.startswith("+"):
+        unit = SPANS.get(text[-1:], None)
+        number = text[1:-1] if unit else text[1:]
+        try:
+            return opened + int(float(number) * (unit or SECOND))
+        except (ValueError, OverflowError):
+            raise Unclear(f"{text!r} is no span such as +90s, +5m, +1h") from None
+    try:
+        at = datetime.fromisoformat(text)
+    except ValueError:
+        raise Unclear(f"{text!r} is no time: tenths of a millisecond, +90s or ISO 8601") from None
+    at = at if at.tzinfo else at.replace(tzinfo=timezone.utc)
+    return opened + round(at.timestamp() * SECOND) - wall_ms * 10
--- a/milletsill/trace/reader.py
+++ b/milletsill/trace/reader.py
@@ -4,12 +4,13 @@
 
 import os
 from dataclasses import dataclass, field
-from typing import Any, BinaryIO, Iterator
+from typing import Any, BinaryIO, Callable, Iterator, Optional
 
 from milletsill.trace import format
 from milletsill.trace.decide import Verdict, judge
 from milletsill.trace.format import BLOCK_HEAD, BlockHead, Malformed, Row
 
+Heard = Optional[Callable[[int], None]]  # told how many bytes were read, for those who show progress
 SCAN = 1 << 20  # bytes looked through at a time for the next block after a break
 
 
@@ -38,8 +39,8 @@
 class Trace:
     """One file, open for reading; a file still being written is read up to its last whole block."""
 
-    def __init__(self, path: str) -> None:
-        self.path, self.source = path, open(path, "rb")
+    def __init__(self, path: str, heard: Heard = None) -> None:
+        self.path, self.source, self.heard = path, open(path, "rb"), heard
         try:
             self.size = os.fstat(self.source.fileno()).st_size
             need = format.header_size(self.source.read(format.HEAD.size))
@@ -61,6 +62,8 @@
         self.source.seek(offset)
         data = self.source.read(size)
         self.map.read += len(data)
+        if self.heard is not None:
+            self.heard(len(data))
         return data
 
     def find(self) -> None:
@@ -158,9 +161,9 @@
             return []
 
 
-def verify(path: str) -> Map:
+def verify(path: str, heard: Heard = None) -> Map:
     """A file looked through in full: every block unpacked, the index of stores made anew from what they hold."""
-    with Trace(path) as trace:
+    with Trace(path, heard) as trace:
         good, stores = [], format.Stores()
         for head in trace.map.heads:
             rows = trace.block(head)
@@ -173,9 +176,9 @@
         return trace.map
 
 
-def repair(path: str, out: str) -> Map:
+def repair(path: str, out: str, heard: Heard = None) -> Map:
     """The whole blocks of a file as they stand, byte for byte, with a new index, under another name."""
-    found = verify(path)
+    found = verify(path, heard)
     with open(path, "rb") as source, open(out, "xb") as sink:
         copy(source, sink, 0, format.header_size(source.read(format.HEAD.size)))
         heads = []
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -201,12 +201,12 @@
 
     def test_a_cut_by_store_keeps_all_of_its_transfers_and_nothing_else(self):
         path = self.file(whole(rows(20), rows(20, 1000))[0])
-        tools.cut(path, self.out("c"), None, None, "s1")
+        tools.cut(path, self.out("c"), store="s1")
         found = self.rows_of(self.out("c"))
         self.assertEqual({row[2][3] for row in found if row[1].name == "arrival"}, {"s1"})
         self.assertEqual({row[2][0] for row in found if row[1].name == "satisfied"},
                          {row[2][0] for row in found if row[1].name == "arrival"})
-        self.assertEqual(tools.cut(path, self.out("none"), None, None, "nobody")[0], 0)
+        self.assertEqual(tools.cut(path, self.out("none"), store="nobody")[0], 0)
 
     def test_a_merge_sets_clocks_that_disagree_and_keeps_equal_times_in_order(self):
         paths = []
@@ -242,8 +242,8 @@
 
     def test_the_command_line_gives_one_line_for_what_is_no_trace(self):
         path = self.file(b"nonsense")
-        for words in (("summary", path), ("dump", path), ("verify", path), ("cut", path, self.out("o")),
-                      ("merge", self.out("o"), path), ("summary", self.out("missing"))):
+        for words in (("info", path), ("cat", path), ("verify", path), ("cut", path, self.out("o")),
+                      ("merge", self.out("o"), path), ("info", self.out("missing"))):
             made = CliRunner().invoke(main, ["trace", *words])
             self.assertEqual((made.exit_code, made.output.count("\n"), "Traceback" in made.output), (2, 1, False), words)
 
