--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -1,6 +1,7 @@
 """What one edge carries on one core, what it spends it on, and what latency it adds; boxes answer at once.
 
     python -m benchmarks.gateway load     commands a second, several runs, and the latency added at 200 a second
+    python -m benchmarks.gateway pairs    the same without and with --of flows or trace, in turns
     python -m benchmarks.gateway profile  the share of the module, the codec, Twisted and the rest, by cProfile
     python -m benchmarks.gateway soak     resident memory of an edge under load for --seconds, sampled; with --away its
                                           flow export has a collector that is never there
@@ -163,9 +164,10 @@
 class Bench:
     """One edge before stand-in boxes; a context."""
 
-    def __init__(self, profile: str = "", away: bool = False, trace: str = "", block_s: float = 5.0) -> None:
+    def __init__(self, profile: str = "", away: bool = False, trace: str = "", block_s: float = 5.0,
+                 flows: bool = False) -> None:
         self.profile, self.away, self.processes = profile, away, []
-        self.trace, self.block_s = trace, block_s
+        self.trace, self.block_s, self.flows = trace, block_s, flows
 
     def __enter__(self) -> Bench:
         self.folder = tempfile.TemporaryDirectory()
@@ -176,6 +178,10 @@
         if self.away:
             file.flows.collector.add(address=f"127.0.0.1:{free_ports(1)[0]}")
             file.flows.closest, file.flows.idle_s = "commands", 1.0
+        if self.flows:
+            collector = f"127.0.0.1:{free_ports(1)[0]}"
+            file.flows.collector.add(address=collector)
+            self.start("milletsill", "flows", "collect", "--quiet", "--listen", collector)
         if self.trace:
             file.trace.folder, file.trace.block_s = self.trace, self.block_s
         path = f"{self.folder.name}/edge.textproto"
@@ -259,6 +265,26 @@
         print(f"{name}: median {statistics.median(held):.2f} ({min(held):.2f} to {max(held):.2f}, {runs} runs)")
 
 
+def pairs(of: str, runs: int, seconds: float) -> None:
+    """Without and with, in turns; each pair's ratio, so that the machine's drift falls out."""
+    held: dict[bool, list[tuple[float, ...]]] = {False: [], True: []}
+    for number in range(runs):
+        for with_it in (False, True) if number % 2 else (True, False):
+            with tempfile.TemporaryDirectory() as folder, Bench(
+                    trace=folder if with_it and of == "trace" else "", flows=with_it and of == "flows") as bench:
+                before = bench.cpu()
+                top, *_ = bench.play(4, 16, 0, seconds)
+                cost = (bench.cpu() - before) / (top * seconds) * 1e6
+                _, at_half, at_99 = bench.play(4, 2, 500, seconds)
+                held[with_it].append((top, cost, at_half, at_99))
+    for place, what in enumerate(("commands a second", "processor us a command", "ms at 500 a second, median",
+                                  "ms at 500 a second, 99th")):
+        off, on = ([each[place] for each in held[which]] for which in (False, True))
+        ratios = sorted(b / a for a, b in zip(off, on))
+        print(f"{what}: without {statistics.median(off):.2f}, with {statistics.median(on):.2f}; ratio in pairs: median "
+              f"{statistics.median(ratios):.3f} ({ratios[0]:.3f} to {ratios[-1]:.3f}, {runs} pairs)")
+
+
 def profile(seconds: float) -> None:
     with tempfile.TemporaryDirectory() as folder:
         path = f"{folder}/edge.prof"
@@ -289,13 +315,16 @@
     if len(sys.argv) > 1 and sys.argv[1] in ("boxes", "client", "direct"):
         return {"boxes": boxes, "client": client, "direct": direct}[sys.argv[1]](*sys.argv[2:])
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("what", choices=("load", "profile", "soak"))
+    parser.add_argument("what", choices=("load", "pairs", "profile", "soak"))
+    parser.add_argument("--of", choices=("flows", "trace"), default="trace")
     parser.add_argument("--runs", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=8)
     parser.add_argument("--away", action="store_true")
     given = parser.parse_args()
     if given.what == "load":
         load(given.runs, given.seconds)
+    elif given.what == "pairs":
+        pairs(given.of, given.runs, given.seconds)
     elif given.what == "profile":
         profile(given.seconds)
     else:
--- a/benchmarks/trace.py
+++ b/benchmarks/trace.py
@@ -1,8 +1,8 @@
-"""What traces cost: an hour of a fleet on a simulated clock, kills at chance moments, an edge's rate with and without.
+"""What traces cost: an hour of a fleet on a simulated clock, and kills at chance moments.
+What they cost an edge: `python -m benchmarks.gateway pairs --of trace`.
 
     python -m benchmarks.trace hour SCENARIO --out DIR [--gateways 150 --rate 580 --seconds 3600 --parts 6]
     python -m benchmarks.trace kills [--count 200 --parts 5]
-    python -m benchmarks.trace rate [--runs 6 --seconds 8]
 
 `hour` plays the scenario's traffic through the real modules (lab/clockwork.py), writes a trace for each gateway, then measures
 sizes against other formats, a cut of a minute and of a store, and the merge of all. Simulated: no sockets, no real time.
@@ -14,7 +14,6 @@
 import json
 import os
 import resource
-import statistics
 import subprocess
 import sys
 import tempfile
@@ -34,27 +33,25 @@
 
 # --- The hour.
 
-class Tap:
-    """A writer's place on a simulated clock: blocks by size and age as in service, the time that it takes counted."""
+class Tap(tools.Tap):
+    """The time that writing takes is counted."""
 
     def __init__(self, path: str, about: dict[str, Any], age: int) -> None:
-        self.sink, self.age, self.first, self.count, self.cpu = tools.Sink(path, about), age, 0, 0, 0.0
+        super().__init__(path, about, age)
+        self.count, self.cpu = 0, 0.0
 
     def put(self, name: str, at: int, *values: Any) -> None:
-        rows = self.sink.rows
         self.count += 1
-        if not rows:
-            self.first = at
-        elif at - self.first >= self.age:
-            began = time.process_time()
-            self.sink.flush()
-            self.cpu += time.process_time() - began
-            self.first = at
-        self.sink.put((at, tools.BY_NAME[name], values))
+        super().put(name, at, *values)
+
+    def flush(self) -> None:
+        began = time.process_time()
+        super().flush()
+        self.cpu += time.process_time() - began
 
     def close(self) -> None:
         began = time.process_time()
-        self.sink.close()
+        super().close()
         self.cpu += time.process_time() - began
 
 
@@ -222,27 +219,6 @@
     print({name: sum(each[name] for each in told) for name in told[0]})
 
 
-# --- The edge's rate.
-
-def rate(runs: int, seconds: float) -> None:
-    """Off and on in turns; each pair's ratio, so that the machine's drift falls out."""
-    from benchmarks.gateway import Bench
-    held: dict[str, list[tuple[float, float, float]]] = {"off": [], "on": []}
-    for number in range(runs):
-        for which in ("off", "on") if number % 2 else ("on", "off"):
-            with tempfile.TemporaryDirectory() as folder, Bench(trace=folder if which == "on" else "") as bench:
-                before = bench.cpu()
-                top, *_ = bench.play(4, 16, 0, seconds)
-                cost = (bench.cpu() - before) / (top * seconds) * 1e6
-                _, _, at_99 = bench.play(4, 1, 200, seconds)
-                held[which].append((top, cost, at_99))
-    for place, what in enumerate(("commands a second", "processor us a command", "ms at 200 a second, 99th")):
-        off, on = ([each[place] for each in held[which]] for which in ("off", "on"))
-        ratios = sorted(b / a for a, b in zip(off, on))
-        print(f"{what}: off {statistics.median(off):.1f}, on {statistics.median(on):.1f}; on/off in pairs: median "
-              f"{statistics.median(ratios):.3f} ({ratios[0]:.3f} to {ratios[-1]:.3f}, {runs} pairs)")
-
-
 def main() -> None:
     words = sys.argv[1:]
     if words[:1] == ["part"]:
@@ -253,19 +229,17 @@
     if words[:1] == ["killing"]:
         return killing(int(words[1]), int(words[2]))
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("what", choices=("hour", "kills", "rate"))
+    parser.add_argument("what", choices=("hour", "kills"))
     parser.add_argument("scenario", nargs="?")
     parser.add_argument("--out", default="out/trace")
     for name, kind, default in (("gateways", int, 150), ("rate", float, 580.0), ("seconds", float, 3600.0), ("parts", int, 6),
-                                ("count", int, 200), ("runs", int, 6)):
+                                ("count", int, 200)):
         parser.add_argument(f"--{name}", type=kind, default=default)
     given = parser.parse_args()
     if given.what == "hour":
         hour(given)
-    elif given.what == "kills":
-        kills(given.count, given.parts)
     else:
-        rate(given.runs, min(given.seconds, 8.0))
+        kills(given.count, given.parts)
 
 
 if __name__ == "__main__":
--- a/milletsill/lab/__main__.py
+++ b/milletsill/lab/__main__.py
@@ -1,4 +1,4 @@
-"""The laboratory's own processes: `stand`, `load`, `edges`. Started by lab/run.py, never by hand."""
+"""The laboratory's own processes: `stand`, `load`, `edges`, `deaf`, started by lab/run.py; `wire`, started by the bench."""
 from __future__ import annotations
 
 import gc
@@ -34,6 +34,9 @@
         from milletsill.edge.process import run
         from milletsill.lab.baselines import MODULES
         sys.exit(run([load(each, GatewayFile, check_gateway) for each in values[1:]], values[1:], MODULES[values[0]]))
+    if what == "wire":
+        from milletsill.lab.wire import main as wire
+        sys.exit(wire(values[0]))
     if what == "deaf":
         return deaf(int(values[0]))
     out, start, rest = values
--- a/milletsill/trace/tools.py
+++ b/milletsill/trace/tools.py
@@ -12,7 +12,7 @@
 from typing import Any, Callable, Iterable, Iterator
 
 from milletsill.trace import format
-from milletsill.trace.decide import MOST_ROWS, align
+from milletsill.trace.decide import MOST_AGE, MOST_ROWS, align
 from milletsill.trace.format import LEVEL, MOST_FOLLOWED, BlockHead, Malformed, Row
 from milletsill.trace.reader import Heard, Trace
 from milletsill.trace.records import BY_NAME, BY_TRANSFER, FLOAT, KINDS, STORE_PLACE, TEXT, Kind
@@ -63,6 +63,20 @@
         self.sink.close()
 
 
+class Tap(Sink):
+    """Takes what a writer takes, on a clock that is not the machine's: blocks by size and by age as in service, no thread."""
+
+    def __init__(self, path: str, about: dict[str, Any], age: int = MOST_AGE) -> None:
+        super().__init__(path, about)
+        self.age = age
+
+    def put(self, name: str, at: int, *values: Any) -> None:  # type: ignore[override]
+        rows = self.rows
+        if rows and (len(rows) >= MOST_ROWS or at - rows[0][0] >= self.age):
+            self.flush()
+        self.rows.append((at, BY_NAME[name], values))
+
+
 @dataclass(frozen=True)
 class Wanted:
     """What a cut keeps: times, and transfers by store, category (place in the facts) or box; None for all."""
--- a/milletsill/wirehost/host.py
+++ b/milletsill/wirehost/host.py
@@ -2,7 +2,7 @@
 from __future__ import annotations
 
 import traceback
-from typing import BinaryIO
+from typing import Any, BinaryIO, Callable
 
 from milletsill.interface import Answer, Arrival, Listed, News
 from milletsill.policy import Scheduler
@@ -53,13 +53,17 @@
         self.timers[self.cookies] = what
         self.said.append(codec.NOTIFY(self.cookies, min(max(at * UNIT - self.clock, 0), LONGEST_TIMER)))
 
+    def born(self, facts: dict[str, Any], seed: int, now: int) -> Scheduler:
+        """The module of this instance."""
+        return Scheduler(facts, seed, now, self)
+
     def hear(self, event: Event, now: int, banks: dict[int, tuple[Listed, ...]]) -> None:
         """Hand one event to the module."""
         fields = event.fields
         if event.code == codec.BORN:
             facts = codec.facts_of(event.tail)
             self.fields = facts["report_fields"]
-            self.module = Scheduler(facts, fields[0], now, self)
+            self.module = self.born(facts, fields[0], now)
             return
         module = self.module
         if module is None:
@@ -95,9 +99,10 @@
 
 
 class Host:
-    """All instances of this process; they share nothing but the wire's numbered lists."""
+    """All instances of this process; they share nothing but the wire's numbered lists. `make` gives a new one."""
 
-    def __init__(self) -> None:
+    def __init__(self, make: Callable[[int], Instance] = Instance) -> None:
+        self.make = make
         self.instances: dict[int, Instance] = {}
         self.banks: dict[int, tuple[Listed, ...]] = {}
 
@@ -111,7 +116,7 @@
                 self.banks[event.fields[0]] = codec.entries_of(event.tail)
             elif event.code == codec.INSTANCE:
                 number = event.fields[0]
-                current = self.instances.get(number) or self.instances.setdefault(number, Instance(number))
+                current = self.instances.get(number) or self.instances.setdefault(number, self.make(number))
                 heard[number], current.clock = current, batch.clock
             elif current is None:
                 raise Malformed(f"batch {batch.number}: {codec.NAMES[event.code]} before any Instance")
@@ -125,7 +130,7 @@
 
     def fresh(self, old: Instance, heard: dict[int, Instance]) -> Instance:
         """The instance after it was killed: what it held and had to say is void."""
-        new = Instance(old.number)
+        new = self.make(old.number)
         new.clock = old.clock
         self.instances[old.number] = heard[old.number] = new
         return new
@@ -153,9 +158,9 @@
         return actions
 
 
-def serve(source: BinaryIO, sink: BinaryIO) -> None:
+def serve(source: BinaryIO, sink: BinaryIO, make: Callable[[int], Instance] = Instance) -> None:
     """Answer batches until the input ends."""
-    host = Host()
+    host = Host(make)
     while (batch := codec.read_batch(source)) is not None:
         sink.write(host.answer(batch))
         sink.flush()
--- /dev/null
+++ b/tests/test_trace_tools.py
@@ -0,0 +1,413 @@
+"""Tools on traces: what is cut, merged, aligned, converted, reckoned; old versions; what hostile indexes do."""
+import csv
+import glob
+import io
+import json
+import os
+import threading
+import time
+import tempfile
+import unittest
+from random import Random
+
+from click.testing import CliRunner
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from milletsill.cli.main import main
+from milletsill.lab.service import Claim, Done, reckon
+from milletsill.lab.wire import Kept, Recorded
+from milletsill.trace import format, tools
+from milletsill.trace.decide import TOLERATED, Unclear, Verdict, align, moment
+from milletsill.trace.format import Malformed, Stores
+from milletsill.trace.reader import Trace, repair, verify
+from milletsill.trace.records import BY_NAME, KINDS
+from milletsill.trace.service import ServiceTerms, put_terms, summarise
+from milletsill.trace.writer import Writer
+from milletsill.wirehost.host import serve
+from tests.fixtures.make_trace import put_all
+from tests.test_wirehost import BORN, frame
+
+SECOND = 10_000
+
+
+def arrival(at, transfer, store, category=0, path="/p"):
+    return at, BY_NAME["arrival"], (transfer, 1, 1, store, 2, category, 0, 0, 0, -1, 1.0, at + 9000, path)
+
+
+def dispatch(at, transfer, node):
+    return at, BY_NAME["dispatch"], (transfer, node, 500)
+
+
+def outcome(at, transfer, node):
+    return at, BY_NAME["outcome"], (transfer, 0, node, "satisfied", 1, 30, -1, 0, "")
+
+
+def command(began, span, store, final="satisfied", category=0, plan=0, units=1.0, why=""):
+    return began + span, BY_NAME["command"], (began, span, store, plan, category, "read", units, 1, 0, final, why)
+
+
+def listing(at, node, ready):
+    return at, BY_NAME["listing"], (node, ready, 1.0, 0, 0, 0, 0, node)
+
+
+class Decided(unittest.TestCase):
+    def test_a_clock_that_is_seconds_off_is_set_by_the_news_that_it_shares(self):
+        news = [{"a": 100, "b": 900}, {"a": 120, "b": 940}, {"a": 50_110, "b": 50_920}]
+        (first, _), (second, _), (third, off) = align([0, 0, 0], news)
+        self.assertEqual((first, second), (0, 0))
+        self.assertAlmostEqual(third, -49_985, delta=30)
+        self.assertLessEqual(off, 30)
+
+    def test_what_the_news_own_way_explains_is_left_alone(self):
+        self.assertEqual(align([0, 0], [{"a": 0}, {"a": TOLERATED}]), [(0, TOLERATED // 2)] * 2)
+
+    def test_a_file_that_shares_nothing_keeps_its_wall_clock_and_says_so(self):
+        self.assertEqual(align([0, 5], [{"a": 0}, {"b": 7}]), [(0, None), (0, None)])
+
+    def test_two_of_three_clocks_outvote_the_third(self):
+        corrected = align([0, 0, 70_000], [{"a": 1, "b": 2}] * 3)
+        self.assertEqual(corrected, [(0, 0), (0, 0), (-70_000, 0)])
+
+    def test_times_on_the_command_line(self):
+        self.assertEqual([moment(each, 500, 1_000_000) for each in ("7", "+2", "+2s", "+1.5m", "+1h", "1970-01-01T00:16:41")],
+                         [7, 20_500, 20_500, 900_500, 36_000_500, 500 + SECOND])
+        for each in ("soon", "+", "+xs", "", "+1e999h", "2026-13-01"):
+            with self.assertRaises(Unclear, msg=each):
+                moment(each, 0, 0)
+
+
+class Files(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = folder.name
+
+    def out(self, name="out"):
+        return os.path.join(self.folder, name)
+
+    def trace(self, name, *blocks, **about):
+        sink = tools.Sink(self.out(name), {"name": name, "seed": 1, "opened": 0, "wall_ms": 0, **about})
+        for block in blocks:
+            for row in block:
+                sink.put(row)
+            sink.flush()
+        sink.close()
+        return self.out(name)
+
+    def rows(self, path):
+        with Trace(path) as trace:
+            return list(trace.rows())
+
+
+class Index(Files):
+    def test_later_records_of_a_transfer_count_for_its_store(self):
+        path = self.trace("t", [arrival(1, 1, "a"), arrival(2, 2, "b")], [outcome(9, 1, 4)], [outcome(10, 2, 4)])
+        with Trace(path) as trace:
+            self.assertEqual(trace.map.stores, {"a": [0, 1], "b": [0, 2]})
+            self.assertEqual([each.records for each in trace.heads("a")], [2, 1])
+            self.assertEqual(trace.heads("nobody"), [])
+
+    def test_without_the_index_the_filters_tell_the_same(self):
+        path = self.trace("t", [arrival(1, 1, "a"), arrival(2, 2, "b")], [outcome(9, 1, 4)], [outcome(10, 2, 4)])
+        with open(path, "r+b") as sink:
+            sink.truncate(os.path.getsize(path) - 5)
+        with Trace(path) as trace:
+            self.assertIsNone(trace.map.stores)
+            self.assertEqual([each.records for each in trace.heads("a")], [2, 1])
+
+    def test_a_store_that_appears_once_is_found_by_reading_little(self):
+        chance = Random(4)
+        blocks = [[arrival(block * SECOND + n, block * 100 + n, f"s{n % 9}", path=f"/{chance.random()}") for n in range(100)]
+                  for block in range(200)]
+        blocks[77].append(arrival(77 * SECOND + 100, 999_999, "rare"))
+        path = self.trace("t", *blocks)
+        count, read = tools.cut(path, self.out(), store="rare")
+        self.assertEqual(count, 1)
+        self.assertLess(read, os.path.getsize(path) / 20)
+
+    def test_a_repaired_file_has_the_index_made_anew(self):
+        path = self.trace("t", [arrival(1, 1, "a")], [arrival(2, 2, "b")], [outcome(9, 1, 4)])
+        with Trace(path) as trace:
+            second = trace.map.heads[1]
+        with open(path, "r+b") as sink:
+            sink.seek(second.offset + format.BLOCK_HEAD.size + 3)
+            sink.write(b"\xff\xff")
+        repair(path, self.out())
+        with Trace(self.out()) as trace:
+            self.assertEqual((trace.map.stores, len(trace.map.heads)), ({"a": [0, 1]}, 2))
+
+    def test_too_many_stores_give_up_the_index_and_nothing_else(self):
+        stores = Stores()
+        stores.touched([arrival(1, each, f"s{each}") for each in range(format.MOST_INDEXED + 1)])
+        self.assertIsNone(stores.blocks)
+        self.assertEqual(format.put_stores(stores.blocks), b"")
+        self.assertLessEqual(len(stores.of), format.MOST_FOLLOWED)
+
+    @settings(max_examples=200, deadline=None)
+    @given(st.binary(max_size=200))
+    def test_a_hostile_index_is_one_line(self, body):
+        import zlib
+        import zstandard
+        packed = zstandard.ZstdCompressor().compress(body)
+        data = format.FOOTER_HEAD.pack(format.STORES, len(packed), zlib.crc32(packed)) + packed
+        try:
+            format.get_stores(data)
+        except Malformed as error:
+            self.assertNotIn("\n", str(error))
+
+    @settings(max_examples=60, deadline=None)
+    @given(st.data())
+    def test_any_byte_of_a_file_changed_reads_up_to_there_or_says_so(self, data):
+        self.made = getattr(self, "made", 0) + 1
+        path = self.trace(f"t{self.made}", [arrival(1, 1, "a")] * 20, [outcome(9, 1, 4)] * 20)
+        with open(path, "rb") as source:
+            held = bytearray(source.read())
+        at = data.draw(st.integers(0, len(held) - 1))
+        held[at] ^= 1 << data.draw(st.integers(0, 7))
+        with open(path, "wb") as sink:
+            sink.write(held)
+        try:
+            found = verify(path)
+            list(tools.cut(path, path + ".cut", store="a"))
+        except Malformed as error:
+            self.assertNotIn("\n", str(error))
+        else:
+            self.assertTrue(found.verdict is not Verdict.WHOLE or len(found.heads) == 2 or found.breaks)
+
+
+class Cutting(Files):
+    def setUp(self):
+        super().setUp()
+        facts = {"categories": [{"name": "read"}, {"name": "write"}]}
+        self.path = self.trace("t", [arrival(1, 1, "a", 0), arrival(2, 2, "a", 1), arrival(3, 3, "b", 1)],
+                               [dispatch(4, 1, 7), dispatch(5, 2, 8), dispatch(6, 3, 7), outcome(9, 1, 7), outcome(9, 2, 8),
+                                outcome(9, 3, 7), command(3, 6, "b", category=1)], facts=facts)
+
+    def kept(self, **terms):
+        out = self.out(str(len(os.listdir(self.folder))))
+        tools.cut(self.path, out, **terms)
+        return [(row[1].name, row[2][0]) for row in self.rows(out)]
+
+    def test_by_category(self):
+        self.assertEqual(self.kept(category=1), [("arrival", 2), ("arrival", 3), ("dispatch", 2), ("dispatch", 3),
+                                                 ("outcome", 2), ("outcome", 3), ("command", 3)])
+
+    def test_by_box_all_records_of_the_transfers_that_it_saw(self):
+        self.assertEqual(self.kept(box=8), [("arrival", 2), ("dispatch", 2), ("outcome", 2)])
+
+    def test_by_all_at_once(self):
+        self.assertEqual(self.kept(store="b", category=1, box=7), [("arrival", 3), ("dispatch", 3), ("outcome", 3)])
+        self.assertEqual(self.kept(store="b", category=0), [])
+
+    def test_a_range_between_blocks_holds_nothing(self):
+        path = self.trace("gap", [arrival(1, 1, "a")], [arrival(900, 2, "a")])
+        self.assertEqual(tools.cut(path, self.out(), since=100, until=800)[0], 0)
+
+    def test_names_of_categories_on_the_command_line(self):
+        run = CliRunner().invoke(main, ["trace", "cut", self.path, self.out("c"), "--category", "write", "--to", "+1s"])
+        self.assertEqual((run.exit_code, run.output.split(",")[0]), (0, f"{self.out('c')}: 7 records"))
+        run = CliRunner().invoke(main, ["trace", "cut", self.path, self.out("d"), "--category", "lend"])
+        self.assertEqual((run.exit_code, run.output.count("\n")), (2, 1))
+        run = CliRunner().invoke(main, ["trace", "cut", self.path, self.out("e"), "--from", "soon"])
+        self.assertEqual((run.exit_code, run.output.count("\n")), (2, 1))
+
+
+class Merging(Files):
+    def test_clocks_that_disagree_by_seconds_are_set_and_the_rest_is_told(self):
+        flips = [(at, node, state) for at, node, state in ((10, 1, "ready"), (20_000, 1, "draining"), (60_000, 1, "ready"))]
+        paths = [self.trace(name, [listing(at + off, node, state) for at, node, state in flips]
+                            + [arrival(70_000 + off, 1, name)]) for name, off in (("a", 0), ("b", 30), ("c", 90_000))]
+        made = tools.merge(paths, self.out())
+        self.assertEqual([name for name, shift, _ in made.clocks if shift], ["c"])
+        times = [at for at, kind, _ in self.rows(self.out()) if kind.name == "arrival"]
+        self.assertLess(max(times) - min(times), 100)
+
+    def test_more_files_than_may_be_open(self):
+        paths = [self.trace(f"g{each:03d}", [arrival(at, at, f"s{each}") for at in range(3)])
+                 for each in range(tools.MOST_OPEN + 5)]
+        made = tools.merge(paths, self.out())
+        rows = self.rows(self.out())
+        self.assertEqual(made.records, 3 * len(paths))
+        self.assertEqual([row[0] for row in rows], sorted(row[0] for row in rows))
+        self.assertEqual(len({row[2][0] for row in rows}), len(rows))
+        self.assertEqual([row[2][3] for row in rows[:len(paths)]], [f"s{each}" for each in range(len(paths))])
+
+    def test_a_header_that_lies_about_its_clock_is_one_line(self):
+        path = self.trace("t", [arrival(1, 1, "a")], wall_ms="late")
+        run = CliRunner().invoke(main, ["trace", "merge", self.out(), path])
+        self.assertEqual((run.exit_code, run.output.count("\n")), (2, 1))
+
+
+class Versions(Files):
+    OLD = os.path.join(os.path.dirname(__file__), "fixtures", "trace-1.0.mtrace")
+
+    def test_a_trace_of_1_0_is_read_in_full(self):
+        class Held:
+            rows = []
+
+            def put(self, name, at, *values):
+                self.rows.append((at, BY_NAME[name], values))
+
+        held = Held()
+        put_all(held, [each for each in KINDS if each.number <= 34])
+        self.assertEqual(self.rows(self.OLD), held.rows)
+
+    def test_a_cut_of_1_0_by_store_finds_later_records_too(self):
+        tools.cut(self.OLD, self.out(), store="store-3")
+        kinds = {row[1].name for row in self.rows(self.out())}
+        self.assertIn("outcome", kinds)
+
+    def test_convert_brings_it_to_the_present_version(self):
+        tools.convert(self.OLD, self.out(), "mtrace")
+        with Trace(self.out()) as trace, Trace(self.OLD) as old:
+            self.assertEqual((trace.map.about["minor"], old.map.about["minor"]), (format.MINOR, 0))
+            self.assertEqual(list(trace.rows()), list(old.rows()))
+            self.assertIsNotNone(trace.map.stores)
+
+    def test_csv_and_parquet_hold_the_same(self):
+        import pyarrow.parquet
+        path = self.trace("t", [arrival(1, 1, "a", path="/\udcff"), outcome(2, 1, 4), (3, BY_NAME["settled"], ())])
+        tools.convert(path, self.out("c"), "csv")
+        tools.convert(path, self.out("p"), "parquet")
+        with open(self.out("c/outcome.csv"), encoding="utf-8", newline="") as source:
+            rows = list(csv.DictReader(source))
+        self.assertEqual((rows[0]["at"], rows[0]["node"], rows[0]["outcome"]), ("2", "4", "satisfied"))
+        table = pyarrow.parquet.read_table(self.out("p/outcome.parquet")).to_pylist()
+        self.assertEqual((table[0]["at"], table[0]["node"], table[0]["outcome"]), (2, 4, "satisfied"))
+        self.assertEqual(pyarrow.parquet.read_table(self.out("p/arrival.parquet")).to_pylist()[0]["path"], "/\\xff")
+        self.assertEqual(sorted(os.listdir(self.out("p"))), ["arrival.parquet", "outcome.parquet", "settled.parquet"])
+
+
+class Hiding(Files):
+    def test_no_original_name_survives_in_any_byte(self):
+        facts = {"categories": [{"name": "night-export", "target_time": 5}], "plans": [{"usual_rate": 1.0}], "tick": 1}
+        path = self.trace("gate-way", [arrival(1, 1, "fish-shop", path="/lagoon/log"), command(1, 3, "fish-shop", why="secret")],
+                          facts=facts, volumes=[["fish-shop", "premium-plan"]], plans=["premium-plan"])
+        tools.anonymise(path, self.out(), b"k" * 16)
+        with open(self.out(), "rb") as source:
+            data = source.read()
+        found = data + json.dumps([row[2] for row in self.rows(self.out())]).encode()
+        with Trace(self.out()) as trace:
+            found += json.dumps([trace.map.about, trace.map.stores]).encode()
+        for name in (b"fish-shop", b"lagoon", b"night-export", b"premium-plan", b"gate-way", b"secret"):
+            self.assertNotIn(name, found)
+
+
+class Service(Files):
+    TERMS = ServiceTerms([("read", 3000, 1.0, 0.25), ("write", 5000, 2.0, 0.0)], [1.0, 3.0], {"a": 0, "b": 1},
+                         [Claim(2.0, 1.0), Claim(5.0, 2.0)], 20.0, 8.0, 0.35, 0.1)
+
+    def test_the_figure_from_the_trace_is_that_of_what_was_done(self):
+        chance, done, rows = Random(9), [], []
+        for each in range(500):
+            began, span, category, plan = each * 300, chance.randrange(1, 8000), chance.randrange(2), chance.randrange(2)
+            final, units, place = chance.choice(("satisfied", "satisfied", "declined")), chance.choice((1.0, 2.5)), each % 2
+            name, target, utility, late = self.TERMS.categories[category]
+            counts = 0.0 if final != "satisfied" else 1.0 if span <= target else late
+            done.append(Done(began // SECOND, place, name, units, utility * self.TERMS.prices[plan], counts, counts != 1.0))
+            rows.append(command(began, span, "ab"[place], final, category, plan, units))
+        terms = self.TERMS
+        expected = reckon(done, terms.claims, terms.power, terms.largest, terms.share, terms.spare)
+        path = self.trace("t", rows, terms=put_terms(terms))
+        found = summarise(path, 10 * SECOND)
+        self.assertEqual(found["service"], {name: counted / due for name, (counted, due) in expected.items()})
+        self.assertEqual(sum(each.get("declined", 0) for each in found["windows"]),
+                         sum(each["count"] for each in found["not satisfied"]))
+
+    def test_text_picture_and_json_on_the_command_line(self):
+        path = self.trace("t", [command(each * SECOND, 40, "a") for each in range(50)]
+                          + [command(5, 9, "b", "declined", why="full")], terms=put_terms(self.TERMS))
+        run = CliRunner().invoke(main, ["trace", "summarise", path, "--window", "10", "--plot", self.out("p.png")])
+        self.assertEqual(run.exit_code, 0, run.output)
+        self.assertIn("read declined: full", run.output)
+        self.assertGreater(os.path.getsize(self.out("p.png")), 1000)
+        run = CliRunner().invoke(main, ["trace", "summarise", path, "--json"])
+        self.assertEqual(json.loads(run.output)["commands"], 51)
+
+    def test_headers_without_terms_and_too_small_windows_are_one_line(self):
+        bare = self.trace("bare", [command(1, 2, "a")])
+        long = self.trace("long", [command(each * SECOND, 2, "a") for each in range(20_000)], terms=put_terms(self.TERMS))
+        for words in (("summarise", bare), ("summarise", long, "--window", "1")):
+            run = CliRunner().invoke(main, ["trace", *words])
+            self.assertEqual((run.exit_code, run.output.count("\n")), (2, 1), run.output)
+
+
+class Writing(Files):
+    def writer(self, name="g", **terms):
+        made = Writer(self.folder, name, {"name": name}, lambda: time.monotonic_ns() // 100_000, lambda text: None, **terms)
+        self.addCleanup(made.stop)
+        return made
+
+    def test_two_writers_of_one_path_get_files_of_their_own(self):
+        writers = [self.writer() for _ in range(2)]
+        for each in writers:
+            each.start()
+            each.put("arrival", 1, *arrival(1, 1, "a")[2])
+        for each in writers:
+            each.stop()
+        files = glob.glob(f"{self.folder}/*.mtrace")
+        self.assertEqual(([verify(each).verdict for each in files], len({each.path for each in writers})),
+                         ([Verdict.WHOLE] * 2, 2))
+
+    def test_ten_thousand_files_in_the_folder_are_pruned_in_bounded_time(self):
+        for each in range(10_000):
+            with open(f"{self.folder}/g-20200101T000000-{each:06d}.mtrace", "wb") as sink:
+                sink.write(b"x" * 100)
+        began = time.monotonic()
+        writer = self.writer(most_total=200_000)
+        writer.start()
+        writer.stop()
+        left = sorted(os.listdir(self.folder))
+        self.assertLess(time.monotonic() - began, 10)
+        self.assertLessEqual(sum(os.path.getsize(f"{self.folder}/{each}") for each in left[:-1]), 200_000)
+        self.assertEqual(left[-2], "g-20200101T000000-009999.mtrace")
+
+    def test_a_reader_beside_the_writer_sees_whole_blocks_alone(self):
+        writer = self.writer(block_age=1, sync="never")
+        writer.start()
+        seen, over = [], threading.Event()
+
+        def read():
+            while not over.is_set():
+                for each in glob.glob(f"{self.folder}/*.mtrace"):
+                    with Trace(each) as trace:
+                        seen.append(len(list(trace.rows())))
+                        seen.append(-len([gap for gap in trace.map.breaks if "cut short" not in gap.reason]))
+
+        reader = threading.Thread(target=read)
+        time.sleep(0.05)
+        reader.start()
+        for each in range(30):
+            for _ in range(100):
+                writer.put("arrival", each, *arrival(each, each, "a")[2])
+            time.sleep(0.02)
+        writer.stop()
+        over.set()
+        reader.join(5)
+        self.assertEqual(min(seen), 0)
+        self.assertEqual(len(self.rows(writer.path)), 3000)
+
+    def test_a_dictionary_with_more_texts_than_a_block_should_hold(self):
+        rows = [arrival(each, each, f"store-{each}", path=f"/{each}") for each in range(70_000)]
+        data = format.put_block(rows)
+        head = format.get_head(data, 0)
+        self.assertEqual([row[2][3] for row in format.get_rows(head, data[format.BLOCK_HEAD.size:])][-1], "store-69999")
+
+
+class OnTheBenchsWire(Files):
+    def test_a_recorded_instance_answers_as_a_bare_one_and_leaves_a_trace(self):
+        data = frame(1, 5, BORN, count=2)
+        bare, recorded, kept = io.BytesIO(), io.BytesIO(), Kept(self.folder)
+        serve(io.BytesIO(data), bare)
+        serve(io.BytesIO(data), recorded, lambda number: Recorded(number, kept))
+        kept.close()
+        self.assertEqual(bare.getvalue(), recorded.getvalue())
+        files = glob.glob(f"{self.folder}/*/*.mtrace")
+        with Trace(files[0]) as trace:
+            self.assertIn("settled", [kind.name for _, kind, _ in trace.rows()])
+            self.assertEqual((trace.map.about["seed"], len(files)), (1, 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
