--- a/milletsill/cli/main.py
+++ b/milletsill/cli/main.py
@@ -64,7 +64,9 @@
 @click.option("--seed", type=int, help="In place of the scenario's.")
 @click.option("--flows", default="off", show_default=True, type=click.Choice(["off", "on", "away", "stuck"]),
               help="Flow export: none, to a collector, to nobody, to one that never reads.")
-def lab_run(scenario: str, out: str, modules: tuple[str, ...], per_process: int, seed: int | None, flows: str) -> None:
+@click.option("--trace", "traced", is_flag=True, help="Each edge writes a trace, into OUT/traces.")
+def lab_run(scenario: str, out: str, modules: tuple[str, ...], per_process: int, seed: int | None, flows: str,
+            traced: bool) -> None:
     """Play SCENARIO and audit what crossed the sockets. Exit status 1 where a rule was broken by the module."""
     from milletsill.lab.run import Run, broken, report
     day = taken(scenario, Scenario, check_scenario)
@@ -75,7 +77,7 @@
         name = "" if module == "bd-edf" else module
         try:
             result = Run(day, os.path.join(out, module) if len(modules) > 1 else out, name, per_process,
-                         lambda text: click.echo(text, err=True), flows).play()
+                         lambda text: click.echo(text, err=True), flows, traced).play()
         except (RuntimeError, OSError) as error:
             click.echo(f"milletsill: {error}", err=True)
             sys.exit(1)
--- a/milletsill/cli/traces.py
+++ b/milletsill/cli/traces.py
@@ -11,8 +11,8 @@
 
 FILE, FILES = click.argument("file", type=click.Path()), click.argument("files", nargs=-1, required=True, type=click.Path())
 OUT = click.argument("out", type=click.Path())
-FROM = click.option("--from", "since", help="Tenths of a millisecond on the writer's clock, +SECONDS[s|m|h] after its opening, or "
-                                            "an ISO 8601 wall time.")
+FROM = click.option("--from", "since", help="Tenths of a millisecond on the writer's clock, +N[s|m|h] "
+                                            "after its opening, or ISO 8601 wall time.")
 TO = click.option("--to", "until", help="Up to, not with.")
 
 
--- a/milletsill/lab/run.py
+++ b/milletsill/lab/run.py
@@ -71,8 +71,9 @@
     """One play of a scenario; `module` names a baseline, '' the module itself."""
 
     def __init__(self, scenario: Scenario, out: str, module: str = "", per_process: int = 1,
-                 say: Callable[[str], None] = lambda text: None, flows: str = "off") -> None:
-        self.flows, self.flow_port = flows, 0
+                 say: Callable[[str], None] = lambda text: None, flows: str = "off",
+                 trace: bool = False) -> None:
+        self.flows, self.flow_port, self.trace = flows, 0, trace
         self.scenario, self.out, self.module, self.say = scenario, os.path.abspath(out), module, say
         self.chance = Random(scenario.seed + 3)
         self.processes: list[subprocess.Popen[bytes]] = []
@@ -81,7 +82,8 @@
         self.names = [f"edge-{number}" for number in range(scenario.edges)]
         self.groups = [Group(self, self.names[at:at + per_process]) for at in range(0, len(self.names), per_process)]
         os.makedirs(self.out, exist_ok=True)
-        for old in glob.glob(f"{self.out}/*.rec") + glob.glob(f"{self.out}/load.json"):
+        for old in glob.glob(f"{self.out}/*.rec") + glob.glob(f"{self.out}/load.json") + glob.glob(
+                f"{self.out}/traces/*.mtrace"):
             os.unlink(old)
 
     def spawn(self, command: list[str], name: str) -> subprocess.Popen[bytes]:
@@ -101,6 +103,8 @@
                 file.flows.SetInParent()
                 file.flows.collector.add(address=f"127.0.0.1:{self.flow_port}")
                 file.flows.idle_s = min(file.flows.idle_s, 5.0)
+            if self.trace:
+                file.trace.folder = f"{self.out}/traces"
             file.state_dir, file.seed = f"{self.out}/{name}.state", self.scenario.seed * 1000 + number
             with open(f"{self.out}/{name}.textproto", "w", encoding="utf-8") as sink:
                 sink.write(text_format.MessageToString(file))
--- a/milletsill/trace/decide.py
+++ b/milletsill/trace/decide.py
@@ -7,7 +7,12 @@
 from datetime import datetime, timezone
 from enum import Enum
 from statistics import median
-from typing import Any, Mapping, Sequence
+from typing import TYPE_CHECKING, Any, Callable, Iterable, Iterator, Mapping, Sequence
+
+from milletsill.trace.records import BY_TRANSFER, CATEGORY_PLACE, STORE_PLACE, Kind
+
+if TYPE_CHECKING:
+    from milletsill.trace.format import BlockHead, Row
 
 SECOND = 10_000
 
@@ -164,3 +169,99 @@
         raise Unclear(f"{text!r} is no time: tenths of a millisecond, +90s or ISO 8601") from None
     at = at if at.tzinfo else at.replace(tzinfo=timezone.utc)
     return opened + round(at.timestamp() * SECOND) - wall_ms * 10
+
+
+# --- Which blocks and records tell of a store, a category, a box.
+
+MOST_INDEXED, MOST_FOLLOWED = 1 << 16, 1 << 16  # stores of a file's index; transfers whose store is remembered
+
+
+class Stores:
+    """Which stores a file's blocks tell of, one block after another: later records of a transfer name no store, so that of
+    its arrival is remembered, for the latest transfers. `blocks` becomes the file's index; None once it is past its bound."""
+
+    def __init__(self) -> None:
+        self.of: dict[int, str] = {}
+        self.blocks: dict[str, list[int]] | None = {}
+        self.count = 0
+
+    def touched(self, rows: Sequence[Row]) -> set[str]:
+        """The stores of the next block."""
+        found, of = set(), self.of
+        for _, kind, values in rows:
+            if kind.number in STORE_PLACE:
+                store = values[STORE_PLACE[kind.number]]
+                found.add(store)
+                if kind.number in BY_TRANSFER:
+                    of[values[0]] = store
+            elif kind.number in BY_TRANSFER and (store := of.get(values[0])) is not None:
+                found.add(store)
+        while len(of) > MOST_FOLLOWED:
+            del of[next(iter(of))]
+        self.index(found)
+        return found
+
+    def next_file(self) -> Stores:
+        """The same transfers, for the file that follows."""
+        made = Stores()
+        made.of = self.of
+        return made
+
+    def index(self, found: set[str]) -> None:
+        if self.blocks is not None:
+            for each in found:
+                self.blocks.setdefault(each, []).append(self.count)
+            if len(self.blocks) > MOST_INDEXED:
+                self.blocks = None
+        self.count += 1
+
+
+def chosen(heads: Sequence[BlockHead], store: str, index: Mapping[str, Sequence[int]] | None, minor: int,
+           may_hold: Callable[[bytes, str], bool]) -> list[BlockHead]:
+    """The blocks that may tell of a store: by the file's index, else by their filters. A filter of 1.0 tells of arrivals
+    alone, and later records of their transfers may stand in any block after the first."""
+    if index is not None:
+        return [heads[each] for each in index.get(store, ())]
+    found = [place for place, each in enumerate(heads) if may_hold(each.stores, store)]
+    if minor < 1:
+        return list(heads[found[0]:]) if found else []
+    return [heads[each] for each in found]
+
+
+@dataclass(frozen=True)
+class Wanted:
+    """What a cut keeps: times, and transfers by store, category (place in the facts) or box; None for all."""
+
+    since: int | None = None
+    until: int | None = None
+    store: str | None = None
+    category: int | None = None
+    box: int | None = None
+
+    @property
+    def all(self) -> bool:
+        return self.store is None and self.category is None and self.box is None
+
+
+def fits(wanted: Wanted, kind: Kind, values: tuple[Any, ...]) -> bool:
+    """Whether a record that names store and category is wanted."""
+    return (wanted.store is None or values[STORE_PLACE[kind.number]] == wanted.store) and (
+        wanted.category is None or values[CATEGORY_PLACE[kind.number]] == wanted.category)
+
+
+def of_transfers(rows: Iterable[Row], wanted: Wanted, at_box: set[int] | None) -> Iterator[Row]:
+    """What concerns the wanted transfers: their arrivals, and all later records of them. `at_box` holds those that were
+    dispatched to the wanted box."""
+    transfers: dict[int, None] = {}
+    for row in rows:
+        _, kind, values = row
+        if kind.number in CATEGORY_PLACE:
+            arrived = kind.number in BY_TRANSFER
+            if fits(wanted, kind, values) and (at_box is None or arrived and values[0] in at_box):
+                if arrived:
+                    transfers[values[0]] = None
+                    while len(transfers) > MOST_FOLLOWED:
+                        del transfers[next(iter(transfers))]
+                yield row
+        elif kind.number in BY_TRANSFER and values[0] in transfers:
+            yield row
--- a/milletsill/trace/format.py
+++ b/milletsill/trace/format.py
@@ -25,14 +25,14 @@
 import zstandard
 
 from milletsill.trace import columns
-from milletsill.trace.records import BY_NUMBER, BY_TRANSFER, PLAIN, STEP, STORE_PLACE, Kind
+from milletsill.trace.decide import MOST_INDEXED, Stores
+from milletsill.trace.records import BY_NUMBER, PLAIN, STEP, Kind
 
 MAGIC, BLOCK, FOOTER, STORES, END = b"MTRACE\r\n", b"MBLK", b"MFTR", b"MSTO", b"MEND"
 MAJOR, MINOR = 1, 1
 HEAD, BLOCK_HEAD, FOOTER_HEAD, TRAILER = Struct("<8sHHII"), Struct("<4sIIIqqI32sI"), Struct("<4sII"), Struct("<Q4s")
 ENTRY = Struct("<QIqq32s")
 FIELD, NAME_SIZE, NUMBER = Struct("<BB"), Struct("<H"), Struct("<I")
-MOST_INDEXED, MOST_FOLLOWED = 1 << 16, 1 << 16  # stores of a file's index; transfers whose store is remembered
 LEVEL, FILTER_BITS, FILTER_HASHES = 6, 256, 3
 MOST_BODY, MOST_RAW, MOST_RECORDS, MOST_HEADER, MOST_FOOTER = 1 << 26, 1 << 27, 1 << 20, 1 << 24, 1 << 28
 
@@ -124,46 +124,6 @@
     return HEAD.size + size
 
 
-class Stores:
-    """Which stores a file's blocks tell of, one block after another: later records of a transfer name no store, so that of
-    its arrival is remembered, for the latest transfers. `blocks` becomes the file's index; None once it is past its bound."""
-
-    def __init__(self) -> None:
-        self.of: dict[int, str] = {}
-        self.blocks: dict[str, list[int]] | None = {}
-        self.count = 0
-
-    def touched(self, rows: Sequence[Row]) -> set[str]:
-        """The stores of the next block."""
-        found, of = set(), self.of
-        for _, kind, values in rows:
-            if kind.number in STORE_PLACE:
-                store = values[STORE_PLACE[kind.number]]
-                found.add(store)
-                if kind.number in BY_TRANSFER:
-                    of[values[0]] = store
-            elif kind.number in BY_TRANSFER and (store := of.get(values[0])) is not None:
-                found.add(store)
-        while len(of) > MOST_FOLLOWED:
-            del of[next(iter(of))]
-        self.index(found)
-        return found
-
-    def next_file(self) -> Stores:
-        """The same transfers, for the file that follows."""
-        made = Stores()
-        made.of = self.of
-        return made
-
-    def index(self, found: set[str]) -> None:
-        if self.blocks is not None:
-            for each in found:
-                self.blocks.setdefault(each, []).append(self.count)
-            if len(self.blocks) > MOST_INDEXED:
-                self.blocks = None
-        self.count += 1
-
-
 def put_stores(blocks: dict[str, list[int]] | None) -> bytes:
     """The index of stores, to stand between footer and trailer; nothing where it was given up."""
     if blocks is None:
--- a/milletsill/trace/reader.py
+++ b/milletsill/trace/reader.py
@@ -7,7 +7,7 @@
 from typing import Any, BinaryIO, Callable, Iterator, Optional
 
 from milletsill.trace import format
-from milletsill.trace.decide import Verdict, judge
+from milletsill.trace.decide import Stores, Verdict, chosen, judge
 from milletsill.trace.format import BLOCK_HEAD, BlockHead, Malformed, Row
 
 Heard = Optional[Callable[[int], None]]  # told how many bytes were read, for those who show progress
@@ -127,17 +127,10 @@
         return self.size
 
     def heads(self, store: str | None) -> list[BlockHead]:
-        """The blocks that may tell of a store: by the file's index, else by their filters. A filter of 1.0 tells of
-        arrivals alone, and later records of their transfers may stand in any block after the first."""
-        heads = self.map.heads
-        if store is None:
-            return heads
-        if self.map.stores is not None:
-            return [heads[each] for each in self.map.stores.get(store, ())]
-        found = [place for place, each in enumerate(heads) if format.may_hold(each.stores, store)]
-        if self.map.about.get("minor", 0) < 1:
-            return heads[found[0]:] if found else []
-        return [heads[each] for each in found]
+        """The blocks that may tell of a store; all for None."""
+        known = self.map
+        return known.heads if store is None else chosen(known.heads, store, known.stores, known.about.get("minor", 0),
+                                                        format.may_hold)
 
     def rows(self, since: int | None = None, until: int | None = None, store: str | None = None,
              only: frozenset[int] | None = None) -> Iterator[Row]:
@@ -164,7 +157,7 @@
 def verify(path: str, heard: Heard = None) -> Map:
     """A file looked through in full: every block unpacked, the index of stores made anew from what they hold."""
     with Trace(path, heard) as trace:
-        good, stores = [], format.Stores()
+        good, stores = [], Stores()
         for head in trace.map.heads:
             rows = trace.block(head)
             if rows:
--- a/milletsill/trace/records.py
+++ b/milletsill/trace/records.py
@@ -55,6 +55,7 @@
 BY_NAME = {each.name: each for each in KINDS}
 # Where a kind tells its store, and which kinds tell of a transfer by their first field.
 STORE_PLACE = {each.number: place for each in KINDS for place, (name, _) in enumerate(each.fields) if name == "store"}
+CATEGORY_PLACE = {each.number: place for each in KINDS for place, (name, _) in enumerate(each.fields) if name == "category"}
 BY_TRANSFER = frozenset(each.number for each in KINDS if each.fields and each.fields[0][0] == "transfer")
 FINALS = frozenset(("declined", "aborted", "abandoned"))  # beside an outcome that is over
 MOST_TEXT = 4096
--- a/milletsill/trace/service.py
+++ b/milletsill/trace/service.py
@@ -63,7 +63,8 @@
         raise Malformed(f"a header without the terms of service: {type(error).__name__} {error}") from None
 
 
-def done_of(trace: Trace, terms: ServiceTerms, since: int | None = None, until: int | None = None) -> Iterator[tuple[Done, int, str, str]]:
+def done_of(trace: Trace, terms: ServiceTerms, since: int | None = None,
+            until: int | None = None) -> Iterator[tuple[Done, int, str, str]]:
     """Each command as the reckoning takes it, with its span, final answer and reason."""
     for _, _, values in trace.rows(since, until, only=COMMANDS):
         began, span, store, plan, category, _, units, _, _, final, why = values
--- a/milletsill/trace/tools.py
+++ b/milletsill/trace/tools.py
@@ -12,13 +12,12 @@
 from typing import Any, Callable, Iterable, Iterator
 
 from milletsill.trace import format
-from milletsill.trace.decide import MOST_AGE, MOST_ROWS, align
-from milletsill.trace.format import LEVEL, MOST_FOLLOWED, BlockHead, Malformed, Row
+from milletsill.trace.decide import MOST_AGE, MOST_ROWS, Stores, Wanted, align, of_transfers
+from milletsill.trace.format import LEVEL, BlockHead, Malformed, Row
 from milletsill.trace.reader import Heard, Trace
-from milletsill.trace.records import BY_NAME, BY_TRANSFER, FLOAT, KINDS, STORE_PLACE, TEXT, Kind
+from milletsill.trace.records import BY_NAME, FLOAT, KINDS, TEXT, Kind
 
 MOST_STORES, MOST_NEWS, MOST_OPEN, MOST_GROUP, DIGEST = 100_000, 10_000, 200, 100_000, 12
-CATEGORY_PLACE = {each.number: place for each in KINDS for place, (name, _) in enumerate(each.fields) if name == "category"}
 # Fields that a merge makes anew: (place, whether it is a transfer's number; else a time of the clock).
 MOVED = {each.number: [(place, name == "transfer") for place, (name, _) in enumerate(each.fields)
                        if name in ("transfer", "ends", "at", "since", "began")] for each in KINDS}
@@ -31,7 +30,7 @@
         self.sink = open(path, "xb")
         header = format.put_header({name: value for name, value in about.items() if name != "minor"})
         self.sink.write(header)
-        self.size, self.rows, self.heads, self.stores = len(header), list[Row](), list[BlockHead](), format.Stores()
+        self.size, self.rows, self.heads, self.stores = len(header), list[Row](), list[BlockHead](), Stores()
 
     def put(self, row: Row) -> None:
         self.rows.append(row)
@@ -77,45 +76,6 @@
         self.rows.append((at, BY_NAME[name], values))
 
 
-@dataclass(frozen=True)
-class Wanted:
-    """What a cut keeps: times, and transfers by store, category (place in the facts) or box; None for all."""
-
-    since: int | None = None
-    until: int | None = None
-    store: str | None = None
-    category: int | None = None
-    box: int | None = None
-
-    @property
-    def all(self) -> bool:
-        return self.store is None and self.category is None and self.box is None
-
-
-def fits(wanted: Wanted, kind: Kind, values: tuple[Any, ...]) -> bool:
-    """Whether a record that names store and category is wanted."""
-    return (wanted.store is None or values[STORE_PLACE[kind.number]] == wanted.store) and (
-        wanted.category is None or values[CATEGORY_PLACE[kind.number]] == wanted.category)
-
-
-def of_transfers(rows: Iterable[Row], wanted: Wanted, at_box: set[int] | None) -> Iterator[Row]:
-    """What concerns the wanted transfers: their arrivals, and all later records of them. `at_box` holds those that were
-    dispatched to the wanted box."""
-    transfers: dict[int, None] = {}
-    for row in rows:
-        _, kind, values = row
-        if kind.number in CATEGORY_PLACE:
-            arrived = kind.number in BY_TRANSFER
-            if fits(wanted, kind, values) and (at_box is None or arrived and values[0] in at_box):
-                if arrived:
-                    transfers[values[0]] = None
-                    while len(transfers) > MOST_FOLLOWED:
-                        del transfers[next(iter(transfers))]
-                yield row
-        elif kind.number in BY_TRANSFER and values[0] in transfers:
-            yield row
-
-
 def dispatched_to(trace: Trace, wanted: Wanted) -> set[int]:
     """The transfers that were dispatched to the wanted box in the wanted time."""
     only = frozenset((BY_NAME["dispatch"].number,))
--- a/milletsill/trace/writer.py
+++ b/milletsill/trace/writer.py
@@ -12,8 +12,8 @@
 from typing import Any, Callable
 
 from milletsill.trace import format
-from milletsill.trace.decide import (MOST_AGE, MOST_ROWS, SECOND, Shed, Tracing, Word, block_ends, file_ends, retry_after, step,
-                                     takes, to_delete)
+from milletsill.trace.decide import (MOST_AGE, MOST_ROWS, SECOND, Shed, Stores, Tracing, Word, block_ends, file_ends,
+                                     retry_after, step, takes, to_delete)
 from milletsill.trace.format import BlockHead, Row
 from milletsill.trace.records import BY_NAME
 
@@ -35,7 +35,7 @@
         self.shed: dict[str, Shed] = {}
         self.rows: list[Row] = []
         self.heads: list[BlockHead] = []
-        self.stores = format.Stores()
+        self.stores = Stores()
         self.sink: Any = None
         self.path, self.size, self.opened, self.count = "", 0, 0, 0
         self.tracing, self.failures, self.retry_at = Tracing.OFF, 0, 0
--- a/tests/test_trace_tools.py
+++ b/tests/test_trace_tools.py
@@ -18,8 +18,8 @@
 from milletsill.lab.service import Claim, Done, reckon
 from milletsill.lab.wire import Kept, Recorded
 from milletsill.trace import format, tools
-from milletsill.trace.decide import TOLERATED, Unclear, Verdict, align, moment
-from milletsill.trace.format import Malformed, Stores
+from milletsill.trace.decide import MOST_FOLLOWED, MOST_INDEXED, TOLERATED, Stores, Unclear, Verdict, align, moment
+from milletsill.trace.format import Malformed
 from milletsill.trace.reader import Trace, repair, verify
 from milletsill.trace.records import BY_NAME, KINDS
 from milletsill.trace.service import ServiceTerms, put_terms, summarise
@@ -139,10 +139,10 @@
 
     def test_too_many_stores_give_up_the_index_and_nothing_else(self):
         stores = Stores()
-        stores.touched([arrival(1, each, f"s{each}") for each in range(format.MOST_INDEXED + 1)])
+        stores.touched([arrival(1, each, f"s{each}") for each in range(MOST_INDEXED + 1)])
         self.assertIsNone(stores.blocks)
         self.assertEqual(format.put_stores(stores.blocks), b"")
-        self.assertLessEqual(len(stores.of), format.MOST_FOLLOWED)
+        self.assertLessEqual(len(stores.of), MOST_FOLLOWED)
 
     @settings(max_examples=200, deadline=None, derandomize=True)
     @given(st.binary(max_size=200))
