The module takes parts of limits, reserves and cold budgets in service

Change: Decisions.part, kept by the module until its end and asked at each send; a span over an end fills at the smaller part; traces record it. Without a part all is as before.

--- a/milletsill/interface.py
+++ b/milletsill/interface.py
@@ -144,4 +144,8 @@
 
     def woken(self, now: int, what: object) -> None: ...
 
+    def part(self, now: int, what: str, id: int, share: float | None, ends: int, after: float) -> None:
+        """Another part than the even one of a whole: `limit` or `reserve` of a volume, `cold` budget of a node; `share` until
+        `ends`, then `after`; a share of None is the even part again."""
+
     def settle(self, now: int) -> None: ...
--- a/milletsill/lab/baselines.py
+++ b/milletsill/lab/baselines.py
@@ -26,6 +26,9 @@
         self.turn = 0
         port.watch()
 
+    def part(self, now: int, what: str, id: int, share: float | None, ends: int, after: float) -> None:
+        """Knows no rules."""
+
     def listed(self, now: int, news: News, entries: Sequence[Listed]) -> None:
         if news is News.FAILED:
             return self.port.wake(now + self.facts["ask_within"] // 4, "ask")
--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -67,13 +67,22 @@
         return self.level
 
 
+class Part:  # of a whole, as told: `share` until `ends`, then `after`
+    def __init__(self, share: float, ends: int, after: float) -> None:
+        self.share, self.ends, self.after = share, ends, after
+
+    def least(self, since: int, now: int) -> float:  # that held at any moment of a span
+        past = self.after if since >= self.ends else min(self.share, self.after)
+        return self.share if now < self.ends else past
+
+
 class Volume:  # `window`, `out`, `narrowed` and `rest_until` are of its surplus
     def __init__(self, plan: Mapping[str, Any], gateways: int, now: int) -> None:
         self.plan, self.gateways = plan, gateways
         self.reserve = Store(plan["reserve_rate"] / gateways, now)
         self.limit = Store(0.0, now)  # guards rule 7: a former self may have spent all of it
         self.window, self.out, self.narrowed, self.rest_until = 1.0, 0, now, now
-        self.used_at = now
+        self.id, self.used_at = 0, now
 
     def forgettable(self, now: int, largest: float) -> bool:
         """Whether a new record would be no freer: nothing out, both stores full again (rule 7: a new limit
@@ -150,6 +159,7 @@
         self.keys, self.key_rests = dict[int, deque[Transfer]](), dict[int, int]()  # rule 5
         self.unplaced, self.touched = list[Transfer](), dict[int, Node]()
         self.taken_at, self.further_at = deque[int](), deque[int]()
+        self.parts = dict[tuple[str, int], Part]()  # those that are not even; as many as were told
         self.numbers, self.asks, self.strain, self.clear = 0, 0, 0.0, 0.0  # clear: a unit's usual time
         self.shortest = min((each["target_time"] for each in facts["categories"]), default=1)
         self.idle = IDLE * max((each["patience"] for each in facts["categories"]), default=1)
@@ -193,7 +203,8 @@
             oldest = next(iter(self.volumes), None)
             if oldest is not None and now - self.volumes[oldest].used_at > self.idle:
                 volume = self.volumes.pop(oldest)
-                if not volume.forgettable(now, self.facts["largest_units"]):
+                parted = ("limit", oldest) in self.parts
+                if parted or not volume.forgettable(now, self.facts["largest_units"]):
                     self.volumes[oldest], volume.used_at = volume, now
             key = next(iter(self.keys), None)
             if key is not None and not self.live(key, now):
@@ -228,9 +239,11 @@
         self.forget_idle(now)
         volume = self.volumes.pop(arrival.volume, None) or Volume(plan, arrival.gateways, self.born)
         self.volumes[arrival.volume], volume.used_at = volume, now  # the least lately used stands first
-        volume.gateways = max(volume.gateways, arrival.gateways)
+        volume.id, volume.gateways = arrival.volume, max(volume.gateways, arrival.gateways)
         transfer = self.transfers[arrival.id] = Transfer(arrival, category, volume, now)
         rate = plan["reserve_rate"] * volume.gateways ** -PART  # an estimate: others' use of it is not known
+        if ("reserve", volume.id) in self.parts:
+            rate = plan["reserve_rate"] / self.parted("reserve", volume.id, volume.gateways, now, now)
         there = volume.reserve.fill(now, rate, rate + self.facts["largest_units"])
         transfer.reserved = there >= transfer.units
         volume.reserve.level -= transfer.units if transfer.reserved else 0
@@ -447,7 +460,8 @@
             node.sends.popleft()
         if age >= facts["warm_after"]:
             return 0
-        part = facts["cold_units"] / facts["gateways"] * (1 - 1 / max(facts["cold_multiple"], 1))
+        part = facts["cold_units"] / self.parted("cold", node.id, facts["gateways"], now - span, now)
+        part *= 1 - 1 / max(facts["cold_multiple"], 1)
         part *= 1 + (1 / least - 1) * max(age, 0) / facts["warm_after"]
         if part < 1:
             if now >= node.drawn + span:
@@ -459,6 +473,22 @@
             return 0
         return max((node.sends[0][0] if node.sends else max(node.drawn, now - span)) + span - now, 1)
 
+    def part(self, now: int, what: str, id: int, share: float | None, ends: int, after: float) -> None:
+        """Another part than the even one; None: the even one. What has filled until now fills at the old."""
+        volume = self.volumes.get(id) if what == "limit" else None
+        if volume is not None and volume.plan["limit_rate"]:
+            parts = self.parted(what, id, volume.gateways, volume.limit.at, now)
+            volume.limit.fill(now, volume.plan["limit_rate"] / parts, volume.plan["limit_store"] / parts)
+        self.parts.pop((what, id), None)
+        if share is not None:
+            self.parts[what, id] = Part(share, ends, after)
+
+    def parted(self, what: str, id: int, gateways: int, since: int, now: int) -> float:
+        """Into how many parts like this gateway's a whole goes: rules 4 and 7 ask here at each send. A part
+        whose time is over counts no longer, whatever kept the one who gave it from saying so."""
+        told = self.parts.get((what, id))
+        return gateways if told is None else 1 / max(told.least(since, now), 1e-9)
+
     def key_wait(self, transfer: Transfer, now: int) -> int:  # rule 5
         if not transfer.category["in_order"] or not transfer.extent:
             return 0
@@ -469,10 +499,11 @@
 
     def limit_wait(self, transfer: Transfer, now: int) -> int:  # rule 7: an even part
         volume = transfer.volume
-        rate = volume.plan["limit_rate"] / volume.gateways
-        if not rate or transfer.dispatches:
+        if not volume.plan["limit_rate"] or transfer.dispatches:
             return 0
-        short = transfer.units - volume.limit.fill(now, rate, volume.plan["limit_store"] / volume.gateways)
+        parts = self.parted("limit", volume.id, volume.gateways, volume.limit.at, now)
+        rate, most = volume.plan["limit_rate"] / parts, volume.plan["limit_store"] / parts
+        short = transfer.units - volume.limit.fill(now, rate, most)
         return 0 if short <= 0 else int(short * 10_000 / rate) + 1
 
     def dispatch(self, transfer: Transfer, node: Node, now: int) -> None:  # the one place
--- a/milletsill/trace/recorder.py
+++ b/milletsill/trace/recorder.py
@@ -113,6 +113,11 @@
         self.put("woken", now, what.number)
         self.module.woken(now, what.what)
 
+    def part(self, now: int, what: str, id: int, share: float | None, ends: int, after: float) -> None:
+        self.done.now = now
+        self.put("part", now, what, id, -1.0 if share is None else share, ends, after)
+        self.module.part(now, what, id, share, ends, after)
+
     def settle(self, now: int) -> None:
         self.done.now = now
         self.put("settled", now)
--- a/milletsill/trace/records.py
+++ b/milletsill/trace/records.py
@@ -49,6 +49,7 @@
     # Since 1.1: what a client asked for and got; stands at its answer, `why` tells what declined it.
     _kind(35, "command", "began:s span:p store:t plan:p category:p operation:t units:f legs:p tries:p final:t why:t"),
     _kind(36, "fetch", ""),
+    _kind(38, "part", "what:t id:p share:f ends:s after:f"),  # an input; share -1: the even part again
     _kind(37, "probe", "node:p"),
 )
 BY_NUMBER = {each.number: each for each in KINDS}
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -142,6 +142,56 @@
         of.returned(20, answer(1, Outcome.TIMED_OUT))
         self.assertEqual(of.key_wait(two, 20), 3000)
 
+    def test_a_told_part_of_a_limit_holds_until_its_end_and_then_the_other(self):
+        of, _ = scheduler(plan={"limit_rate": 10.0, "limit_store": 20.0})
+        one = transfer(of, 1)
+        of.part(0, "limit", 1, 0.5, 4001, 0.25)
+        self.assertEqual(of.limit_wait(one, 0), 4001)  # 2 units at 5 a second
+        self.assertEqual(of.limit_wait(one, 4000), 0)
+        of.part(4000, "limit", 1, 0.5, 4000, 0.25)  # over already
+        one.volume.limit.level = 0.0
+        self.assertEqual(of.limit_wait(one, 4000), 8001)
+
+    def test_what_filled_over_the_end_of_a_part_fills_at_the_smaller(self):
+        of, _ = scheduler(plan={"limit_rate": 10.0, "limit_store": 20.0})
+        one = transfer(of, 1)
+        of.part(0, "limit", 1, 0.1, 10_000, 1.0)
+        of.limit_wait(one, 20_000)
+        self.assertAlmostEqual(one.volume.limit.level, 2.0)
+
+    def test_a_larger_part_brings_no_more_of_what_was_before_it(self):
+        of, _ = scheduler(plan={"limit_rate": 10.0, "limit_store": 20.0})
+        one = transfer(of, 1)
+        of.part(0, "limit", 1, 0.1, 99_000, 0.1)
+        of.part(10_000, "limit", 1, 1.0, 99_000, 0.1)
+        self.assertAlmostEqual(one.volume.limit.level, 1.0)
+        of.part(10_000, "limit", 1, None, 0, 0.0)
+        self.assertEqual(of.parts, {})
+
+    def test_a_part_outlives_its_volume(self):
+        of, _ = scheduler(plan={"limit_rate": 10.0, "limit_store": 20.0})
+        one = transfer(of, 1)
+        of.part(0, "limit", 1, 0.1, 1 << 50, 0.1)
+        one.volume.used_at, one.volume.limit.level = 0, 99.0
+        one.volume.reserve.level = 1e9
+        of.forget_idle(1 << 40)
+        self.assertIn(1, of.volumes)
+
+    def test_a_told_part_of_a_cold_budget(self):
+        of, _ = scheduler(gateways=100)
+        cold = node(of, since=1)
+        cold.lucky, cold.drawn = False, 1 << 40
+        one = transfer(of, 1)
+        self.assertGreater(of.cold_wait(one, cold, 2), 0)
+        of.part(0, "cold", 7, 0.5, 1 << 40, 0.01)
+        self.assertEqual(of.cold_wait(one, cold, 2), 0)
+
+    def test_a_told_part_of_a_reserve_takes_the_place_of_the_estimate(self):
+        of, _ = scheduler(plan={"reserve_rate": 100.0})
+        of.part(0, "reserve", 1, 0.9, 1 << 40, 0.5)
+        one = transfer(of, 1, now=10_000)
+        self.assertGreater(one.volume.reserve.level, 90.0)
+
     def test_the_limit_store_starts_empty_and_is_charged_once(self):
         of, _ = scheduler(plan={"limit_rate": 10.0, "limit_store": 20.0})
         at, one = node(of), transfer(of, 1)
