--- a/milletsill/cli/main.py
+++ b/milletsill/cli/main.py
@@ -10,6 +10,7 @@
 import click
 from google.protobuf import text_format
 
+from milletsill.cli.planner import ctl, plan
 from milletsill.cli.traces import trace
 from milletsill.settings.decide import check_gateway, check_scenario
 from milletsill.settings.load import Refused, load, text_from
@@ -213,3 +214,5 @@
 
 
 main.add_command(trace)
+main.add_command(plan)
+main.add_command(ctl)
--- a/milletsill/edge/commands.py
+++ b/milletsill/edge/commands.py
@@ -133,6 +133,8 @@
         arrival = Arrival(self.transfer, edge.atlas.extent(name, getattr(command, "offset", 0)), self.volume.number,
                           self.volume.gateways, self.category, self.volume.plan, self.terms.tries > 0, write, cell,
                           edge.atlas.units(self.operation, self.size), self.ends)
+        if edge.parts is not None:
+            edge.parts.arrived(arrival)
         if edge.traces is not None:
             edge.traces.path(name)
         edge.host.take(arrival, self, command, f"{self.mark}#{self.leg.name}.{self.turn}",
--- a/milletsill/edge/host.py
+++ b/milletsill/edge/host.py
@@ -15,6 +15,7 @@
 from milletsill.interface import Answer, Arrival, Decisions, Facts, Listed, News, Outcome, Port
 from milletsill.links.pool import Pool, Sending
 
+NEVER = 1 << 60
 LONGEST_SLEEP = 60.0  # seconds; a timer for later is set again then
 Make = Callable[[Facts, int, int, Port], Decisions]
 
@@ -68,6 +69,7 @@
         self.timers: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
         self.timer_count, self.alarm, self.alarm_at = 0, None, 0
         self.settling, self.put_off, self.stopped = False, False, False
+        self.settled, self.most_stale = 0, NEVER
         self.module = make(facts, seed, now(), self)
 
     # Told by the edge.
@@ -93,6 +95,11 @@
         self.module.listed(self.now(), news, entries)
         self.settle_soon()
 
+    def part(self, what: str, id: int, share: float | None, ends: int, after: float) -> None:
+        """Another part than the even one."""
+        self.module.part(self.now(), what, id, share, ends, after)
+        self.settle_soon()
+
     # The Port.
 
     def send(self, transfer: int, node: int, timeout: int) -> None:
@@ -105,6 +112,10 @@
         live.outs.append(out)
         ends = min(now + timeout, arrival.ends) if timeout else arrival.ends
         pool = self.pool_of(node)
+        if now - self.settled > self.most_stale:
+            # Guards rules 4 and 7 against a process that stood between a decision and its send, for whatever reason: the
+            # part that it was decided on may be another's by now. Harm: a lawful send of a slow moment is put off.
+            pool = None
         self.at(ends, self.timed_out, live, out)
         self.note("dispatch", out.number)
         if pool is None:
@@ -246,7 +257,8 @@
     def settle(self) -> None:
         self.settling = False
         if not self.stopped:
-            self.module.settle(self.now())
+            self.settled = self.now()
+            self.module.settle(self.settled)
 
     def stop(self) -> None:
         """Hear and say nothing any more."""
--- a/milletsill/edge/service.py
+++ b/milletsill/edge/service.py
@@ -60,6 +60,7 @@
         self.host = Host(reactor, now, given, seed, make, file.name, self.incarnation, self.pools.get,
                          self.follower.ask, lambda text: self.remark("module", reason=text), self.figures.note)
         self.flows = self.exporter(seed) if file.HasField("flows") else None
+        self.parts = self.planned(given, seed) if file.HasField("planner") else None
         self.ports: list[Any] = []
         self.stopped: list[Callable[[], None]] = []
         self.look_call: Any = None
@@ -78,6 +79,12 @@
         from milletsill.trace.edge import Traces
         return Traces(self.reactor, self.now, self.file, given, seed, self.incarnation, self.remark, self.figures.registry)
 
+    def planned(self, given: Any, seed: int) -> Any:
+        """Parts from a planner; none of their code is loaded where the file does not ask for them."""
+        from milletsill.planner.edge import Parts
+        return Parts(self.reactor, self.now, self.file, given, seed + 2, self.incarnation, self.host, self.remark,
+                     self.figures.registry)
+
     # Life.
 
     def start(self) -> None:
@@ -87,6 +94,8 @@
         if self.traces is not None:
             self.traces.start()
         self.follower.start()
+        if self.parts is not None:
+            self.parts.start()
         self.step(Event.LISTED)
         self.look_call = self.reactor.callLater(LOOK_EVERY, self.look, self.now())
         self.last_beat = self.now()
@@ -181,6 +190,8 @@
             self.flows.stop()
         if self.traces is not None:
             self.traces.stop()
+        if self.parts is not None:
+            self.parts.stop()
         for call in (self.look_call, self.overdue_call, self.beat_call):
             if call is not None and call.active():
                 call.cancel()
@@ -195,6 +206,8 @@
         self.figures.clients.set(len(self.clients))
         if self.traces is not None:
             self.traces.look()
+        if self.parts is not None:
+            self.parts.look()
         idle = facts.at_least(self.file.door.idle_s * 1000)
         for client in list(self.clients):
             client.tick(idle)
@@ -205,6 +218,8 @@
     def listed(self, news: News, entries: list[Listed]) -> None:
         self.figures.news.labels(news.value).inc()
         self.host.listed(news, entries)
+        if self.parts is not None:
+            self.parts.listed(entries)
 
     def moved(self, boxes: list[Box]) -> None:
         """Links follow the list: a new address gets a pool of its own, a box that left loses its."""
--- a/milletsill/planner/decide.py
+++ b/milletsill/planner/decide.py
@@ -16,7 +16,8 @@
 from enum import Enum
 from typing import Iterable, Mapping, Sequence
 
-WHOLE = 1_000_000
+WHOLE, NEVER = 1_000_000, 1 << 60
+GUARD = 200  # a grant is over this much before its end: a send that was decided just before it may still be on its way out
 SECOND = 10_000
 Thing = tuple[str, int]  # what is parted: ("limit", volume), ("reserve", volume), ("cold", node)
 
@@ -138,6 +139,21 @@
         other = held.lent if now < held.lent_ends and held.lent_to != self.epoch else 0
         return max(held.capital - held.floor - other, 0)
 
+    def outlook(self, thing: Thing, now: int) -> tuple[int, int, int]:
+        """The part now, until when it surely holds, and the least that any later moment holds without another word: what the
+        module is told, so that it stays lawful however late the next word to it comes."""
+        held = self.holdings[thing]
+        ends = [each for each in (held.lent_ends, held.granted_ends, self.rests) if each > now]
+        part = self.part(thing, now)
+        if not ends:
+            return part, NEVER, part
+        return part, min(ends), min(self.part(thing, each) for each in ends)
+
+    def idle(self, thing: Thing, now: int) -> bool:
+        """Whether nothing about a thing is lent, granted or rested on, so that its record may go."""
+        held = self.holdings[thing]
+        return now >= max(held.lent_ends, held.granted_ends, self.rests)
+
     def ask(self, thing: Thing, want: int, now: int) -> Ask:
         """What to send."""
         held = self.holdings[thing]
@@ -170,7 +186,7 @@
             held.sequence = grant.sequence
             return Heard.TOO_LATE
         held.sequence = grant.sequence
-        held.granted, held.granted_ends = grant.granted, grant.asked + grant.lasts
+        held.granted, held.granted_ends = grant.granted, grant.asked + grant.lasts - GUARD
         self.promise(held, grant, now)
         return Heard.TAKEN
 
@@ -234,6 +250,16 @@
         self.pots: dict[Thing, Pot] = {}
         self.edges: dict[str, int] = {}  # the newest incarnation of each
         self.frozen = False
+        self.drained: frozenset[str] = frozenset()  # edges that shall want nothing
+
+    def forget(self, now: int) -> None:
+        """Things that nobody has asked about, with nothing out, leave; so do edges of which nothing is left."""
+        for thing, pot in list(self.pots.items()):
+            if all(now - each.reported > FORGET and not each.out(now) for each in pot.shares.values()):
+                del self.pots[thing]
+        if len(self.edges) > self.most_edges // 2:
+            held = {name for pot in self.pots.values() for name in pot.shares}
+            self.edges = {name: run for name, run in self.edges.items() if name in held}
 
     def hear(self, ask: Ask, now: int) -> Grant | None:
         """An ask: what it says is kept, and answered by a grant; None for one that counts for nothing."""
@@ -248,7 +274,8 @@
         share = pot.shares.setdefault(ask.edge, Share(ask.capital))
         if ask.sent < share.asked:
             return None  # an older ask that came late
-        share.asked, share.want, share.reported = ask.sent, ask.want, now
+        share.asked, share.reported = ask.sent, now
+        share.want = 0 if ask.edge in self.drained else ask.want
         if ask.epoch == self.epoch:
             self.count_on(share, ask)
         return self.grant(ask, pot, share, now)
@@ -349,6 +376,67 @@
         each.due = max(got[name] - each.capital, 0)
 
 
+# --- What an edge wants.
+
+@dataclass(slots=True)
+class Demand:
+    """Units asked of one thing at one edge: a rate, smoothed over about a second."""
+
+    rate: float = 0.0
+    units: float = 0.0
+    since: int = 0
+    last: int = 0
+
+    def add(self, units: float, now: int) -> None:
+        self.units, self.last = self.units + units, now
+
+    def look(self, now: int) -> float:
+        """Units a second, as of now; called with each ask."""
+        span = now - self.since
+        if span >= SECOND // 10:
+            fresh = self.units * SECOND / span
+            # Up at once, down by halves: a part that is given back too soon is asked for again with the next burst.
+            self.rate = fresh if fresh >= self.rate else self.rate + (fresh - self.rate) * min(span / SECOND, 1.0) / 2
+            self.units, self.since = 0.0, now
+        return self.rate
+
+
+def want_of(rate: float, whole: float) -> int:
+    """What part of a whole, units a second, carries a rate."""
+    return WHOLE if whole <= 0 else min(max(round(rate / whole * WHOLE), 0), WHOLE)
+
+
+# --- Its link to the planner.
+
+# DOWN: nothing. GREETED: connected, the planner has not answered. PLANNED: grants come.
+Link = Enum("Link", "DOWN GREETED PLANNED")
+Said = Enum("Said", "UP WELCOME OLD REFUSED LOST SILENT")
+LINK_TABLE: Mapping[tuple[Link, Said], tuple[Link, str]] = {
+    (Link.DOWN, Said.UP): (Link.GREETED, "hello"),
+    (Link.GREETED, Said.WELCOME): (Link.PLANNED, "ask"),
+    # Guards against a planner that came back with an old view, or a copy of one: it is told the newest epoch.
+    (Link.GREETED, Said.OLD): (Link.DOWN, "refuse"),
+    (Link.PLANNED, Said.OLD): (Link.DOWN, "refuse"),
+    (Link.GREETED, Said.REFUSED): (Link.DOWN, "cut"),
+    (Link.PLANNED, Said.REFUSED): (Link.DOWN, "cut"),
+    (Link.GREETED, Said.SILENT): (Link.DOWN, "cut"),
+    (Link.PLANNED, Said.SILENT): (Link.DOWN, "cut"),
+    (Link.GREETED, Said.LOST): (Link.DOWN, "again"),
+    (Link.PLANNED, Said.LOST): (Link.DOWN, "again"),
+}
+FIRST_WAIT, MOST_WAIT = SECOND // 10, 5 * SECOND
+
+
+def link_step(link: Link, said: Said) -> tuple[Link, str]:
+    """The next state and what to do; what the table does not name changes nothing."""
+    return LINK_TABLE.get((link, said), (link, ""))
+
+
+def dial_after(failures: int, chance: float) -> int:
+    """The pause before the next dial; `chance` from 0 to 1 spreads 150 edges after a planner's restart."""
+    return int(min(FIRST_WAIT * 2 ** min(failures, 20), MOST_WAIT) * (0.5 + chance / 2))
+
+
 def totals(edges: Iterable[Edge], thing: Thing, times: Sequence[int]) -> int:
     """What all edges may use of a thing now, each at its own clock; for the model and the auditor."""
     return sum(each.part(thing, now) for each, now in zip(edges, times))
--- /dev/null
+++ b/milletsill/planner/edge.py
@@ -0,0 +1,232 @@
+"""The edge's side of the planner: what is asked for, the link, and what the module is told of parts.
+
+Nothing here waits for the planner: without a word from it the edge has its even parts, or less where it has lent some, until that
+is over (decide.py). An edge without a `planner` in its file loads none of this.
+"""
+from __future__ import annotations
+
+import random
+from typing import Any, Callable, Mapping, Sequence
+
+from prometheus_client import Counter, Gauge
+from twisted.internet.endpoints import HostnameEndpoint
+from twisted.internet.protocol import Factory, Protocol
+
+from milletsill.interface import Arrival, Listed, Readiness
+from milletsill.planner.codec import VERSION, Frames, Malformed, encoded, get_grant, put_ask
+from milletsill.planner.decide import (GUARD, SECOND, WHOLE, Demand, Edge, Heard, Link, Said, Thing, dial_after, link_step,
+                                       want_of)
+from milletsill.planner.plan_pb2 import Asks, Hello, Refused
+from milletsill.planner.service import span_of
+
+PER_FRAME, SILENT = 5000, 5 * SECOND  # asks; a planner without a word is cut
+
+
+class Line(Protocol):
+    """One connection to the planner."""
+
+    def __init__(self, parts: Parts) -> None:
+        self.parts, self.frames = parts, Frames()
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.parts.up(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        try:
+            for frame in self.frames.feed(data):
+                self.parts.heard(self, frame)
+        except Malformed as error:
+            self.parts.remark("planner", reason=str(error))
+            self.transport.abortConnection()
+
+    def connectionLost(self, reason: Any = None) -> None:
+        self.parts.lost(self)
+
+
+class Parts:
+    """One gateway's parts. `host` is told of each that changes."""
+
+    def __init__(self, reactor: Any, now: Callable[[], int], file: Any, facts: Mapping[str, Any], seed: int, incarnation: int,
+                 host: Any, remark: Callable[..., None], registry: Any) -> None:
+        self.reactor, self.now, self.file, self.facts = reactor, now, file, facts
+        self.host, self.remark = host, remark
+        self.span = span_of(file.planner.lending)
+        # A first run has no former self. What cannot be told counts as a later one.
+        self.edge = Edge(file.name, incarnation, self.span, now(), fresh=incarnation == 1)
+        self.chance = random.Random(seed)
+        self.demand: dict[Thing, Demand] = {}
+        self.wholes: dict[Thing, float] = {}  # units a second
+        self.told: dict[Thing, tuple[int, int, int]] = {}
+        self.nodes: dict[int, int] = {}  # cold nodes by cell
+        self.link, self.line = Link.DOWN, None
+        self.failures, self.last = 0, 0
+        self.calls: dict[str, Any] = {}
+        self.stopped = False
+        self.linked = Gauge("milletsill_planned", "1 while the planner answers", registry=registry)
+        self.takes = Counter("milletsill_grants", "Grants by what became of them", ("fate",), registry=registry)
+        self.granted = Gauge("milletsill_granted_parts", "Parts on top of the even ones, in wholes", registry=registry)
+        self.lent = Gauge("milletsill_lent_parts", "Parts lent, in wholes", registry=registry)
+        host.most_stale = GUARD
+
+    # Life.
+
+    def start(self) -> None:
+        self.dial()
+        self.later("ask", self.file.planner.ask_s, self.ask)
+
+    def stop(self) -> None:
+        self.stopped = True
+        for each in self.calls.values():
+            if each.active():
+                each.cancel()
+        if self.line is not None:
+            self.line.transport.loseConnection()
+
+    def later(self, name: str, seconds: float, call: Callable[..., None], *values: Any) -> None:
+        """One timer a name; set anew."""
+        old = self.calls.get(name)
+        if old is not None and old.active():
+            old.cancel()
+        if not self.stopped:
+            self.calls[name] = self.reactor.callLater(max(seconds, 0.0), call, *values)
+
+    def look(self) -> None:
+        """Once a second: figures."""
+        now, held = self.now(), self.edge.holdings.values()
+        self.linked.set(self.link is Link.PLANNED)
+        self.granted.set(sum(each.granted for each in held if now < each.granted_ends) / WHOLE)
+        self.lent.set(sum(each.lent for each in held if now < each.lent_ends) / WHOLE)
+
+    # What is asked of this gateway.
+
+    def arrived(self, arrival: Arrival) -> None:
+        """A transfer comes; before the module hears of it."""
+        now, plan = self.now(), self.facts["plans"][arrival.plan]
+        for what, rate in (("limit", plan["limit_rate"]), ("reserve", plan["reserve_rate"])):
+            if rate > 0:
+                self.wish((what, arrival.volume), arrival.gateways, rate).add(arrival.units, now)
+        node = self.nodes.get(arrival.cell) if arrival.cell is not None else None
+        if node is not None and ("cold", node) in self.demand:
+            self.demand["cold", node].add(arrival.units, now)
+
+    def wish(self, thing: Thing, gateways: int, whole: float) -> Demand:
+        """The demand for a thing; from the first on parts of it are asked for, and the module knows its own."""
+        found = self.demand.get(thing)
+        if found is None:
+            found = self.demand[thing] = Demand(since=self.now())
+            self.wholes[thing] = whole
+            self.edge.know(thing, gateways)
+            self.tell(thing)
+        return found
+
+    def listed(self, entries: Sequence[Listed]) -> None:
+        """News of the list: cold nodes are parted while they are cold, and said to the module before it sends."""
+        now, window = self.now(), max(self.facts["cold_window"], 1)
+        for each in entries:
+            cold = each.since is not None and now - each.since < self.facts["warm_after"] and each.readiness is Readiness.READY
+            if cold:
+                self.nodes[each.cell] = each.node
+                self.wish(("cold", each.node), self.facts["gateways"], self.facts["cold_units"] * SECOND / window)
+                self.tell(("cold", each.node))
+            elif self.nodes.get(each.cell) == each.node:
+                del self.nodes[each.cell]
+
+    # What the module is told.
+
+    def tell(self, thing: Thing) -> None:
+        """Its part, if it has changed; and again when that ends by itself."""
+        now = self.now()
+        part, ends, after = found = self.edge.outlook(thing, now)
+        if ends - now < 60 * SECOND:
+            self.later(f"{thing[0]} {thing[1]}", (ends - now) / SECOND, self.tell, thing)
+        if self.told.get(thing) == found and thing[0] != "cold":
+            return
+        self.told[thing] = found
+        even = part == self.edge.holdings[thing].capital and ends >= 1 << 60
+        self.host.part(thing[0], thing[1], None if even else part / WHOLE, ends, after / WHOLE)
+
+    # The link.
+
+    def step(self, said: Said, line: Any = None) -> None:
+        """Read the table and act."""
+        self.link, effect = link_step(self.link, said)
+        if effect == "hello" and line is not None:
+            terms = self.span
+            line.transport.write(encoded(hello=Hello(
+                version=VERSION, name=self.file.name, incarnation=self.edge.incarnation, epoch=self.edge.epoch,
+                longest=terms.longest, drift=terms.drift, floor=int(terms.floor * 1e6))))
+        elif effect == "refuse" and line is not None:
+            self.remark("planner", reason="an older planner than one that was heard; refused")
+            line.transport.write(encoded(refused=Refused(reason="a newer planner was heard", epoch=self.edge.epoch)))
+            line.transport.loseConnection()
+        elif effect == "cut" and line is not None:
+            line.transport.abortConnection()
+        if effect in ("refuse", "cut", "again"):
+            self.failures += 1
+            self.later("dial", dial_after(self.failures, self.chance.random()) / SECOND, self.dial)
+        elif effect == "ask":
+            self.failures = 0
+            self.ask()
+
+    def dial(self) -> None:
+        """Connect; what comes of it is told later."""
+        if self.stopped or self.line is not None:
+            return
+        host, _, port = self.file.planner.address.rpartition(":")
+        HostnameEndpoint(self.reactor, host, int(port), timeout=2).connect(
+            Factory.forProtocol(lambda: Line(self))).addErrback(self.not_up)
+
+    def not_up(self, failure: Any) -> None:
+        if self.failures == 0:
+            self.remark("planner", reason=f"not reached: {failure.getErrorMessage()}")
+        self.failures += 1
+        self.later("dial", dial_after(self.failures, self.chance.random()) / SECOND, self.dial)
+
+    def up(self, line: Line) -> None:
+        if self.stopped:
+            return line.transport.abortConnection()
+        self.line, self.last = line, self.now()
+        self.step(Said.UP, line)
+
+    def lost(self, line: Line) -> None:
+        if line is self.line:
+            self.line = None
+            self.step(Said.LOST, line)
+
+    def heard(self, line: Line, frame: Any) -> None:
+        """One frame of the planner."""
+        what, self.last = frame.WhichOneof("what"), self.now()
+        if line is not self.line:
+            return
+        if what == "welcome":
+            self.step(Said.WELCOME if self.edge.meet(frame.welcome.epoch) else Said.OLD, line)
+        elif what == "grants" and self.link is Link.PLANNED:
+            for each in frame.grants.given:
+                self.take(get_grant(each))
+        elif what == "refused":
+            self.remark("planner", reason=f"refused: {frame.refused.reason[:200]}")
+            self.step(Said.REFUSED, line)
+
+    def take(self, grant: Any) -> None:
+        now = self.now()
+        found = self.edge.take(grant, now)
+        self.takes.labels(found.name.lower()).inc()
+        if found in (Heard.TAKEN, Heard.TOO_LATE):
+            self.tell(grant.thing)
+
+    def ask(self) -> None:
+        """All that is wanted, in frames of so many; a planner that does not answer is cut."""
+        self.later("ask", self.file.planner.ask_s * self.chance.uniform(0.9, 1.1), self.ask)
+        now = self.now()
+        if self.line is not None and now - self.last > SILENT:
+            self.step(Said.SILENT, self.line)
+        if self.link is not Link.PLANNED or self.line is None:
+            return
+        wishes = []
+        for thing, demand in self.demand.items():
+            rate = demand.look(now)
+            if rate or not self.edge.idle(thing, now) or now - demand.last < 10 * SECOND:
+                wishes.append(put_ask(self.edge.ask(thing, want_of(rate, self.wholes[thing]), now), rate))
+        for at in range(0, max(len(wishes), 1), PER_FRAME):
+            self.line.transport.write(encoded(asks=Asks(wish=wishes[at:at + PER_FRAME])))
--- a/milletsill/settings/decide.py
+++ b/milletsill/settings/decide.py
@@ -35,6 +35,7 @@
     "flows": (("most_flows", 16, 10_000_000), ("active_s", 1, 86_400), ("idle_s", 0.5, 86_400),
               ("template_s", 1, 86_400), ("template_messages", 1, 1_000_000), ("path_bytes", 512, 65_000),
               ("cpu_share", 0.001, 1), ("enterprise", 1, (1 << 32) - 1)),
+    "planner": (("ask_s", 0.05, 10), ("most_things", 1, 100_000)),
     "trace": (("file_bytes", 65_536, 1 << 40), ("file_s", 1, 30 * 86_400), ("total_bytes", 131_072, 1 << 50),
               ("most_held", 1000, 10_000_000), ("block_s", 0.1, 600)),
 }
@@ -62,6 +63,7 @@
     check_logging(file, report, under)
     check_flows(file, report, under)
     check_trace(file, report, under)
+    check_planner_link(file, report, under)
     check_plans(file, report, under)
     check_categories(file, report, under)
     check_volumes(file, report, under)
@@ -101,6 +103,42 @@
 LEVELS_OF_METERING, TRANSPORTS, PROTOCOLS = ("commands", "flows", "sampled"), ("tcp", "udp"), ("ipfix", "netflow9")
 
 
+def check_lending(lending: Any, path: tuple[str, ...], report: Report) -> None:
+    """Spans that leave room for an ask and its answer."""
+    for field, least, most in (("longest_s", 1, 60), ("drift_permille", 0, 100), ("floor", 0.01, 0.9)):
+        value = getattr(lending, field)
+        if not least <= value <= most:
+            report.add(path + (field,), f"{field} {value:g} is not from {least:g} to {most:g}")
+
+
+def check_planner_link(file: Any, report: Report, under: tuple[str, ...]) -> None:
+    """An edge's way to the planner."""
+    if not file.HasField("planner"):
+        return
+    here = under + ("planner",)
+    check_address(file.planner.address, here + ("address",), report)
+    check_lending(file.planner.lending, here + ("lending",), report)
+    if file.planner.ask_s * 3 > file.planner.lending.longest_s:
+        report.add(here + ("ask_s",), f"asks every {file.planner.ask_s:g} s: three do not fit into a promise of "
+                                      f"{file.planner.lending.longest_s:g} s")
+
+
+def check_planner(file: Any, report: Report, under: tuple[str, ...] = ()) -> None:
+    """Everything about a planner's file."""
+    if not 0 < len(file.name) <= 64 or not file.name.isprintable() or " " in file.name:
+        report.add(under + ("name",), f"name {file.name!r} is not 1 to 64 printable characters without a space")
+    for field in ("listen", "metrics"):
+        if file.HasField(field):
+            check_address(getattr(file, field), under + (field,), report)
+    if not file.state_dir:
+        report.add(under + ("state_dir",), "no folder for the state")
+    check_lending(file.lending, under + ("lending",), report)
+    for field, least, most in (("most_edges", 1, 100_000), ("most_things", 1, 10_000_000), ("silent_s", 1, 600)):
+        value = getattr(file, field)
+        if not least <= value <= most:
+            report.add(under + (field,), f"{field} {value:g} is not from {least:g} to {most:g}")
+
+
 SYNCS = ("blocks", "files", "never")
 
 
