--- a/milletsill/lab/run.py
+++ b/milletsill/lab/run.py
@@ -7,6 +7,7 @@
 import glob
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -19,10 +20,12 @@
 from google.protobuf import text_format
 
 from milletsill.lab.audit import RULES, Breach, audit, gather
-from milletsill.settings.milletsill_pb2 import GatewayFile, Scenario
+from milletsill.planner.store import next_epoch
+from milletsill.settings.milletsill_pb2 import GatewayFile, PlannerFile, Scenario
 
 READY_WITHIN, LEAD, ENDS_WITHIN = 60.0, 1.5, 60.0  # seconds
 OF_EDGES = ("balancer_crash", "balancer_roll", "balancer_stall")
+OF_PLANNER = ("planner_crash", "planner_stall", "planner_old")
 PORTS = (20_000, 32_000)
 MOST_SHOWN, MOST_LATE = 3, 60.0  # milliseconds
 LATE = ": ITS LATENCIES DO NOT COUNT"
@@ -67,12 +70,56 @@
             self.process.send_signal(number)
 
 
+class PlannerPart:
+    """The planner of a run. Its folder has seen some starts; an old copy of it has seen none."""
+
+    def __init__(self, run: Run, port: int) -> None:
+        self.run, self.process, self.exits = run, None, list[int]()
+        self.state, self.path = f"{run.out}/planner.state", f"{run.out}/planner.textproto"
+        file = PlannerFile(name="planner", listen=f"127.0.0.1:{port}", state_dir=self.state,
+                           metrics=f"127.0.0.1:{free_ports(1)[0]}")
+        file.lending.CopyFrom(run.scenario.gateway.planner.lending)
+        with open(self.path, "w", encoding="utf-8") as sink:
+            sink.write(text_format.MessageToString(file))
+        shutil.rmtree(self.state, ignore_errors=True)
+        for _ in range(3):
+            next_epoch(self.state, Random(run.scenario.seed))
+
+    def start(self) -> None:
+        self.process = self.run.spawn([sys.executable, "-m", "milletsill", "plan", self.path], "planner")
+
+    def kill(self) -> None:
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+
+    def start_old(self) -> None:
+        """As if an old snapshot of the machine had come back."""
+        os.rename(self.state, f"{self.state}.kept")
+        self.start()
+
+    def start_again(self) -> None:
+        """The true state again; the old run, which should have ended, is ended."""
+        if self.process is not None:
+            self.exits.append(self.process.poll() if self.process.poll() is not None else -1)
+        self.kill()
+        shutil.rmtree(self.state, ignore_errors=True)
+        os.rename(f"{self.state}.kept", self.state)
+        self.start()
+
+    def signal(self, number: int) -> None:
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+
 class Run:
     """One play of a scenario; `module` names a baseline, '' the module itself."""
 
     def __init__(self, scenario: Scenario, out: str, module: str = "", per_process: int = 1,
                  say: Callable[[str], None] = lambda text: None, flows: str = "off",
-                 trace: bool = False) -> None:
+                 trace: bool = False, planner: bool = False) -> None:
+        self.planner: PlannerPart | None = None
+        self.planned = planner
         self.flows, self.flow_port, self.trace = flows, 0, trace
         self.scenario, self.out, self.module, self.say = scenario, os.path.abspath(out), module, say
         self.chance = Random(scenario.seed + 3)
@@ -103,6 +150,8 @@
                 file.flows.SetInParent()
                 file.flows.collector.add(address=f"127.0.0.1:{self.flow_port}")
                 file.flows.idle_s = min(file.flows.idle_s, 5.0)
+            if self.planner is not None:
+                file.planner.address = f"127.0.0.1:{self.planner_port}"
             if self.trace:
                 file.trace.folder = f"{self.out}/traces"
             file.state_dir, file.seed = f"{self.out}/{name}.state", self.scenario.seed * 1000 + number
@@ -133,7 +182,9 @@
                     each.wait()
 
     def played(self) -> dict[str, Any]:
-        *ports, self.flow_port = free_ports(2 + len(self.names))
+        *ports, self.flow_port, self.planner_port = free_ports(3 + len(self.names))
+        if self.planned:
+            self.planner = PlannerPart(self, self.planner_port)
         self.write_files(ports)
         begin = time.monotonic()
         start = begin + LEAD + 0.15 * len(self.groups) + 0.02 * len(self.names) + 2
@@ -141,6 +192,8 @@
         stand = self.spawn(lab + ["stand", self.out, str(start), str(ports[0])], "stand")
         self.wait_for(ports[0], "the stand-ins")
         collector = self.start_collector()
+        if self.planner is not None:
+            self.planner.start()
         for each in self.groups:
             each.start()
         for number, name in enumerate(self.names):
@@ -194,6 +247,9 @@
                 exits.append(each.process.wait(40) if each.process else None)
             except subprocess.TimeoutExpired:
                 exits.append("did not end")
+        if self.planner is not None:
+            self.planner.signal(signal.SIGCONT)
+            self.planner.signal(signal.SIGTERM)
         stand.send_signal(signal.SIGTERM)
         stand.wait(30)
         if load.poll() != 0:
@@ -207,14 +263,15 @@
         result["flows"] = self.heard(collector, evidence)
         result.update(exits=exits, faults=[os.path.basename(each) for each in sorted(glob.glob(f"{self.out}/*.log"))
                                            if b"Traceback" in Path(each).read_bytes()], breaches=breaches, commands=len(evidence.commands),
-                      dispatches=len(evidence.dispatches), module=self.module or "BD-EDF")
+                      dispatches=len(evidence.dispatches), module=self.module or "BD-EDF",
+                      planner="on" if self.planned else "")
         return result
 
     # Troubles of edges.
 
     def plan_troubles(self, start: float) -> None:
         for each in self.scenario.trouble:
-            if each.what in OF_EDGES:
+            if each.what in OF_EDGES or each.what in OF_PLANNER and self.planner is not None:
                 getattr(self, f"plan_{each.what}")(start + each.at_s, each)
         self.actions.sort(key=lambda each: each[0])
 
@@ -235,6 +292,23 @@
             when = at + trouble.for_s * place / len(chosen)
             self.actions += [(when, each.kill), (when + trouble.extra, each.start)]
 
+    def plan_planner_crash(self, at: float, trouble: Any) -> None:
+        """Killed, back after `for_s`."""
+        assert self.planner is not None
+        self.actions += [(at, self.planner.kill), (at + trouble.for_s, self.planner.start)]
+
+    def plan_planner_stall(self, at: float, trouble: Any) -> None:
+        """Stopped for `for_s`, then all at once."""
+        planner = self.planner
+        assert planner is not None
+        self.actions += [(at, lambda: planner.signal(signal.SIGSTOP)), (at + trouble.for_s, lambda: planner.signal(signal.SIGCONT))]
+
+    def plan_planner_old(self, at: float, trouble: Any) -> None:
+        """Killed, back with an old state, and after `for_s` with the true one."""
+        assert self.planner is not None
+        self.actions += [(at, self.planner.kill), (at + 0.01, self.planner.start_old),
+                         (at + trouble.for_s, self.planner.start_again)]
+
     def plan_balancer_stall(self, at: float, trouble: Any) -> None:
         """Stopped for `size` milliseconds, every `extra` seconds."""
         for each in self.chosen(trouble):
@@ -270,6 +344,8 @@
                  f"dispatches, {result['unended']} without an end; the lab itself was at most "
                  f"{result['worst_lag_ms']:.0f} ms late{LATE if result['worst_lag_ms'] > MOST_LATE else ''}")
     lines.append("counts: " + ", ".join(f"{name} {count}" for name, count in sorted(result["counts"].items())))
+    if result["planner"]:
+        lines.append("parts were planned")
     if result["flows"]:
         lines.append("flow export, counted against recorded: " + ", ".join(f"{k} {v}" for k, v in result["flows"].items()))
     lines.append(f"edges ended with {result['exits']}; faults in the logs of {result['faults'] or 'none'}")
--- a/milletsill/settings/decide.py
+++ b/milletsill/settings/decide.py
@@ -318,7 +318,7 @@
 
 TROUBLES = ("vanish", "slow", "pauses", "neighbour", "report_late", "burst", "tenant_burst", "hot_key", "scan",
             "reconnect", "balancer_crash", "balancer_roll", "balancer_stall", "retry_abuse", "give_up", "drain",
-            "replace", "registry_away", "cut")
+            "replace", "registry_away", "cut", "planner_crash", "planner_stall", "planner_old")
 TRAFFIC = ("read", "write", "list", "look", "new")
 MOST_EDGES, MOST_BOXES, MOST_SECONDS = 400, 400, 7200
 
