Planner: promises of several sizes side by side, idle stores lent, calmer wants

Cause: a promise that should be a little smaller ran out whole; edges without traffic lent nothing; one large transfer asked for half of a limit.

--- a/milletsill/planner/codec.py
+++ b/milletsill/planner/codec.py
@@ -7,7 +7,7 @@
 from google.protobuf.message import DecodeError
 
 from milletsill.planner.decide import Ask, Grant
-from milletsill.planner.plan_pb2 import Frame, Given, Wish
+from milletsill.planner.plan_pb2 import Frame, Given, Piece, Wish
 
 LENGTH, MOST_FRAME, VERSION = Struct(">I"), 1 << 20, 1
 WHATS = ("limit", "reserve", "cold")
@@ -56,14 +56,15 @@
 
 
 def put_ask(ask: Ask, asked: float = 0.0) -> Wish:
-    return Wish(epoch=ask.epoch, what=ask.thing[0], id=ask.thing[1], want=ask.want, capital=ask.capital, lent=ask.lent,
-                sent=ask.sent, heard=ask.heard, asked=min(int(asked * 1000), (1 << 32) - 1))
+    return Wish(epoch=ask.epoch, what=ask.thing[0], id=ask.thing[1], want=ask.want, capital=ask.capital,
+                lent=[Piece(part=part, heard=heard) for part, heard in ask.lent], sent=ask.sent, asked=min(int(asked * 1000), (1 << 32) - 1))
 
 
 def get_ask(edge: str, incarnation: int, wish: Any) -> Ask:
     if wish.what not in WHATS:
         raise Malformed(f"an ask for {wish.what[:20]!r}, not one of {', '.join(WHATS)}")
-    return Ask(edge, incarnation, wish.epoch, (wish.what, wish.id), wish.want, wish.capital, wish.lent, wish.sent, wish.heard)
+    return Ask(edge, incarnation, wish.epoch, (wish.what, wish.id), wish.want, wish.capital,
+               tuple((each.part, each.heard) for each in wish.lent), wish.sent)
 
 
 def put_grant(grant: Grant) -> Given:
--- a/milletsill/planner/decide.py
+++ b/milletsill/planner/decide.py
@@ -17,6 +17,7 @@
 from typing import Iterable, Mapping, Sequence
 
 WHOLE, NEVER = 1_000_000, 1 << 60
+MOST_PROMISES, MOST_ENDS = 3, 64  # of one holding; ends that are tried for a grant
 GUARD = 200  # a grant is over this much before its end: a send that was decided just before it may still be on its way out
 SECOND = 10_000
 Thing = tuple[str, int]  # what is parted: ("limit", volume), ("reserve", volume), ("cold", node)
@@ -47,34 +48,54 @@
 
 # --- The edge.
 
+@dataclass(frozen=True, slots=True)
+class Lent:
+    """One promise of an edge: a part, until when on its clock, and the planner's time that stood in what made it."""
+
+    part: int
+    ends: int
+    heard: int
+
+
 @dataclass(slots=True)
 class Holding:
-    """What one edge has of one thing. `lent` until `lent_ends` to `lender`'s epoch; `granted` on top until `granted_ends`."""
+    """What one edge has of one thing: promises to the epoch `lent_to`, the largest first, each shorter than the next and
+    smaller ones longer; `granted` on top until `granted_ends`."""
 
     capital: int
     floor: int
-    lent: int = 0
-    lent_ends: int = 0
+    promises: list[Lent] = field(default_factory=list)
     lent_to: int = 0
-    lent_heard: int = 0  # the planner's time that stood in what made the promise
     granted: int = 0
     granted_ends: int = 0
     sequence: int = 0
 
+    def lent(self, now: int) -> int:
+        """What is promised now."""
+        return next((each.part for each in self.promises if now < each.ends), 0)
+
     def part(self, now: int) -> int:
         """What the edge may use now."""
-        lent = self.lent if now < self.lent_ends else 0
-        return self.capital - lent + (self.granted if now < self.granted_ends else 0)
+        return self.capital - self.lent(now) + (self.granted if now < self.granted_ends else 0)
+
+    def ends(self) -> list[int]:
+        """When `part` changes by itself."""
+        return [each.ends for each in self.promises] + [self.granted_ends]
 
-    def ends(self, now: int) -> int | None:
-        """When `part` next changes by itself; None for never."""
-        return min((each for each in (self.lent_ends, self.granted_ends) if each > now), default=None)
+    def promise(self, made: Lent, now: int) -> None:
+        """One more promise. None that stands is made smaller or shorter: a larger one stays beside a new smaller one, until
+        its end. Past MOST_PROMISES the two last become one, as large and as long as either."""
+        kept = [each for each in self.promises if now < each.ends and each.part > made.part]
+        if len(kept) >= MOST_PROMISES:
+            last = kept.pop()
+            made = Lent(last.part, made.ends, last.heard)
+        self.promises = kept + ([made] if made.part else [])
 
 
 @dataclass(frozen=True, slots=True)
 class Ask:
-    """From an edge: what it wants of a thing, and what it has promised. `sent` is its clock, sent back with the answer;
-    `heard` is the planner's own time that stood in the grant that made the promise: it is not older than that."""
+    """From an edge: what it wants of a thing, and what it has promised, as (part, heard). `sent` is its clock, sent back with
+    the answer; `heard` is the planner's own time that stood in the grant that made a promise: it is not older than that."""
 
     edge: str
     incarnation: int
@@ -82,9 +103,8 @@
     thing: Thing
     want: int
     capital: int
-    lent: int
+    lent: tuple[tuple[int, int], ...]
     sent: int
-    heard: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,14 +156,14 @@
         another epoch still has."""
         if now < self.rests:
             return 0
-        other = held.lent if now < held.lent_ends and held.lent_to != self.epoch else 0
-        return max(held.capital - held.floor - other, 0)
+        other = held.lent(now) if held.lent_to != self.epoch else 0
+        return 0 if other else held.capital - held.floor
 
     def outlook(self, thing: Thing, now: int) -> tuple[int, int, int]:
         """The part now, until when it surely holds, and the least that any later moment holds without another word: what the
         module is told, so that it stays lawful however late the next word to it comes."""
         held = self.holdings[thing]
-        ends = [each for each in (held.lent_ends, held.granted_ends, self.rests) if each > now]
+        ends = [each for each in (*held.ends(), self.rests) if each > now]
         part = self.part(thing, now)
         if not ends:
             return part, NEVER, part
@@ -152,14 +172,13 @@
     def idle(self, thing: Thing, now: int) -> bool:
         """Whether nothing about a thing is lent, granted or rested on, so that its record may go."""
         held = self.holdings[thing]
-        return now >= max(held.lent_ends, held.granted_ends, self.rests)
+        return now >= max(*held.ends(), self.rests)
 
     def ask(self, thing: Thing, want: int, now: int) -> Ask:
         """What to send."""
         held = self.holdings[thing]
-        lent = held.lent if now < held.lent_ends and held.lent_to == self.epoch else 0
-        return Ask(self.name, self.incarnation, self.epoch, thing, want, held.capital, lent, now,
-                   held.lent_heard if lent else 0)
+        lent = tuple((each.part, each.heard) for each in held.promises if now < each.ends and held.lent_to == self.epoch)
+        return Ask(self.name, self.incarnation, self.epoch, thing, want, held.capital, lent, now)
 
     def meet(self, epoch: int) -> bool:
         """A planner's hello: whether its epoch is taken. One older than the newest heard is refused."""
@@ -191,26 +210,16 @@
         return Heard.TAKEN
 
     def promise(self, held: Holding, grant: Grant, now: int) -> None:
-        """Lend so much for a longest span from now. A promise is never made smaller before its end; what another epoch has
-        is not lent twice."""
-        if now < held.lent_ends and held.lent_to != self.epoch and held.lent:
-            return  # all of a holding is lent to one epoch at a time
-        lend = min(grant.lend, self.free(held, now))
-        if now < held.lent_ends and lend < held.lent:
-            return  # it runs out by itself, and is not made longer
-        held.lent, held.lent_to, held.lent_ends, held.lent_heard = lend, self.epoch, now + self.span.longest, grant.told
+        """Lend so much for a longest span from now. All of a holding is lent to one epoch at a time."""
+        if held.lent(now) and held.lent_to != self.epoch:
+            return
+        if held.lent_to != self.epoch:
+            held.promises, held.lent_to = [], self.epoch
+        held.promise(Lent(min(grant.lend, self.free(held, now)), now + self.span.longest, grant.told), now)
 
 
 # --- The planner.
 
-@dataclass(slots=True)
-class Promise:
-    """What an edge has lent, as the planner may count on it: so much surely until `ends` on the planner's clock."""
-
-    part: int
-    ends: int
-
-
 @dataclass(slots=True)
 class Share:
     """The planner's record of one edge and one thing."""
@@ -219,13 +228,17 @@
     want: int = 0
     asked: int = 0  # the edge's clock
     wanted: float = 0.0  # smoothed
-    promise: Promise = field(default_factory=lambda: Promise(0, 0))
+    promises: list[tuple[int, int]] = field(default_factory=list)  # (part, surely kept until), on the planner's clock
     lend: int = 0  # what the plan would have lent
     due: int = 0  # what the plan would grant
     grants: list[tuple[int, int]] = field(default_factory=list)  # (part, latest end) of those that may still run
     sequence: int = 0
     reported: int = 0  # planner's clock
 
+    def lent(self, until: int) -> int:
+        """What the edge surely lends until a time."""
+        return max((part for part, ends in self.promises if ends >= until), default=0)
+
     def out(self, now: int) -> int:
         """The most that the edge may hold of grants now."""
         self.grants = [each for each in self.grants if now < each[1]]
@@ -277,15 +290,15 @@
         share.asked, share.reported = ask.sent, now
         share.want = 0 if ask.edge in self.drained else ask.want
         if ask.epoch == self.epoch:
-            self.count_on(share, ask)
+            self.count_on(share, ask, now)
         return self.grant(ask, pot, share, now)
 
     def sound(self, ask: Ask, now: int) -> bool:
         """Whether an ask makes sense and there is room for it."""
         known, pot = ask.edge in self.edges or len(self.edges) < self.most_edges, self.pots.get(ask.thing)
         room = len(self.pots) < self.most_things if pot is None else pot.capital == ask.capital
-        return (known and room and 0 <= ask.want <= WHOLE and 0 < ask.capital <= WHOLE and 0 <= ask.lent <= ask.capital
-                and ask.heard <= now)
+        return (known and room and 0 <= ask.want <= WHOLE and 0 < ask.capital <= WHOLE and len(ask.lent) <= MOST_PROMISES + 1
+                and all(0 <= part <= ask.capital and heard <= now for part, heard in ask.lent))
 
     def born(self, edge: str, incarnation: int) -> None:
         """An edge has started again. It keeps its promises by resting; what it was granted is gone, but may have been used
@@ -296,21 +309,20 @@
             if share is not None:
                 share.asked = 0
 
-    def count_on(self, share: Share, ask: Ask) -> None:
-        """A promise in force is surely kept for a longest span from the planner's own time that the edge had heard before it
-        made it. It is counted anew with each ask, never longer than that tells."""
-        ends = ask.heard + self.span.least(self.span.longest)
-        if ask.lent and ask.heard:
-            share.promise = Promise(ask.lent, ends) if ends >= share.promise.ends or ask.lent > share.promise.part else (
-                share.promise)
-
-    def lent(self, pot: Pot, now: int) -> list[tuple[int, int]]:
-        """What is surely lent, as (part, end)."""
-        return [(each.promise.part, each.promise.ends) for each in pot.shares.values() if now < each.promise.ends]
+    def count_on(self, share: Share, ask: Ask, now: int) -> None:
+        """A promise is surely kept for a longest span from the planner's own time that the edge had heard before it made it.
+        What was counted before stays true, and is kept as long as it says anything new."""
+        told = [(part, heard + self.span.least(self.span.longest)) for part, heard in ask.lent]
+        known = sorted({each for each in share.promises + told if each[1] > now}, key=lambda each: (-each[1], -each[0]))
+        share.promises, most = [], 0
+        for part, ends in known:
+            if part > most and len(share.promises) < 2 * MOST_PROMISES:
+                share.promises.append((part, ends))
+                most = part
 
     def room(self, pot: Pot, but: Share, now: int, until: int) -> int:
         """What may be granted to one edge until a time: what is lent until then at least, less what others may hold."""
-        lent = sum(part for part, ends in self.lent(pot, now) if ends >= until)
+        lent = sum(each.lent(until) for each in pot.shares.values())
         return lent - sum(each.out(now) for each in pot.shares.values() if each is not but)
 
     def grant(self, ask: Ask, pot: Pot, share: Share, now: int) -> Grant:
@@ -319,7 +331,7 @@
             pot.planned = now
             plan(pot, self.span, now)
         granted, lasts = 0, self.span.longest
-        for ends in sorted({ends for _, ends in self.lent(pot, now)}, reverse=True):
+        for ends in sorted({ends for each in pot.shares.values() for _, ends in each.promises}, reverse=True)[:MOST_ENDS]:
             span = self.span.least(ends - now)
             if span < LEAST_GRANT:
                 break
@@ -335,7 +347,8 @@
 # --- The plan.
 
 PLAN_EVERY, LEAST_GRANT = SECOND // 2, SECOND
-SMOOTH, STEP, SLACK, QUIET = 0.3, 0.25, 1.2, 0.02  # of a report; of the capital at a time; over what is wanted; hysteresis
+# Of a report; of the capital at a time; over what is wanted; hysteresis; of what nobody wants.
+SMOOTH, STEP, SLACK, QUIET, SPARE = 0.5, 0.25, 1.2, 0.02, 0.5
 FORGET = 30 * SECOND
 
 
@@ -361,10 +374,16 @@
         # Guards against one report that is a thousand times too high or jumps each second: it moves little at a time. Harm:
         # a true surge waits a few rounds for its parts.
         wanted = min(each.want * SLACK, each.wanted + max(each.capital, each.wanted) * 2)
-        each.wanted += (wanted - each.wanted) * SMOOTH if wanted < each.wanted else wanted - each.wanted
+        each.wanted += (wanted - each.wanted) * SMOOTH
         wants[name] = max(int(each.wanted), int(each.capital * span.floor) + 1)
     whole = sum(each.capital for each in shares.values())
     got = fair(wants, whole)
+    # Half of what nobody wants goes to those who want more than they have, for bursts between two looks. Harm: one that wakes
+    # up finds less of its own for as long as a promise lasts.
+    loud = {name: wants[name] for name, each in shares.items() if wants[name] > each.capital}
+    extra = int((whole - sum(got.values())) * SPARE) if loud else 0
+    for name, want in loud.items():
+        got[name] += extra * want // sum(loud.values())
     over = sum(max(got[name] - each.capital, 0) for name, each in shares.items())
     under = sum(max(each.capital - got[name], 0) for name, each in shares.items())
     for name, each in shares.items():
@@ -378,14 +397,25 @@
 
 # --- What an edge wants.
 
+UP, DOWN = 2 * SECOND, 3 * SECOND
+
+
 @dataclass(slots=True)
 class Demand:
-    """Units asked of one thing at one edge: a rate, smoothed over about a second."""
+    """Units asked of one thing at one edge: a rate, smoothed over about a second. `due` is when it is next asked for."""
 
     rate: float = 0.0
     units: float = 0.0
     since: int = 0
     last: int = 0
+    due: int = 0
+
+    def asks(self, now: int, rate: float, span: Span) -> bool:
+        """Whether to ask now: each time while it is in use, else so often that a promise does not run out between."""
+        if rate <= 0 and now - self.last > span.longest and now < self.due:
+            return False
+        self.due = now + span.longest // 3
+        return True
 
     def add(self, units: float, now: int) -> None:
         self.units, self.last = self.units + units, now
@@ -395,8 +425,9 @@
         span = now - self.since
         if span >= SECOND // 10:
             fresh = self.units * SECOND / span
-            # Up at once, down by halves: a part that is given back too soon is asked for again with the next burst.
-            self.rate = fresh if fresh >= self.rate else self.rate + (fresh - self.rate) * min(span / SECOND, 1.0) / 2
+            # Up within UP, down within DOWN: a part that is given back too soon is asked for again with the next burst, and one
+            # that a single large transfer asks for is missed elsewhere.
+            self.rate += (fresh - self.rate) * min(span / (UP if fresh >= self.rate else DOWN), 1.0)
             self.units, self.since = 0.0, now
         return self.rate
 
--- a/milletsill/planner/edge.py
+++ b/milletsill/planner/edge.py
@@ -59,6 +59,7 @@
         self.wholes: dict[Thing, float] = {}  # units a second
         self.told: dict[Thing, tuple[int, int, int]] = {}
         self.nodes: dict[int, int] = {}  # cold nodes by cell
+        self.plans = {each.name: place for place, each in enumerate(file.plan)}
         self.link, self.line = Link.DOWN, None
         self.failures, self.last = 0, 0
         self.calls: dict[str, Any] = {}
@@ -72,6 +73,10 @@
     # Life.
 
     def start(self) -> None:
+        for number, volume in enumerate(self.file.volume, 1):  # what comes through all gateways may be lent before it is used
+            plan = self.facts["plans"][self.plans[volume.plan]]
+            if not volume.gateways or volume.gateways == self.file.gateways:
+                self.volume(number, self.file.gateways, plan, 0.0)
         self.dial()
         self.later("ask", self.file.planner.ask_s, self.ask)
 
@@ -96,20 +101,26 @@
         now, held = self.now(), self.edge.holdings.values()
         self.linked.set(self.link is Link.PLANNED)
         self.granted.set(sum(each.granted for each in held if now < each.granted_ends) / WHOLE)
-        self.lent.set(sum(each.lent for each in held if now < each.lent_ends) / WHOLE)
+        self.lent.set(sum(each.lent(now) for each in held) / WHOLE)
 
     # What is asked of this gateway.
 
     def arrived(self, arrival: Arrival) -> None:
         """A transfer comes; before the module hears of it."""
         now, plan = self.now(), self.facts["plans"][arrival.plan]
-        for what, rate in (("limit", plan["limit_rate"]), ("reserve", plan["reserve_rate"])):
-            if rate > 0:
-                self.wish((what, arrival.volume), arrival.gateways, rate).add(arrival.units, now)
+        self.volume(arrival.volume, arrival.gateways, plan, arrival.units)
         node = self.nodes.get(arrival.cell) if arrival.cell is not None else None
         if node is not None and ("cold", node) in self.demand:
             self.demand["cold", node].add(arrival.units, now)
 
+    def volume(self, number: int, gateways: int, plan: Mapping[str, Any], units: float) -> None:
+        """What of a volume is parted, and how much of it was asked."""
+        for what, rate in (("limit", plan["limit_rate"]), ("reserve", plan["reserve_rate"])):
+            if rate > 0:
+                found = self.wish((what, number), gateways, rate)
+                if units:
+                    found.add(units, self.now())
+
     def wish(self, thing: Thing, gateways: int, whole: float) -> Demand:
         """The demand for a thing; from the first on parts of it are asked for, and the module knows its own."""
         found = self.demand.get(thing)
@@ -226,7 +237,7 @@
         wishes = []
         for thing, demand in self.demand.items():
             rate = demand.look(now)
-            if rate or not self.edge.idle(thing, now) or now - demand.last < 10 * SECOND:
+            if demand.asks(now, rate, self.span):
                 wishes.append(put_ask(self.edge.ask(thing, want_of(rate, self.wholes[thing]), now), rate))
         for at in range(0, max(len(wishes), 1), PER_FRAME):
             self.line.transport.write(encoded(asks=Asks(wish=wishes[at:at + PER_FRAME])))
--- a/milletsill/planner/service.py
+++ b/milletsill/planner/service.py
@@ -239,8 +239,9 @@
             for name, share in sorted(pot.shares.items()):
                 if question.edge in ("", name):
                     found.append({"what": what, "id": id, "edge": name, "even": share.capital, "want": share.want,
-                                  "lent": share.promise.part if now < share.promise.ends else 0,
-                                  "lent_for_ms": max(share.promise.ends - now, 0) // 10, "granted": share.out(now),
+                                  "lent": share.lent(now),
+                                  "lent_for_ms": max([ends for _, ends in share.promises] + [now]) // 10 - now // 10,
+                                  "granted": share.out(now),
                                   "granted_for_ms": max((end for _, end in share.grants), default=now) // 10 - now // 10,
                                   "reported_ms_ago": (now - share.reported) // 10})
         return found
--- a/milletsill/settings/decide.py
+++ b/milletsill/settings/decide.py
@@ -118,6 +118,10 @@
     here = under + ("planner",)
     check_address(file.planner.address, here + ("address",), report)
     check_lending(file.planner.lending, here + ("lending",), report)
+    parted = 2 * sum(1 for each in file.volume) + 64
+    if file.planner.most_things < parted:
+        report.add(here + ("most_things",), f"most_things {file.planner.most_things} for {len(file.volume)} volumes, "
+                                            f"{parted} at least")
     if file.planner.ask_s * 3 > file.planner.lending.longest_s:
         report.add(here + ("ask_s",), f"asks every {file.planner.ask_s:g} s: three do not fit into a promise of "
                                       f"{file.planner.lending.longest_s:g} s")
