Planner: what waits behind a part is wanted too; the least lease is a part of the longest

Need: closed clients ask no faster than their part lets through, so their edges never asked for more. Change: units that were taken and not sent count as wanted within a second.

--- a/milletsill/planner/decide.py
+++ b/milletsill/planner/decide.py
@@ -333,7 +333,7 @@
         granted, lasts = 0, self.span.longest
         for ends in sorted({ends for each in pot.shares.values() for _, ends in each.promises}, reverse=True)[:MOST_ENDS]:
             span = self.span.least(ends - now)
-            if span < LEAST_GRANT:
+            if span < self.span.longest // LEAST_PART:
                 break
             room = min(self.room(pot, share, now, ends), share.due)
             if room > granted:
@@ -346,7 +346,7 @@
 
 # --- The plan.
 
-PLAN_EVERY, LEAST_GRANT = SECOND // 2, SECOND
+PLAN_EVERY, LEAST_PART = SECOND // 2, 4  # a grant lasts a fourth of the longest span at least
 # Of a report; of the capital at a time; over what is wanted; hysteresis; of what nobody wants.
 SMOOTH, STEP, SLACK, QUIET, SPARE = 0.5, 0.25, 1.2, 0.02, 0.5
 FORGET = 30 * SECOND
@@ -432,6 +432,13 @@
         return self.rate
 
 
+def wanted(rate: float, waiting: float) -> float:
+    """Units a second that would carry what arrives and send what waits within a second. Guards against clients that ask for no
+    more until they are answered: what arrives is then no more than what the present part lets through. Harm: what waits for
+    another reason (a slow box) asks for parts that it cannot use, for as long as it waits."""
+    return rate + waiting
+
+
 def want_of(rate: float, whole: float) -> int:
     """What part of a whole, units a second, carries a rate."""
     return WHOLE if whole <= 0 else min(max(round(rate / whole * WHOLE), 0), WHOLE)
--- a/milletsill/planner/edge.py
+++ b/milletsill/planner/edge.py
@@ -15,7 +15,7 @@
 from milletsill.interface import Arrival, Listed, Readiness
 from milletsill.planner.codec import VERSION, Frames, Malformed, encoded, get_grant, put_ask
 from milletsill.planner.decide import (GUARD, SECOND, WHOLE, Demand, Edge, Heard, Link, Said, Thing, dial_after, link_step,
-                                       want_of)
+                                       want_of, wanted)
 from milletsill.planner.plan_pb2 import Asks, Hello, Refused
 from milletsill.planner.service import span_of
 
@@ -226,6 +226,18 @@
         if found in (Heard.TAKEN, Heard.TOO_LATE):
             self.tell(grant.thing)
 
+    def waiting(self) -> dict[Thing, float]:
+        """Units that were taken and not sent yet, by thing: what a limit holds back does not arrive faster, but is wanted."""
+        found: dict[Thing, float] = {}
+        for live in self.host.live.values():
+            if not live.answered and not live.outs:
+                arrival = live.arrival
+                node = self.nodes.get(arrival.cell) if arrival.cell is not None else None
+                for thing in (("limit", arrival.volume), ("reserve", arrival.volume), ("cold", node)):
+                    if thing in self.demand:
+                        found[thing] = found.get(thing, 0.0) + arrival.units
+        return found
+
     def ask(self) -> None:
         """All that is wanted, in frames of so many; a planner that does not answer is cut."""
         self.later("ask", self.file.planner.ask_s * self.chance.uniform(0.9, 1.1), self.ask)
@@ -234,9 +246,9 @@
             self.step(Said.SILENT, self.line)
         if self.link is not Link.PLANNED or self.line is None:
             return
-        wishes = []
+        wishes, waiting = [], self.waiting()
         for thing, demand in self.demand.items():
-            rate = demand.look(now)
+            rate = wanted(demand.look(now), waiting.get(thing, 0.0))
             if demand.asks(now, rate, self.span):
                 wishes.append(put_ask(self.edge.ask(thing, want_of(rate, self.wholes[thing]), now), rate))
         for at in range(0, max(len(wishes), 1), PER_FRAME):
--- a/tests/test_planner_decide.py
+++ b/tests/test_planner_decide.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from milletsill.planner import model
-from milletsill.planner.decide import (GUARD, LEAST_GRANT, MOST_PROMISES, PLAN_EVERY, SECOND, WHOLE, Ask, Edge, Grant, Heard,
+from milletsill.planner.decide import (GUARD, MOST_PROMISES, PLAN_EVERY, SECOND, WHOLE, Ask, Edge, Grant, Heard,
                                        Holding, Lent, Planner, Pot,
                                        Share, Span, even, fair, plan)
 
@@ -232,7 +232,7 @@
         world = model.World(4)
         for step in range(80):
             world.exchange(step % 4)
-            world.pass_time(LEAST_GRANT // 8)
+            world.pass_time(SECOND // 8)
         self.assertGreater(world.edges[0].part(THING, world.clock(0)), 600_000)
 
 
