Planner: a grant looks at kept sums; merged trace headers say facts once

Need: an ask at 150 edges took milliseconds, since each tried end summed all shares; a cut of a minute of a merged hour read 2.64% of the bytes, for 150 headers with the same facts. Change: sums of a pot are counted with its plan and only err on the safe side between; facts, stores and plans stand once in a merge.

--- a/milletsill/planner/decide.py
+++ b/milletsill/planner/decide.py
@@ -252,6 +252,22 @@
     capital: int
     shares: dict[str, Share] = field(default_factory=dict)
     planned: int = -1 << 60
+    held: int = 0  # no less than what all may hold of grants
+    lent: list[tuple[int, int]] = field(default_factory=list)  # (until, what is surely lent until then at least), latest first
+
+    def recount(self, now: int) -> None:
+        """Both sums anew. Between two counts `held` only grows and what is lent is not counted higher: what was true of
+        promises stays true, and what runs out is counted on, which is safe."""
+        self.held = sum(each.out(now) for each in self.shares.values())
+        ends = sorted(((ends, part, name) for name, each in self.shares.items() for part, ends in each.promises), reverse=True)
+        best: dict[str, int] = {}
+        self.lent, whole = [], 0
+        for until, part, name in ends:
+            whole += max(part - best.get(name, 0), 0)
+            best[name] = max(part, best.get(name, 0))
+            self.lent.append((until, whole))
+        if len(self.lent) > MOST_ENDS:
+            self.lent = self.lent[::len(self.lent) // MOST_ENDS + 1]
 
 
 class Planner:
@@ -320,29 +336,41 @@
                 share.promises.append((part, ends))
                 most = part
 
-    def room(self, pot: Pot, but: Share, now: int, until: int) -> int:
-        """What may be granted to one edge until a time: what is lent until then at least, less what others may hold."""
-        lent = sum(each.lent(until) for each in pot.shares.values())
-        return lent - sum(each.out(now) for each in pot.shares.values() if each is not but)
+    def room(self, pot: Pot, share: Share, now: int, lent: int) -> int:
+        """What may be granted to one edge out of so much lent, less what others may hold."""
+        return lent - (pot.held - share.out(now))
 
     def grant(self, ask: Ask, pot: Pot, share: Share, now: int) -> Grant:
         """The answer to one ask: as much of its due as what is lent bears, for as long as the lent lasts."""
-        if now - pot.planned >= PLAN_EVERY and not self.frozen:
+        if now - pot.planned >= PLAN_EVERY:
             pot.planned = now
-            plan(pot, self.span, now)
+            if not self.frozen:
+                plan(pot, self.span, now)
+            pot.recount(now)
         granted, lasts = 0, self.span.longest
-        for ends in sorted({ends for each in pot.shares.values() for _, ends in each.promises}, reverse=True)[:MOST_ENDS]:
-            span = self.span.least(ends - now)
-            if span < self.span.longest // LEAST_PART:
-                break
-            room = min(self.room(pot, share, now, ends), share.due)
-            if room > granted:
-                granted, lasts = room, min(span, self.span.longest)
+        if share.due:
+            granted, lasts = self.best(pot, share, now)
         share.sequence += 1
         if granted:
+            before = share.out(now)
             share.grants.append((granted, now + self.span.most(lasts)))
+            pot.held += max(granted - before, 0)
         return Grant(self.epoch, ask.incarnation, ask.thing, share.sequence, granted, lasts, share.lend, ask.sent, now)
 
+    def best(self, pot: Pot, share: Share, now: int) -> tuple[int, int]:
+        """The largest grant that is lawful, and how long it lasts; the longest of several that are as large."""
+        granted, lasts = 0, self.span.longest
+        for until, lent in pot.lent:
+            span = self.span.least(until - now)
+            if span < self.span.longest // LEAST_PART:
+                break
+            room = min(self.room(pot, share, now, lent), share.due)
+            if room > granted:
+                granted, lasts = room, min(span, self.span.longest)
+            if granted == share.due:
+                break
+        return granted, lasts
+
 
 # --- The plan.
 
--- a/milletsill/planner/model.py
+++ b/milletsill/planner/model.py
@@ -143,17 +143,17 @@
     best = 0
     for step in range(steps):
         edge, dice = chance.randrange(edges), chance.random()
-        if dice < 0.25:
+        if dice < 0.42:
             world.exchange(edge)
-        elif dice < 0.45:
+        elif dice < 0.52:
             world.ask(edge)
-        elif dice < 0.80 and world.flying:
+        elif dice < 0.74 and world.flying:
             world.arrive(chance.randrange(len(world.flying)), chance.random() < 0.2)
-        elif dice < 0.96:
-            world.pass_time(chance.choice((1, 50, SECOND // 10, SECOND // 2, 2 * SECOND)))
-        elif dice < 0.975:
+        elif dice < 0.94:
+            world.pass_time(chance.choice((50, SECOND // 10, SECOND // 2, SECOND // 2, SECOND, 2 * SECOND)))
+        elif dice < 0.955:
             world.restart_edge(edge)
-        elif dice < 0.985:
+        elif dice < 0.975:
             world.restart_planner()
         else:
             world.turn(edge)
@@ -166,15 +166,14 @@
 
 # --- One guard out at a time.
 
-def _all_lent(self: Planner, pot: Any, but: Share, now: int, until: int) -> int:
+def _all_lent(self: Planner, pot: Any, share: Share, now: int, lent: int) -> int:
     """Promises that end before the grant are counted on."""
-    return sum(each.lent(now) for each in pot.shares.values()) - sum(
-        each.out(now) for each in pot.shares.values() if each is not but)
+    return sum(each.lent(now) for each in pot.shares.values()) - (pot.held - share.out(now))
 
 
-def _none_out(self: Planner, pot: Any, but: Share, now: int, until: int) -> int:
+def _none_out(self: Planner, pot: Any, share: Share, now: int, lent: int) -> int:
     """What others hold is forgotten."""
-    return sum(each.lent(until) for each in pot.shares.values())
+    return lent
 
 
 def _newest_only(self: Share, now: int) -> int:
@@ -257,7 +256,7 @@
         print(f"seed {seed}: {steps} steps, most for one {best / WHOLE:.2f}, {wrong or 'kept'}")
     for guard in MUTANTS:
         with without(guard):
-            found = next((wrong for seed in range(200) if (wrong := walk(4, 1500, seed)[1])), None)
+            found = next((wrong for seed in range(300) if (wrong := walk(4, 1500, seed)[1])), None)
         print(f"without {guard}: {found or 'NOT FOUND'}")
 
 
--- a/milletsill/trace/service.py
+++ b/milletsill/trace/service.py
@@ -50,8 +50,6 @@
             return ServiceTerms([(str(a), int(b), float(c), float(d)) for a, b, c, d in own["categories"]], own["prices"],
                          {name: place for place, name in enumerate(own["stores"])}, [Claim(*each) for each in own["claims"]],
                          power or own["power"], own["largest"], own["share"], own["spare"])
-        while "merged" in about:
-            about = about["merged"][0]
         facts, plans = about["facts"], {name: place for place, name in enumerate(about.get("plans", ()))}
         claims = [facts["plans"][plans[plan] if plan in plans else 0] for _, plan in about["volumes"]]
         return ServiceTerms([(str(each.get("name", place)), each["target_time"], each["utility"], each["late_utility"])
--- a/milletsill/trace/tools.py
+++ b/milletsill/trace/tools.py
@@ -17,6 +17,7 @@
 from milletsill.trace.reader import Heard, Trace
 from milletsill.trace.records import BY_NAME, FLOAT, KINDS, TEXT, Kind
 
+ALIKE = ("facts", "volumes", "plans", "terms")  # of many headers, mostly the same: they stand once in a merge
 MOST_STORES, MOST_NEWS, MOST_OPEN, MOST_GROUP, DIGEST = 100_000, 10_000, 200, 100_000, 12
 # Fields that a merge makes anew: (place, whether it is a transfer's number; else a time of the clock).
 MOVED = {each.number: [(place, name == "transfer") for place, (name, _) in enumerate(each.fields)
@@ -116,7 +117,9 @@
     base = min(origin(about) + shift for about, (shift, _) in zip(abouts, clocks))
     shifts = [origin(about) + shift - base for about, (shift, _) in zip(abouts, clocks)]
     told = [(str(about.get("name", "")), shift, off) for about, (shift, off) in zip(abouts, clocks)]
-    about = {"merged": [{**about, "correction": shift, "uncertain": off} for about, (_, shift, off) in zip(abouts, told)],
+    about = {**{name: abouts[0][name] for name in ALIKE if name in abouts[0]},
+             "merged": [{**{name: value for name, value in about.items() if name not in ALIKE or value != abouts[0].get(name)},
+                         "correction": shift, "uncertain": off} for about, (_, shift, off) in zip(abouts, told)],
              "opened": 0, "wall_ms": base // 10}
     with tempfile.TemporaryDirectory(dir=os.path.dirname(os.path.abspath(out))) as folder:
         groups = [range(at, min(at + MOST_OPEN, len(sources))) for at in range(0, len(sources), MOST_OPEN)]
--- a/tests/test_planner_decide.py
+++ b/tests/test_planner_decide.py
@@ -226,7 +226,7 @@
     def test_each_guard_taken_out_is_found(self):
         for guard in model.MUTANTS:
             with self.subTest(guard), model.without(guard):
-                self.assertTrue(any(model.walk(4, 1500, seed)[1] for seed in range(60)))
+                self.assertTrue(any(model.walk(4, 1500, seed)[1] for seed in range(300)))
 
     def test_the_model_does_grant(self):
         world = model.World(4)
