Planner: idle stores are asked for seldom, and lent when another wants them

Need: 150 edges that ask for 400 idle stores every second cost more than a core. Change: a grant says when to ask again; when somebody wants more than its part, quiet edges are told what to lend, and lend by their own promise from then. The model plays that too, and a grant that was overtaken by newer ones.

--- a/milletsill/planner/codec.py
+++ b/milletsill/planner/codec.py
@@ -70,11 +70,11 @@
 def put_grant(grant: Grant) -> Given:
     return Given(epoch=grant.epoch, incarnation=grant.incarnation, what=grant.thing[0], id=grant.thing[1],
                  sequence=grant.sequence, granted=grant.granted, lasts=grant.lasts, lend=grant.lend, asked=grant.asked,
-                 told=grant.told)
+                 told=grant.told, again=grant.again)
 
 
 def get_grant(given: Any) -> Grant:
     if given.what not in WHATS:
         raise Malformed(f"a grant of {given.what[:20]!r}, not one of {', '.join(WHATS)}")
     return Grant(given.epoch, given.incarnation, (given.what, given.id), given.sequence, given.granted, given.lasts, given.lend,
-                 given.asked, given.told)
+                 given.asked, given.told, given.again)
--- a/milletsill/planner/decide.py
+++ b/milletsill/planner/decide.py
@@ -14,7 +14,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Iterable, Mapping, Sequence
+from typing import Container, Iterable, Mapping, Sequence
 
 WHOLE, NEVER = 1_000_000, 1 << 60
 MOST_PROMISES, MOST_ENDS = 3, 64  # of one holding; ends that are tried for a grant
@@ -121,6 +121,7 @@
     lend: int
     asked: int
     told: int
+    again: int  # ask again within this, even if nothing is wanted
 
 
 Heard = Enum("Heard", "TAKEN OLD_EPOCH OLD_SEQUENCE TOO_LATE SENSELESS")
@@ -201,8 +202,10 @@
         if grant.sequence <= held.sequence:
             return Heard.OLD_SEQUENCE
         if now >= grant.asked + grant.lasts:
-            # Guards against a plan that comes later than it lasts, whatever held it up. Its sequence still counts.
+            # Guards against a plan that comes later than it lasts, whatever held it up. Its sequence still counts, and what it
+            # would have lent is lent: that is this edge's own promise, from now.
             held.sequence = grant.sequence
+            self.promise(held, grant, now)
             return Heard.TOO_LATE
         held.sequence = grant.sequence
         held.granted, held.granted_ends = grant.granted, grant.asked + grant.lasts - GUARD
@@ -234,6 +237,7 @@
     grants: list[tuple[int, int]] = field(default_factory=list)  # (part, latest end) of those that may still run
     sequence: int = 0
     reported: int = 0  # planner's clock
+    called: int = 0  # when it was last told of lending without having asked
 
     def lent(self, until: int) -> int:
         """What the edge surely lends until a time."""
@@ -252,6 +256,7 @@
     capital: int
     shares: dict[str, Share] = field(default_factory=dict)
     planned: int = -1 << 60
+    loud: bool = False  # whether anybody wants more than its even part
     held: int = 0  # no less than what all may hold of grants
     lent: list[tuple[int, int]] = field(default_factory=list)  # (until, what is surely lent until then at least), latest first
 
@@ -280,11 +285,13 @@
         self.edges: dict[str, int] = {}  # the newest incarnation of each
         self.frozen = False
         self.drained: frozenset[str] = frozenset()  # edges that shall want nothing
+        self.linked: set[str] = set()  # edges that are there, though they may have nothing to ask
+        self.calls: list[tuple[str, Grant]] = []  # grants that nobody asked for; whoever carries messages takes them
 
     def forget(self, now: int) -> None:
         """Things that nobody has asked about, with nothing out, leave; so do edges of which nothing is left."""
         for thing, pot in list(self.pots.items()):
-            if all(now - each.reported > FORGET and not each.out(now) for each in pot.shares.values()):
+            if all(now - each.reported > self.span.longest * SELDOM * 3 and not each.out(now) for each in pot.shares.values()):
                 del self.pots[thing]
         if len(self.edges) > self.most_edges // 2:
             held = {name for pot in self.pots.values() for name in pot.shares}
@@ -345,7 +352,8 @@
         if now - pot.planned >= PLAN_EVERY:
             pot.planned = now
             if not self.frozen:
-                plan(pot, self.span, now)
+                plan(pot, self.span, now, self.linked)
+                self.call(ask.thing, pot, now)
             pot.recount(now)
         granted, lasts = 0, self.span.longest
         if share.due:
@@ -355,7 +363,23 @@
             before = share.out(now)
             share.grants.append((granted, now + self.span.most(lasts)))
             pot.held += max(granted - before, 0)
-        return Grant(self.epoch, ask.incarnation, ask.thing, share.sequence, granted, lasts, share.lend, ask.sent, now)
+        again = self.span.longest // SOON if pot.loud else self.span.longest * SELDOM
+        return Grant(self.epoch, ask.incarnation, ask.thing, share.sequence, granted, lasts, share.lend, ask.sent, now, again)
+
+    def call(self, thing: Thing, pot: Pot, now: int) -> None:
+        """Edges that are quiet about a thing which others now want are told what to lend. Guards the planner against 150 edges
+        that ask about 400 idle stores each second; harm: a store that wakes up waits one message longer for its parts."""
+        every = self.span.longest // SOON
+        for name, share in pot.shares.items():
+            if share.lend and now - max(share.reported, share.called) > every and len(self.calls) < self.most_edges:
+                share.called, share.sequence = now, share.sequence + 1
+                self.calls.append((name, Grant(self.epoch, self.edges.get(name, 0), thing, share.sequence, 0, self.span.longest,
+                                               share.lend, share.asked, now, 0)))
+
+    def drain_calls(self) -> list[tuple[str, Grant]]:
+        """Those, once."""
+        calls, self.calls = self.calls, []
+        return calls
 
     def best(self, pot: Pot, share: Share, now: int) -> tuple[int, int]:
         """The largest grant that is lawful, and how long it lasts; the longest of several that are as large."""
@@ -377,7 +401,7 @@
 PLAN_EVERY, LEAST_PART = SECOND // 2, 4  # a grant lasts a fourth of the longest span at least
 # Of a report; of the capital at a time; over what is wanted; hysteresis; of what nobody wants.
 SMOOTH, STEP, SLACK, QUIET, SPARE = 0.5, 0.25, 1.2, 0.02, 0.5
-FORGET = 30 * SECOND
+SOON, SELDOM = 3, 8  # asks of what is idle: so many in a longest span where it is wanted, every so many spans where not
 
 
 def fair(wants: Mapping[str, int], whole: int) -> dict[str, int]:
@@ -390,11 +414,13 @@
     return got
 
 
-def plan(pot: Pot, span: Span, now: int) -> None:
-    """What each edge of a thing would lend, and what be granted. The part of one that is silent is left to it."""
-    for name in [name for name, each in pot.shares.items() if now - each.reported > FORGET and not each.out(now)]:
+def plan(pot: Pot, span: Span, now: int, linked: Container[str] = ()) -> None:
+    """What each edge of a thing would lend, and what be granted. The part of one that is silent and not linked is left to it."""
+    for name in [name for name, each in pot.shares.items() if now - each.reported > span.longest * SELDOM * 3
+                 and not each.out(now)]:
         del pot.shares[name]
-    shares = {name: each for name, each in pot.shares.items() if now - each.reported <= span.longest}
+    shares = {name: each for name, each in pot.shares.items() if name in linked or now - each.reported <= span.longest}
+    pot.loud = any(each.want > each.capital for each in shares.values())
     if not shares:
         return
     wants = {}
@@ -442,9 +468,13 @@
         """Whether to ask now: each time while it is in use, else so often that a promise does not run out between."""
         if rate <= 0 and now - self.last > span.longest and now < self.due:
             return False
-        self.due = now + span.longest // 3
+        self.due = now + span.longest // SOON
         return True
 
+    def told(self, grant: Grant, now: int) -> None:
+        """When to ask again while nothing is wanted; at once where something was lent, so that the planner may count on it."""
+        self.due = now if grant.lend and grant.again <= 0 else now + max(grant.again, 0)
+
     def add(self, units: float, now: int) -> None:
         self.units, self.last = self.units + units, now
 
--- a/milletsill/planner/edge.py
+++ b/milletsill/planner/edge.py
@@ -224,6 +224,7 @@
         found = self.edge.take(grant, now)
         self.takes.labels(found.name.lower()).inc()
         if found in (Heard.TAKEN, Heard.TOO_LATE):
+            self.demand[grant.thing].told(grant, now)
             self.tell(grant.thing)
 
     def waiting(self) -> dict[Thing, float]:
--- a/milletsill/planner/model.py
+++ b/milletsill/planner/model.py
@@ -27,6 +27,7 @@
     def __init__(self, edges: int, span: Span = SPAN) -> None:
         self.span, self.now, self.epoch = span, 100 * SECOND, 1
         self.planner = Planner(1, span)
+        self.planner.linked = {f"e{each}" for each in range(edges)}
         self.born = 1
         self.edges = [Edge(f"e{each}", 1, span, self.now, fresh=True) for each in range(edges)]
         self.offsets = [each * 7 for each in range(edges)]  # each edge's clock differs
@@ -57,6 +58,7 @@
         edge, message = self.flying[place] if stays else self.flying.pop(place)
         if isinstance(message, Ask):
             self.fly(edge, self.planner.hear(message, self.now))
+            self.carry()
         else:
             held = self.edges[edge]
             if held.meet(message.epoch):
@@ -68,6 +70,12 @@
         grant = self.planner.hear(message, self.now)
         if grant is not None and self.edges[edge].meet(grant.epoch):
             self.edges[edge].take(grant, self.clock(edge))
+        self.carry()
+
+    def carry(self) -> None:
+        """What the planner says unasked is on its way."""
+        for name, grant in self.planner.drain_calls():
+            self.fly(int(name[1:]), grant)
 
     def pass_time(self, span: int) -> None:
         self.now += span
@@ -81,7 +89,8 @@
 
     def restart_planner(self) -> None:
         self.epoch += 1
-        self.planner = Planner(self.epoch, self.span)
+        linked, self.planner = self.planner.linked, Planner(self.epoch, self.span)
+        self.planner.linked = linked
 
     def turn(self, edge: int) -> None:
         """Who wants all, and who nothing, changes."""
@@ -164,6 +173,35 @@
     return steps, None, best
 
 
+def overtaken() -> int:
+    """A large grant is on its way for long while newer, smaller ones are lost and another edge gets the rest; then it comes.
+    The most that is in use with it at any moment of that."""
+    world = World(3)
+    for step in range(90):
+        world.exchange(step % 3)
+        world.pass_time(SECOND // 8)
+    large = world.planner.hear(world.edges[0].ask(THING, WHOLE, world.clock(0)), world.now)
+    world.turn(1)
+    worst = 0
+    for _ in range(32):
+        world.planner.hear(world.edges[0].ask(THING, 0, world.clock(0)), world.now)
+        for edge in (1, 2):
+            world.exchange(edge)
+        world.pass_time(SECOND // 8)
+        made = copy.deepcopy(world)
+        if large is not None:
+            made.edges[0].take(large, made.clock(0))
+        worst = max(worst, made.used())
+    return worst
+
+
+def wrong(walks: int, steps: int = 1500) -> str | None:
+    """What goes wrong first, if anything: the case of the overtaken grant, then chance through small fleets."""
+    if (used := overtaken()) > WHOLE:
+        return f"an overtaken grant: {used} of {WHOLE} in use"
+    return next((found for seed in range(walks) if (found := walk(4, steps, seed)[1])), None)
+
+
 # --- One guard out at a time.
 
 def _all_lent(self: Planner, pot: Any, share: Share, now: int, lent: int) -> int:
@@ -249,14 +287,14 @@
     parser.add_argument("--edges", type=int, default=20)
     given = parser.parse_args()
     for edges, depth, first in ((2, 5, 6), (3, 4, 9)):
-        count, wrong = explore(edges, depth, 200_000, first)
-        print(f"{edges} edges, every order of {depth} events after {first} exchanges: {count} worlds, {wrong or 'kept'}")
+        count, found = explore(edges, depth, 200_000, first)
+        print(f"{edges} edges, every order of {depth} events after {first} exchanges: {count} worlds, {found or 'kept'}")
     for seed in range(given.walks):
-        steps, wrong, best = walk(given.edges, given.steps, seed)
-        print(f"seed {seed}: {steps} steps, most for one {best / WHOLE:.2f}, {wrong or 'kept'}")
+        steps, found, best = walk(given.edges, given.steps, seed)
+        print(f"seed {seed}: {steps} steps, most for one {best / WHOLE:.2f}, {found or 'kept'}")
     for guard in MUTANTS:
         with without(guard):
-            found = next((wrong for seed in range(300) if (wrong := walk(4, 1500, seed)[1])), None)
+            found = wrong(300)
         print(f"without {guard}: {found or 'NOT FOUND'}")
 
 
--- a/milletsill/planner/service.py
+++ b/milletsill/planner/service.py
@@ -88,6 +88,7 @@
                 given.append(put_grant(grant))
         self.asked += len(asks.wish)
         self.send(grants=Grants(given=given))
+        service.call()
 
     def send(self, **what: Any) -> None:
         """A frame, unless the other side has long not read: then the end."""
@@ -199,8 +200,19 @@
             old.transport.abortConnection()
         link.name, link.incarnation = hello.name, hello.incarnation
         self.by_name[hello.name] = link
+        self.planner.linked.add(hello.name)
         link.send(welcome=Welcome(version=codec.VERSION, epoch=self.planner.epoch))
 
+    def call(self) -> None:
+        """What is said unasked."""
+        by_link: dict[Link, list[Any]] = {}
+        for name, grant in self.planner.drain_calls():
+            link = self.by_name.get(name)
+            if link is not None and link.incarnation == grant.incarnation:
+                by_link.setdefault(link, []).append(put_grant(grant))
+        for link, given in by_link.items():
+            link.send(grants=Grants(given=given))
+
     def refused(self, link: Link, refused: Any) -> None:
         if refused.epoch > self.planner.epoch:
             self.newer(link, refused.epoch)
@@ -219,6 +231,7 @@
         self.links.discard(link)
         if self.by_name.get(link.name) is link:
             del self.by_name[link.name]
+            self.planner.linked.discard(link.name)
 
     # Operators.
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -117,7 +117,7 @@
     def test_asks_and_grants_go_there_and_back(self):
         ask = Ask("e", 7, 1 << 60, ("cold", 9), 1, 2, ((3, 4), (1, 9)), 5)
         self.assertEqual(codec.get_ask("e", 7, codec.put_ask(ask, 1.5)), ask)
-        grant = Grant(1 << 60, 7, ("limit", 2), 3, 4, 5, 6, 7, 8)
+        grant = Grant(1 << 60, 7, ("limit", 2), 3, 4, 5, 6, 7, 8, 9)
         self.assertEqual(codec.get_grant(codec.put_grant(grant)), grant)
 
     def test_frames_come_in_any_pieces(self):
--- a/tests/test_planner_decide.py
+++ b/tests/test_planner_decide.py
@@ -19,7 +19,7 @@
 
 
 def grant(**values):
-    return replace(Grant(1, 1, THING, 1, 0, 4 * SECOND, 0, NOW, 500), **values)
+    return replace(Grant(1, 1, THING, 1, 0, 4 * SECOND, 0, NOW, 500, 0), **values)
 
 
 def ask(name="a", **values):
@@ -161,6 +161,25 @@
             self.assertIsNone(planner.hear(each, NOW), each)
         self.assertEqual(len(planner.pots[THING].shares), 1)
 
+    def test_a_quiet_edge_is_told_to_lend_what_another_wants(self):
+        planner = Planner(1, SPAN)
+        planner.linked = {"quiet", "loud"}
+        found = planner.hear(ask("quiet"), NOW)
+        self.assertEqual(found.again, SPAN.longest * 8)
+        later = NOW + 5 * SECOND
+        for each in range(6):
+            planner.pots[THING].planned = -1 << 60
+            planner.hear(ask("loud", want=WHOLE, sent=NOW + each), later)
+        (name, call), = planner.drain_calls()
+        self.assertEqual((name, call.granted, call.asked), ("quiet", 0, NOW))
+        self.assertGreater(call.lend, 0)
+        self.assertEqual(planner.drain_calls(), [])
+
+    def test_what_comes_unasked_and_late_is_lent_all_the_same(self):
+        made = edge()
+        self.assertIs(made.take(grant(lend=100_000), NOW + 60 * SECOND), Heard.TOO_LATE)
+        self.assertEqual(made.part(THING, NOW + 60 * SECOND), 150_000)
+
     def test_a_frozen_planner_keeps_its_plan(self):
         planner = Planner(1, SPAN)
         planner.frozen = True
@@ -226,7 +245,10 @@
     def test_each_guard_taken_out_is_found(self):
         for guard in model.MUTANTS:
             with self.subTest(guard), model.without(guard):
-                self.assertTrue(any(model.walk(4, 1500, seed)[1] for seed in range(300)))
+                self.assertIsNotNone(model.wrong(300))
+
+    def test_a_grant_that_was_overtaken_is_counted_until_its_end(self):
+        self.assertLessEqual(model.overtaken(), WHOLE)
 
     def test_the_model_does_grant(self):
         world = model.World(4)
