--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -79,6 +79,16 @@
         self.assertEqual((self.asker.told, answer.over, answer.elsewhere, dict(answer.report), self.host.live),
                          (["satisfied"], True, 2, {"queue": 3.0}, {}))
 
+    def test_a_send_decided_before_the_process_stood_is_not_made(self):
+        self.host.most_stale = 200
+        self.clock.advance(0)  # settled now
+        self.clock.rightNow += 0.03
+        self.host.send(1, 7, 500)
+        self.assertEqual(self.pool.held, [])
+        self.clock.advance(0)
+        answer, = [each[1] for each in self.module.of("returned")]
+        self.assertIs(answer.outcome, Outcome.UNREACHED)
+
     def test_a_time_out_is_told_and_the_box_is_told_too(self):
         self.host.send(1, 7, 500)
         self.clock.advance(0.051)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -4,26 +4,39 @@
 import tempfile
 import unittest
 from random import Random
+from unittest.mock import Mock
 
 from click.testing import CliRunner
 from google.protobuf import text_format
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from prometheus_client import CollectorRegistry
 from twisted.internet import reactor, threads
+from twisted.internet.task import Clock
 from twisted.trial.unittest import TestCase
 
 from milletsill.cli.main import main
+from milletsill.edge.facts import facts_of
 from milletsill.edge.logs import logger
 from milletsill.files import packets
+from milletsill.interface import Listed, Readiness
 from milletsill.planner import codec, store
 from milletsill.planner.codec import Frames, Malformed, encoded
-from milletsill.planner.decide import (MOST_WAIT, SECOND, Ask, Demand, Edge, Grant, Lent, Link, Said, Span, dial_after, link_step,
+from milletsill.planner.decide import (GUARD, MOST_WAIT, SECOND, Ask, Demand, Edge, Grant, Lent, Link, Said, Span, dial_after, link_step,
                                        want_of)
+from milletsill.planner.edge import Parts
 from milletsill.planner.plan_pb2 import Asks, Welcome, Wish
 from milletsill.planner.service import Service
-from milletsill.settings.milletsill_pb2 import PlannerFile
+from milletsill.settings.milletsill_pb2 import GatewayFile, PlannerFile
 from tests.rig import Rig, later
 
+EDGE = """
+name: "e" listen: "127.0.0.1:0" gateways: 4 seed: 5 registry { address: "127.0.0.1:1" }
+planner { address: "127.0.0.1:1" lending { longest_s: 2 } ask_s: 0.2 }
+rules { cold_units: 40 cold_window_ms: 2000 warm_after_s: 12 }
+plan { name: "p" usual_rate: 10 reserve_rate: 5 limit_rate: 20 limit_store: 40 }
+category { name: "c" target_ms: 300 patience_ms: 1000 } volume { name: "v" root: "/v" plan: "p" cell: [0] } route { category: "c" }
+"""
 FILE = """
 name: "plan-t" listen: "127.0.0.1:0" state_dir: "x" lending { longest_s: 1.2 } silent_s: 2 logging { level: "debug" }
 """
@@ -140,6 +153,64 @@
             list(Frames().feed((1 << 30).to_bytes(4, "big")))
 
 
+class Told:
+    """A host that keeps what it is told of parts."""
+
+    def __init__(self):
+        self.parts, self.live, self.most_stale = [], {}, 0
+
+    def part(self, *values):
+        self.parts.append(values)
+
+
+class TheEdgesSide(unittest.TestCase):
+    def setUp(self):
+        self.now, self.host, self.clock = 1000 * SECOND, Told(), Clock()
+
+    def parts(self, incarnation=1, **planner):
+        file = text_format.Parse(EDGE, GatewayFile())
+        given = facts_of(file)
+        made = Parts(self.clock, lambda: self.now, file, given, 1, incarnation, self.host, lambda *_, **__: None,
+                     CollectorRegistry())
+        return made
+
+    def test_a_cold_box_is_parted_from_the_moment_it_is_listed(self):
+        parts = self.parts(incarnation=2)
+        parts.listed([Listed(7, Readiness.READY, 4.0, 0, 0, self.now - SECOND, 3),
+                      Listed(8, Readiness.READY, 4.0, 0, 0, None, 4)])
+        self.assertEqual({each[:2] for each in self.host.parts}, {("cold", 7)})
+        self.assertAlmostEqual(self.host.parts[0][2], 0.2 / 4, delta=1e-5)  # it rests at the floor
+        self.assertEqual(parts.nodes, {3: 7})
+
+    def test_what_it_hears_of_again_is_said_again(self):
+        """The module may have forgotten a box that was gone."""
+        parts = self.parts(incarnation=2)
+        for _ in range(2):
+            parts.listed([Listed(7, Readiness.READY, 4.0, 0, 0, self.now - SECOND, 3)])
+        self.assertGreaterEqual(sum(each[:2] == ("cold", 7) for each in self.host.parts), 2)
+
+    def test_stores_of_the_file_are_known_from_the_start_and_rest_ends_by_itself(self):
+        parts = self.parts(incarnation=2)
+        parts.start()
+        self.addCleanup(parts.stop)
+        self.assertEqual({each[:2] for each in self.host.parts}, {("limit", 1), ("reserve", 1)})
+        self.host.parts.clear()
+        self.now += 2 * SECOND
+        self.clock.advance(2)
+        self.assertIn(("limit", 1, None), {each[:3] for each in self.host.parts})
+
+    def test_what_waits_is_wanted(self):
+        parts = self.parts()
+        parts.volume(1, 4, parts.facts["plans"][0], 0.0)
+        self.host.live = {1: Mock(answered=False, outs=[], arrival=Mock(volume=1, cell=None, units=3.0)),
+                          2: Mock(answered=False, outs=[1], arrival=Mock(volume=1, cell=None, units=9.0))}
+        self.assertEqual(parts.waiting()["limit", 1], 3.0)
+
+    def test_a_send_that_was_decided_long_ago_is_not_made(self):
+        self.parts()
+        self.assertEqual(self.host.most_stale, GUARD)
+
+
 class Sockets(TestCase):
     timeout = 40
 
