Edges forget boxes that were cold once

Cause: each replaced box left its wants, holdings and parts behind, in an edge that runs for months. Change: once a second those that are warm or gone leave, once nothing is lent, granted or rested on. Measured: a test with 50 boxes in one cell keeps one.

--- a/milletsill/planner/edge.py
+++ b/milletsill/planner/edge.py
@@ -98,11 +98,25 @@
 
     def look(self) -> None:
         """Once a second: figures."""
+        self.forget()
         now, held = self.now(), self.edge.holdings.values()
         self.linked.set(self.link is Link.PLANNED)
         self.granted.set(sum(each.granted for each in held if now < each.granted_ends) / WHOLE)
         self.lent.set(sum(each.lent(now) for each in held) / WHOLE)
 
+    def forget(self) -> None:
+        """Boxes that are warm or gone, with nothing lent, granted or rested on. Guards an edge that runs for months against
+        every box that was ever replaced; stores are those of the file. Harm: none, a box that is cold again is known anew."""
+        now, cold = self.now(), set(self.nodes.values())
+        for thing in [each for each in self.demand if each[0] == "cold" and each[1] not in cold]:
+            if self.edge.idle(thing, now):
+                call = self.calls.pop(f"{thing[0]} {thing[1]}", None)
+                if call is not None and call.active():
+                    call.cancel()
+                for held in (self.demand, self.wholes, self.told, self.edge.holdings):
+                    del held[thing]
+                self.host.part(thing[0], thing[1], None, 0, 0.0)
+
     # What is asked of this gateway.
 
     def arrived(self, arrival: Arrival) -> None:
@@ -223,7 +237,7 @@
         now = self.now()
         found = self.edge.take(grant, now)
         self.takes.labels(found.name.lower()).inc()
-        if found in (Heard.TAKEN, Heard.TOO_LATE):
+        if found in (Heard.TAKEN, Heard.TOO_LATE) and grant.thing in self.demand:
             self.demand[grant.thing].told(grant, now)
             self.tell(grant.thing)
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -199,6 +199,15 @@
         self.clock.advance(2)
         self.assertIn(("limit", 1, None), {each[:3] for each in self.host.parts})
 
+    def test_boxes_that_were_cold_once_are_forgotten(self):
+        parts = self.parts()
+        for node in range(50):
+            parts.listed([Listed(node, Readiness.READY, 4.0, 0, 0, self.now - SECOND, 3)])
+        parts.look()
+        self.assertEqual([each for each in parts.demand if each[0] == "cold"], [("cold", 49)])
+        self.assertEqual((len(parts.edge.holdings), len(parts.told), len(parts.wholes)), (1, 1, 1))
+        self.assertIn(("cold", 3, None, 0, 0.0), self.host.parts)
+
     def test_what_waits_is_wanted(self):
         parts = self.parts()
         parts.volume(1, 4, parts.facts["plans"][0], 0.0)
