--- a/milletsill/__main__.py
+++ b/milletsill/__main__.py
@@ -1,4 +1,14 @@
-"""`python -m milletsill`."""
-from milletsill.cli.main import main
+"""`python -m milletsill`. `serve` loads only what it needs; all else goes through the command line."""
+import sys
 
-main(prog_name="milletsill")
+
+def main() -> None:
+    if sys.argv[1:2] == ["serve"]:
+        from milletsill.platform import process
+        sys.exit(process.main(sys.argv[2:]))
+    from milletsill.cli.main import main as others
+    others(prog_name="milletsill")
+
+
+if __name__ == "__main__":
+    main()
--- a/milletsill/edge/commands.py
+++ b/milletsill/edge/commands.py
@@ -1,7 +1,7 @@
 """One client command on its way: transfers one after another as edge/decide.py's table says, then one answer."""
 from __future__ import annotations
 
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any, Callable
 
 from milletsill.edge.decide import (DOING, FREE, OPERATIONS, WRITING, Course, Leg, Locations, Reply, Spot, VolumePlace,
@@ -39,6 +39,16 @@
     return packets.Status(id, packets.FAILURE, "aborted: it may have been done or not", "x-aborted")
 
 
+@dataclass(frozen=True, slots=True)
+class Cargo:
+    """What a dispatch to a disk box carries beside the transfer's figures."""
+
+    command: Any
+    ticket: str
+    mark: str
+    category: str
+
+
 class Running:
     """One command that costs boxes work. Made, then `start`; `answered` is called once, unless it is abandoned."""
 
@@ -137,9 +147,9 @@
             edge.parts.arrived(arrival)
         if edge.traces is not None:
             edge.traces.path(name)
-        edge.host.take(arrival, self, command, f"{self.mark}#{self.leg.name}.{self.turn}",
-                       f"{self.terms.mark}~{self.terms.tries}" if self.terms.mark else "",
-                       edge.category_name(self.category))
+        edge.host.take(arrival, self, Cargo(command, f"{self.mark}#{self.leg.name}.{self.turn}",
+                                            f"{self.terms.mark}~{self.terms.tries}" if self.terms.mark else "",
+                                            edge.category_name(self.category)))
 
     def abandon(self) -> None:
         """The client has left."""
--- a/milletsill/edge/decide.py
+++ b/milletsill/edge/decide.py
@@ -14,6 +14,7 @@
 
 import xxhash
 
+from milletsill.edge.stalls import BEAT, LATE_BEAT, io_first, taken_since  # noqa: F401: the edge's names for them
 from milletsill.files import packets
 
 # --- What a command is.
@@ -327,27 +328,6 @@
 
 # --- Time.
 
-LATE_BEAT = 200  # a reactor that comes back later than this has answers waiting in its sockets
-
-
-def io_first(late: int, put_off: bool) -> bool:
-    """Whether wakes that are overdue wait for one round of the sockets: after a stall of the process, answers that
-    came in time lie there unread, and their time-outs must not be believed before. Put off once at most."""
-    return late > LATE_BEAT and not put_off
-
-
-BEAT = 500  # how often the process looks whether it stood
-
-
-def taken_since(now: int, beat_due: int, last_beat: int) -> int | None:
-    """Since when bytes that are read now may have lain in the socket; None where they are as new as they look.
-
-    Guards rule 1 against any stall of the process (stopped, starved, a long garbage collection): a client counts its
-    patience from its own send. Harm: what came at the very end of a stall is given up sooner than need be.
-    """
-    return last_beat if now - beat_due > LATE_BEAT else None
-
-
 def ends_at(came: int, patience: int, told_patience: int, margin: int) -> int:
     """When the client gives up, less the margin, from when its command may have come: the lesser of the operator's patience and the client's own; 0 is
     none told."""
--- a/milletsill/edge/host.py
+++ b/milletsill/edge/host.py
@@ -1,29 +1,58 @@
 """The second host of the decision module, next to `wirehost`: real time, real links. It is the module's Port.
 
-It tells the module what happens, in order, and `settle` once for all events of a moment; it does what the module says.
+It serves any door: what a dispatch carries, and how it travels, is its door's (`carry`). It tells the module what happens, in order, and `settle` once for all events of a moment; it does what the module says.
 Nothing about a transfer is decided here. A transfer lives from `take` to its one final answer (`finish`), and until
 all of its dispatches have ended.
 """
 from __future__ import annotations
 
 import heapq
-from typing import Any, Callable, Protocol, Sequence
+from typing import Any, Callable, Mapping, Protocol, Sequence
 
-from milletsill.edge.decide import io_first
-from milletsill.files.extensions import Order, Verdict
-from milletsill.files.packets import Command
+from milletsill.edge.stalls import io_first
 from milletsill.interface import Answer, Arrival, Decisions, Facts, Listed, News, Outcome, Port
-from milletsill.links.pool import Pool, Sending
+from milletsill.wirehost.host import whereabouts
 
 NEVER = 1 << 60
 LONGEST_SLEEP = 60.0  # seconds; a timer for later is set again then
 Make = Callable[[Facts, int, int, Port], Decisions]
 
 
+class Verdict(Protocol):
+    """What came back with a dispatch that ended, as far as the module hears of it."""
+
+    @property
+    def used(self) -> int | None: ...
+
+    @property
+    def elsewhere(self) -> int: ...
+
+    @property
+    def report(self) -> Mapping[str, float]: ...
+
+
+Ended = Callable[[Outcome, "Verdict | None"], None]
+
+
+class Sending(Protocol):
+    """One dispatch under way."""
+
+    def withdraw(self, outcome: Outcome) -> None:
+        """Nobody waits for it any more; `ended` is not called."""
+
+
+class Carry(Protocol):
+    """Starts one dispatch: cargo, transfer, its number, node, until when; None where no link leads to the node. `ended`
+    is called once, never from within."""
+
+    def __call__(self, cargo: Any, arrival: Arrival, number: int, node: int, ends: int,
+                 ended: Ended) -> Sending | None: ...
+
+
 class Asker(Protocol):
     """Who handed a transfer over; exactly one of these is called, once."""
 
-    def satisfied(self, verdict: Verdict) -> None: ...
+    def satisfied(self, verdict: Any) -> None: ...
 
     def declined(self, pause: int) -> None: ...
 
@@ -43,27 +72,22 @@
 class Live:
     """One transfer that the module was told of."""
 
-    __slots__ = ("arrival", "asker", "command", "ticket", "mark", "category", "outs", "answered", "taken")
+    __slots__ = ("arrival", "asker", "cargo", "outs", "answered")
 
-    def __init__(self, arrival: Arrival, asker: Asker, command: Command, ticket: str, mark: str, category: str,
-                 now: int) -> None:
-        self.arrival, self.asker = arrival, asker
-        self.command: Command | None = command
-        self.ticket, self.mark, self.category, self.taken = ticket, mark, category, now
+    def __init__(self, arrival: Arrival, asker: Asker, cargo: Any) -> None:
+        self.arrival, self.asker, self.cargo = arrival, asker, cargo
         self.outs: list[Out] = []
         self.answered = False
 
 
 class Host:
-    """Drives one Scheduler. `watch` asks for the list; `pool_of` finds the links of a node; `note` counts events by
-    name and value for the metrics."""
+    """Drives one Scheduler. `watch` asks for the list; `carry` starts a dispatch; `note` counts events by name and value
+    for the metrics."""
 
-    def __init__(self, reactor: Any, now: Callable[[], int], facts: Facts, seed: int, make: Make, gateway: str,
-                 incarnation: int, pool_of: Callable[[int], Pool | None], watch: Callable[[], None],
-                 remark: Callable[[str], None], note: Callable[..., None]) -> None:
+    def __init__(self, reactor: Any, now: Callable[[], int], facts: Facts, seed: int, make: Make, carry: Carry,
+                 watch: Callable[[], None], remark: Callable[[str], None], note: Callable[..., None]) -> None:
         self.reactor, self.now, self.facts = reactor, now, facts
-        self.gateway, self.incarnation = gateway, incarnation
-        self.pool_of, self.ask_list, self.log, self.note = pool_of, watch, remark, note
+        self.carry, self.ask_list, self.log, self.note = carry, watch, remark, note
         self.live: dict[int, Live] = {}
         self.held = 0  # those without a final answer
         self.timers: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
@@ -74,12 +98,14 @@
 
     # Told by the edge.
 
-    def take(self, arrival: Arrival, asker: Asker, command: Command, ticket: str, mark: str, category: str) -> None:
-        """A transfer for the module."""
-        now = self.now()
-        self.live[arrival.id] = Live(arrival, asker, command, ticket, mark, category, now)
+    def take(self, arrival: Arrival, asker: Asker, cargo: Any) -> None:
+        """A transfer for the module; its id is not live."""
+        self.live[arrival.id] = Live(arrival, asker, cargo)
         self.held += 1
-        self.module.taken(now, arrival)
+        # Guards rule 1 against a module that failed before it said what becomes of a transfer. Harm: none, it comes after
+        # the module's own last word.
+        self.at(arrival.ends - self.facts.get("tick", 1), self.overdue, self.live[arrival.id])
+        self.tell(self.module.taken, arrival)
         self.settle_soon()
 
     def abandon(self, transfer: int) -> None:
@@ -87,12 +113,12 @@
         live = self.live.get(transfer)
         if live is not None and not live.answered:
             self.close(live)
-            self.module.abandoned(self.now(), transfer)
+            self.tell(self.module.abandoned, transfer)
             self.settle_soon()
 
     def listed(self, news: News, entries: Sequence[Listed]) -> None:
         """News of the list."""
-        self.module.listed(self.now(), news, entries)
+        self.tell(self.module.listed, news, entries)
         self.settle_soon()
 
     def part(self, what: str, id: int, share: float | None, ends: int, after: float) -> None:
@@ -105,26 +131,21 @@
     def send(self, transfer: int, node: int, timeout: int) -> None:
         """One dispatch; how it ends is told later, never from within."""
         live, now = self.live.get(transfer), self.now()
-        if live is None or live.answered or live.command is None:  # rule 1 at the last place that a send passes
+        if live is None or live.answered:  # rule 1 at the last place that a send passes
             return self.log(f"a dispatch of transfer {transfer} after its end was not sent")
         arrival = live.arrival
         out = Out(len(live.outs), node, now)
         live.outs.append(out)
         ends = min(now + timeout, arrival.ends) if timeout else arrival.ends
-        pool = self.pool_of(node)
-        if now - self.settled > self.most_stale:
-            # Guards rules 4 and 7 against a process that stood between a decision and its send, for whatever reason: the
-            # part that it was decided on may be another's by now. Harm: a lawful send of a slow moment is put off.
-            pool = None
         self.at(ends, self.timed_out, live, out)
         self.note("dispatch", out.number)
-        if pool is None:
+        # Guards rules 4 and 7 against a process that stood between a decision and its send, for whatever reason: the
+        # part that it was decided on may be another's by now. Harm: a lawful send of a slow moment is put off.
+        if now - self.settled <= self.most_stale:
+            out.sending = self.carry(live.cargo, arrival, out.number, node, ends,
+                                     lambda outcome, verdict: self.ended(live, out, outcome, verdict))
+        if out.sending is None:
             self.at(now, self.ended, live, out, Outcome.UNREACHED, None)
-            return
-        order = Order(self.gateway, self.incarnation, transfer, out.number, arrival.units, arrival.extent,
-                      max((arrival.ends - now) // 10, 1), live.ticket, arrival.volume, arrival.gateways,
-                      live.category, live.mark, live.command)
-        out.sending = pool.dispatch(order, lambda outcome, verdict: self.ended(live, out, outcome, verdict))
 
     def decline(self, transfer: int, pause: int) -> None:
         live = self.live.get(transfer)
@@ -160,6 +181,20 @@
 
     # What happens.
 
+    def tell(self, call: Callable[..., None], *values: Any) -> None:
+        """One word to the module. Guards the process and its clients against an error in there, which is said with its
+        place. Harm: what the module was about to do is left undone."""
+        try:
+            call(self.now(), *values)
+        except Exception as error:
+            self.log(whereabouts(error))
+
+    def overdue(self, live: Live) -> None:
+        if not live.answered:
+            self.close(live)
+            self.tell(self.module.abandoned, live.arrival.id)
+            live.asker.aborted()
+
     def close(self, live: Live) -> None:
         """A transfer has its end; its record stays until its dispatches have theirs."""
         live.answered = True
@@ -167,12 +202,12 @@
         self.clear(live)
 
     def clear(self, live: Live) -> None:
-        live.command = None if live.answered else live.command  # timers hold the record until patience, not the data
+        live.cargo = None if live.answered else live.cargo  # timers hold the record until patience, not the data
         if live.answered and all(each.over for each in live.outs):
             self.live.pop(live.arrival.id, None)
 
     def woken(self, what: object) -> None:
-        self.module.woken(self.now(), what)
+        self.tell(self.module.woken, what)
 
     def timed_out(self, live: Live, out: Out) -> None:
         if not out.over:
@@ -182,11 +217,7 @@
         """Nobody waits for a dispatch any more; the box may still run it."""
         if not out.over:
             if out.sending is not None:
-                pool = self.pool_of(out.node)
-                if pool is not None:
-                    pool.withdraw(out.sending, outcome)
-                else:
-                    out.sending.over = True
+                out.sending.withdraw(outcome)
             self.ended(live, out, outcome, None)
 
     def ended(self, live: Live, out: Out, outcome: Outcome, verdict: Verdict | None) -> None:
@@ -204,7 +235,7 @@
         answer = Answer(live.arrival.id, out.number, out.node, outcome, satisfied, now - out.sent,
                         verdict.used if verdict else None, verdict.elsewhere if verdict else 0,
                         verdict.report if verdict else {})
-        self.module.returned(now, answer)
+        self.tell(self.module.returned, answer)
         if satisfied and verdict is not None:
             live.asker.satisfied(verdict)
         self.settle_soon()
@@ -258,7 +289,7 @@
         self.settling = False
         if not self.stopped:
             self.settled = self.now()
-            self.module.settle(self.settled)
+            self.tell(self.module.settle)
 
     def stop(self) -> None:
         """Hear and say nothing any more."""
--- a/milletsill/edge/process.py
+++ b/milletsill/edge/process.py
@@ -9,14 +9,14 @@
 from twisted.internet import reactor
 
 from milletsill.edge.host import Make
+from milletsill.edge.quiet import SETTLED, on_signal, settle_memory
 from milletsill.edge.service import Edge
 from milletsill.policy import Scheduler
 from milletsill.settings.decide import check_gateway
 from milletsill.settings.load import Refused, load
 from milletsill.settings.milletsill_pb2 import GatewayFile
 
-SAID_FROM, SETTLED = 0.05, 3.0  # seconds: a pause worth a line; after a start, until what stays has been made
-THRESHOLDS = (50_000, 20, 100)  # objects made, younger collections: the gateway leaves next to no circles
+SAID_FROM = 0.05  # seconds: a pause worth a line
 
 
 def run(files: Sequence[Any], paths: Sequence[str], make: Make = Scheduler) -> int:
@@ -45,17 +45,6 @@
     return 1 if failed else 0
 
 
-def settle_memory() -> None:
-    """What stands for good (settings, maps, codecs, libraries) is no longer looked at by the garbage collector.
-
-    Guards rule 1: with 33 gateways in a process full collections took 100 to 380 ms each, and answers came that much past
-    their clients' patience. Harm: what is frozen and then dropped in a circle is never freed; that is little, once.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*THRESHOLDS)
-
-
 class Pauses:
     """Says how long Python's garbage collector stood in the way: a stall like any other, but one that we can name."""
 
@@ -73,10 +62,6 @@
             self.edges[0].remark("collector_pause", ms=round(span * 1000), generation=info["generation"])
 
 
-def on_signal(number: int, call: Callable[[], Any]) -> None:
-    signal.signal(number, lambda *_: reactor.callFromThread(call))
-
-
 def reload(edge: Edge, path: str) -> None:
     """Read the file again; a bad one, or one that needs a restart, changes nothing."""
     try:
--- /dev/null
+++ b/milletsill/edge/quiet.py
@@ -0,0 +1,26 @@
+"""What every process with a gateway in it does about signals and the garbage collector."""
+from __future__ import annotations
+
+import gc
+import signal
+from typing import Any, Callable
+
+from twisted.internet import reactor
+
+SETTLED = 3.0  # seconds after a start, until what stays has been made
+THRESHOLDS = (50_000, 20, 100)  # objects made, younger collections: the gateway leaves next to no circles
+
+
+def settle_memory() -> None:
+    """What stands for good (settings, maps, codecs, libraries) is no longer looked at by the garbage collector.
+
+    Guards rule 1: with 33 gateways in a process full collections took 100 to 380 ms each, and answers came that much past
+    their clients' patience. Harm: what is frozen and then dropped in a circle is never freed; that is little, once.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*THRESHOLDS)
+
+
+def on_signal(number: int, call: Callable[[], Any]) -> None:
+    signal.signal(number, lambda *_: reactor.callFromThread(call))
--- a/milletsill/edge/service.py
+++ b/milletsill/edge/service.py
@@ -9,16 +9,17 @@
 from twisted.internet.endpoints import TCP4ServerEndpoint
 
 from milletsill.edge import facts
-from milletsill.edge.commands import Running
+from milletsill.edge.commands import Cargo, Running
 from milletsill.edge.decide import (BEAT, FREE, AnswerLog, Event, Locations, Process, VolumePlace, admit,
                                     canonical, pass_on, taken_since)
 from milletsill.edge.door import Clients, Connection
-from milletsill.edge.host import Host, Make
+from milletsill.edge.host import Ended, Host, Make
 from milletsill.edge.identity import next_incarnation
 from milletsill.edge.logs import logger
 from milletsill.edge.metrics import Figures
-from milletsill.interface import Listed, News
-from milletsill.links.pool import Pool
+from milletsill.files.extensions import Order
+from milletsill.interface import Arrival, Listed, News
+from milletsill.links.pool import Pool, Sending
 from milletsill.policy import Scheduler
 from milletsill.registry.decide import Box
 from milletsill.registry.follower import Follower
@@ -57,8 +58,8 @@
         self.traces = self.tracer(given, seed) if file.HasField("trace") else None
         if self.traces is not None:
             make = self.traces.around(make)
-        self.host = Host(reactor, now, given, seed, make, file.name, self.incarnation, self.pools.get,
-                         self.follower.ask, lambda text: self.remark("module", reason=text), self.figures.note)
+        self.host = Host(reactor, now, given, seed, make, self.carry, self.follower.ask,
+                         lambda text: self.remark("module", reason=text), self.figures.note)
         self.flows = self.exporter(seed) if file.HasField("flows") else None
         self.parts = self.planned(given, seed) if file.HasField("planner") else None
         self.ports: list[Any] = []
@@ -236,6 +237,16 @@
         for id in self.pools.keys() - {each.id for each in boxes}:
             self.pools.pop(id).close()
 
+    def carry(self, cargo: Cargo, arrival: Arrival, number: int, node: int, ends: int, ended: Ended) -> Sending | None:
+        """A dispatch as an order to a disk box."""
+        pool = self.pools.get(node)
+        if pool is None:
+            return None
+        left = max((arrival.ends - self.now()) // 10, 1)
+        return pool.dispatch(Order(self.file.name, self.incarnation, arrival.id, number, arrival.units, arrival.extent, left,
+                                   cargo.ticket, arrival.volume, arrival.gateways, cargo.category, cargo.mark,
+                                   cargo.command), ended)
+
     # The clients.
 
     def connected(self, client: Connection) -> bool:
--- /dev/null
+++ b/milletsill/http1/reader.py
@@ -0,0 +1,189 @@
+"""Whole messages out of bytes. The heads and chunks are read by httptools (llhttp); what it is lax about is looked at here.
+
+A reader holds at most one message of its bounds and what came behind it; who feeds it bounds the rest by `pending`.
+"""
+from __future__ import annotations
+
+from typing import Any
+
+import httptools
+
+from milletsill.http1.decide import AMBIGUOUS, MOST_INTERIM, Bounds, length_of
+
+ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
+END = b"\r\n\r\n"
+
+
+class Malformed(Exception):
+    """Bytes that are no message within the bounds; `status` is what a server answers."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status, self.reason = status, reason
+
+
+class Message:
+    """One request or answer. `fields` by lower-case name, the first of each; `doubled` names came again."""
+
+    __slots__ = ("method", "target", "status", "fields", "doubled", "body", "keep", "length", "chunked", "parser",
+                 "ended", "count", "most")
+
+    def __init__(self, most: int) -> None:
+        self.method, self.target, self.status, self.body = b"", b"", 0, b""
+        self.fields, self.doubled = dict[bytes, bytes](), set[bytes]()
+        self.keep = self.chunked = self.ended = False
+        self.length = self.count = 0
+        self.most = most
+        self.parser: Any = None
+
+    # Called by the parser.
+
+    def on_url(self, url: bytes) -> None:
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.count += 1
+        name = name.lower()
+        if name in self.fields:
+            self.doubled.add(name)
+        else:
+            self.fields[name] = value
+
+    def on_body(self, data: bytes) -> None:
+        self.body += data
+
+    def on_message_complete(self) -> None:
+        self.ended = True
+
+
+class Reader:
+    """One direction of one connection."""
+
+    def __init__(self, bounds: Bounds) -> None:
+        self.bounds = bounds
+        self.buffer = b""
+        self.message: Message | None = None  # whose head was read
+
+    @property
+    def pending(self) -> int:
+        """Octets that wait to be read."""
+        return len(self.buffer)
+
+    @property
+    def begun(self) -> bool:
+        """Whether a part of a message is here."""
+        return self.message is not None or bool(self.buffer)
+
+    def feed(self, data: bytes) -> None:
+        self.buffer = self.buffer + data if self.buffer else data
+
+    def next(self) -> Message | None:
+        """The next whole message; None where more bytes are wanted; `Malformed` once and for all."""
+        if self.message is None:
+            self.message = self.head()
+        message = self.message
+        if message is None:
+            return None
+        if message.chunked:
+            if not self.chunks(message):
+                return None
+        elif len(self.buffer) < message.length:
+            return None
+        elif message.length:
+            message.body, self.buffer = self.buffer[:message.length], self.buffer[message.length:]
+        self.message, message.parser = None, None
+        return message
+
+    def head(self) -> Message | None:
+        """Cut a head off and read it."""
+        end = self.buffer.find(END)
+        if end < 0 and len(self.buffer) <= self.bounds.head:
+            if AMBIGUOUS.search(self.buffer[:-1] if self.buffer.endswith(b"\r") else self.buffer):
+                raise Malformed(400, "a head that can be read in two ways")
+            return None
+        if not 0 <= end <= self.bounds.head - len(END):
+            raise Malformed(431, "a head over the bound")
+        head, self.buffer = self.buffer[:end + len(END)], self.buffer[end + len(END):]
+        if AMBIGUOUS.search(head):
+            raise Malformed(400, "a head that can be read in two ways")
+        message = Message(self.bounds.body)
+        message.parser = self.parser(message)
+        try:
+            message.parser.feed_data(head)
+        except ERRORS as error:
+            raise Malformed(400, f"a head that cannot be read: {error}"[:200]) from None
+        if message.count > self.bounds.fields:
+            raise Malformed(431, "too many lines in a head")
+        self.read(message)
+        return message
+
+    def read(self, message: Message) -> None:
+        """What the head says of the whole."""
+        message.length, message.chunked, status, reason = length_of(message.fields, message.doubled, self.bounds)
+        message.keep = message.parser.should_keep_alive()
+        if status:
+            raise Malformed(status, reason)
+
+    def parser(self, message: Message) -> Any:
+        raise NotImplementedError
+
+    def chunks(self, message: Message) -> bool:
+        """Feed a chunked body line by line, so that not an octet behind its end is taken."""
+        while not message.ended and self.buffer:
+            cut = self.buffer.find(b"\n") + 1 or len(self.buffer)
+            data, self.buffer = self.buffer[:cut], self.buffer[cut:]
+            try:
+                message.parser.feed_data(data)
+            except ERRORS as error:
+                raise Malformed(400, f"chunks that cannot be read: {error}"[:200]) from None
+            message.length += len(data)  # with its framing
+            if len(message.body) > self.bounds.body or message.length > 2 * self.bounds.body + self.bounds.head:
+                raise Malformed(413, "a body over the bound")
+        return message.ended
+
+
+class RequestReader(Reader):
+    """What a client sends."""
+
+    def parser(self, message: Message) -> Any:
+        return httptools.HttpRequestParser(message)
+
+    def read(self, message: Message) -> None:
+        super().read(message)
+        message.method = message.parser.get_method()
+        message.length = max(message.length, 0)
+        version = message.parser.get_http_version()
+        if version not in ("1.1", "1.0"):
+            raise Malformed(505, "not HTTP/1.1")
+        if b"host" in message.doubled or version == "1.1" and b"host" not in message.fields:
+            raise Malformed(400, "not one Host")
+
+
+class AnswerReader(Reader):
+    """What a server answers to anything but HEAD. One that ends with its connection is never whole."""
+
+    def __init__(self, bounds: Bounds) -> None:
+        super().__init__(bounds)
+        self.interim = 0
+
+    def parser(self, message: Message) -> Any:
+        return httptools.HttpResponseParser(message)
+
+    def read(self, message: Message) -> None:
+        super().read(message)
+        message.status = message.parser.get_status_code()
+        if 100 <= message.status < 200 or message.status in (204, 304):
+            message.length, message.chunked = 0, False
+        if message.length < 0:
+            raise Malformed(502, "an answer whose end is not told")
+
+    def next(self) -> Message | None:
+        """The next whole answer, 1xx ahead of it passed over."""
+        while (message := super().next()) is not None:
+            if message.status >= 200:
+                self.interim = 0
+                return message
+            self.interim += 1
+            if self.interim > MOST_INTERIM or message.status == 101:
+                raise Malformed(502, "1xx answers without an end")
+        return None
--- a/milletsill/links/pool.py
+++ b/milletsill/links/pool.py
@@ -34,13 +34,17 @@
 class Sending:
     """One dispatch at the pool: where it is and whom to tell."""
 
-    __slots__ = ("order", "ended", "link", "id", "over", "since", "octets")
+    __slots__ = ("pool", "order", "ended", "link", "id", "over", "since", "octets")
 
-    def __init__(self, order: Order, ended: Ended, now: int) -> None:
-        self.order, self.ended, self.since = order, ended, now
+    def __init__(self, pool: Pool, order: Order, ended: Ended, now: int) -> None:
+        self.pool, self.order, self.ended, self.since = pool, order, ended, now
         self.link: Link | None = None
         self.id, self.over, self.octets = 0, False, 0
 
+    def withdraw(self, outcome: Outcome) -> None:
+        """Given up: silent for good."""
+        self.pool.withdraw(self, outcome)
+
     def end(self, outcome: Outcome, verdict: Verdict | None = None) -> None:
         """The one word on this dispatch; later ones are dropped."""
         if not self.over:
@@ -194,7 +198,7 @@
 
     def dispatch(self, order: Order, ended: Ended) -> Sending:
         """Send a dispatch as the bounds allow; `ended` is told how it went."""
-        sending = Sending(order, ended, self.now())
+        sending = Sending(self, order, ended, self.now())
         way, place = route([each.load for each in self.links], len(self.waiting), self.bounds)
         if self.closed:
             way = Way.REFUSE
--- /dev/null
+++ b/milletsill/platform/configuration.py
@@ -0,0 +1,73 @@
+"""What the platform tells a gateway at its start and on SIGHUP: a JSON file, checked."""
+from __future__ import annotations
+
+import json
+import os
+from dataclasses import dataclass
+from typing import Any, Callable, Mapping
+
+from milletsill.facts import facts_of
+from milletsill.platform.nodes import BadEntry, News, address_of, news_of
+
+MOST_OCTETS = 8 << 20
+
+
+class Refused(Exception):
+    """A configuration that cannot be used; one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """One gateway's place on the platform."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    facts: Mapping[str, Any]
+    known: News | None
+
+
+def read(environ: Mapping[str, str], clock: int, remark: Callable[[str], None]) -> Deployment:
+    """The file that NODE_CONFIG names; the other variables stand in for what it leaves out."""
+    path = environ.get("NODE_CONFIG", "")
+    if not path:
+        raise Refused("NODE_CONFIG names no file")
+    try:
+        with open(path, "rb") as file:
+            data = file.read(MOST_OCTETS + 1)
+        given = json.loads(data) if len(data) <= MOST_OCTETS else None
+    except (OSError, ValueError, RecursionError) as error:
+        raise Refused(f"{path}: {' '.join(str(error).split())[:200]}") from None
+    if not isinstance(given, dict):
+        raise Refused(f"{path}: not a JSON object of a bearable size")
+    try:
+        return deployment_of(given, environ, clock, remark)
+    except (BadEntry, ValueError) as error:
+        raise Refused(f"{path}: {' '.join(str(error).split())[:200]}") from None
+
+
+def deployment_of(given: Mapping[str, Any], environ: Mapping[str, str], clock: int,
+                  remark: Callable[[str], None]) -> Deployment:
+    """The checked whole."""
+    try:
+        facts = facts_of(given.get("settings"))
+    except ValueError as error:
+        raise ValueError(f"settings: {error}") from None
+    if not facts["categories"] or not facts["plans"]:
+        raise ValueError("settings: no categories or no plans")
+    limits = given.get("limits")
+    sockets = limits.get("sockets", 0) if isinstance(limits, dict) else 0
+    if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 0:
+        raise ValueError(f"limits: sockets {str(sockets)[:40]!r} is not a number")
+    try:
+        seed = int(str(given.get("seed", "0")), 16)
+    except ValueError:
+        raise ValueError("seed: not a hexadecimal number") from None
+    known = given.get("known")
+    return Deployment(str(given.get("name") or environ.get("NODE_NAME", "")),
+                      address_of(given.get("listen") or environ.get("NODE_LISTEN")),
+                      address_of(given.get("discovery") or environ.get("NODE_DISCOVERY")), seed,
+                      sockets or os.sysconf("SC_OPEN_MAX"), facts,
+                      news_of(known, facts["zones"], clock, remark) if known is not None else None)
--- /dev/null
+++ b/milletsill/platform/decide.py
@@ -0,0 +1,112 @@
+"""What the gateway on the platform decides around the module: bounds, shares, phases. No I/O, no clock.
+
+Spans are whole tenths of a millisecond. Nothing about a transfer stands here.
+"""
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Mapping
+
+# --- A client's connection.
+
+# FRESH: nothing came yet. WAITING: between requests. BUSY: a transfer is open. ENDING: its last answer is written.
+Stage = Enum("Stage", "FRESH WAITING BUSY ENDING CLOSED")
+Cue = Enum("Cue", "TAKEN ANSWERED LAST REFUSED IDLE SLOW LINGERED LOST")
+
+CLIENT_TABLE: Mapping[tuple[Stage, Cue], tuple[Stage, str]] = {
+    **{(stage, Cue.TAKEN): (Stage.BUSY, "") for stage in (Stage.FRESH, Stage.WAITING)},
+    (Stage.BUSY, Cue.ANSWERED): (Stage.WAITING, "read on"),
+    **{(stage, Cue.LAST): (Stage.ENDING, "end") for stage in (Stage.FRESH, Stage.WAITING, Stage.BUSY)},
+    **{(stage, Cue.REFUSED): (Stage.ENDING, "end") for stage in (Stage.FRESH, Stage.WAITING)},
+    (Stage.BUSY, Cue.REFUSED): (Stage.ENDING, "abandon and end"),
+    **{(stage, Cue.IDLE): (Stage.CLOSED, "close") for stage in (Stage.FRESH, Stage.WAITING)},
+    **{(stage, Cue.SLOW): (Stage.ENDING, "slow") for stage in (Stage.FRESH, Stage.WAITING)},
+    (Stage.ENDING, Cue.LINGERED): (Stage.CLOSED, "cut"),
+    **{(stage, Cue.LOST): (Stage.CLOSED, "") for stage in (Stage.FRESH, Stage.WAITING, Stage.ENDING)},
+    (Stage.BUSY, Cue.LOST): (Stage.CLOSED, "abandon"),
+}
+
+SILENT = 22_000  # a connection on which nothing ever came is closed after this
+WHOLE = 20_000  # a request is whole this long after its first octet, or is refused
+IDLE = 200_000  # a connection between requests is closed after this
+YOUNG = 2_000  # where descriptors are short, one on which nothing came is closed from this age on
+SPARED = 21_000  # and one between requests after this
+LINGER = 10_000  # a connection with its last answer written is cut after this
+MOST_AHEAD = 16_384  # octets of later requests held while one is open
+MOST_DISCARDED = 1 << 20  # octets read and thrown away behind a refused request
+ANSWER_MARGIN = 60  # an answer is written this long before the client's time is up
+
+
+def next_stage(stage: Stage, cue: Cue) -> tuple[Stage, str]:
+    """The next stage of a client's connection and what to do; what the table does not name changes nothing."""
+    return CLIENT_TABLE.get((stage, cue), (stage, ""))
+
+
+def due(stage: Stage, begun: bool, quiet: int, short: bool) -> Cue | None:
+    """What the passing of time means for a client's connection; `short` where descriptors are."""
+    if stage is Stage.ENDING:
+        return Cue.LINGERED if quiet >= LINGER else None
+    if stage not in (Stage.FRESH, Stage.WAITING):
+        return None
+    if begun:
+        return Cue.SLOW if quiet >= WHOLE else None
+    if stage is Stage.FRESH:
+        return Cue.IDLE if quiet >= (YOUNG if short else SILENT) else None
+    return Cue.IDLE if quiet >= (SPARED if short else IDLE) else None
+
+
+# --- Descriptors.
+
+SPARE = 24  # standard streams, the reactor's own, discovery, a list read, the listening socket
+CLIENTS_PART = 0.45
+
+
+@dataclass(frozen=True, slots=True)
+class Shares:
+    """How many descriptors clients' connections and links to nodes may hold; neither can starve the other."""
+
+    clients: int
+    links: int
+
+
+def shares_of(sockets: int) -> Shares:
+    """The parts of a limit."""
+    free = max(sockets - SPARE, 4)
+    clients = max(int(free * CLIENTS_PART), 2)
+    return Shares(clients, free - clients)
+
+
+# --- Links.
+
+IDLE_PART = 0.7  # an idle link is closed after this part of the time after which the node may close it
+MOST_EACH = 128  # links to one node
+MOST_WAITING = 128  # dispatches that wait for a link to one node
+
+# --- Discovery.
+
+QUIET = 60_000  # a watch without a byte for this long is broken: an empty line comes every 2 s
+DIAL = 10_000
+MOST_LINE = 4 << 20  # octets of one list
+
+# --- The process.
+
+Process = Enum("Process", "STARTING SERVING LEAVING DRAINING STOPPED")
+Event = Enum("Event", "UP TERM SHUT EMPTY OVERDUE")
+PROCESS_TABLE: Mapping[tuple[Process, Event], tuple[Process, str]] = {
+    (Process.STARTING, Event.UP): (Process.SERVING, ""),
+    (Process.STARTING, Event.TERM): (Process.STOPPED, "stop"),
+    (Process.SERVING, Event.TERM): (Process.LEAVING, "leave"),
+    (Process.LEAVING, Event.SHUT): (Process.DRAINING, "drain"),
+    (Process.DRAINING, Event.EMPTY): (Process.STOPPED, "stop"),
+    (Process.LEAVING, Event.OVERDUE): (Process.STOPPED, "stop"),
+    (Process.DRAINING, Event.OVERDUE): (Process.STOPPED, "stop"),
+}
+# After SIGTERM: idle connections stand, so that no request crosses a close, while clients still learn of it; new ones
+# are taken for longer than that.
+IDLE_CLOSE, DOOR_CLOSE = 4_500, 7_000
+
+
+def pass_on(process: Process, event: Event) -> tuple[Process, str]:
+    """The next stage of the process and what to do."""
+    return PROCESS_TABLE.get((process, event), (process, ""))
--- /dev/null
+++ b/milletsill/platform/door.py
@@ -0,0 +1,191 @@
+"""The clients' door: one request at a time on a connection, one answer to each, bounds on all that is held."""
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.protocol import Factory, Protocol
+
+from milletsill.http1 import writer
+from milletsill.http1.decide import Bounds
+from milletsill.http1.reader import Malformed, RequestReader
+from milletsill.platform.decide import MOST_AHEAD, MOST_DISCARDED, Cue, Stage, due, next_stage
+
+if TYPE_CHECKING:
+    from milletsill.platform.gateway import Gateway
+    from milletsill.platform.links import Verdict
+
+BOUNDS = Bounds()
+
+
+class Client(Protocol):
+    """One connection of a client. It is the asker of its open transfer."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        self.gateway, self.reader, self.stage = gateway, RequestReader(BOUNDS), Stage.FRESH
+        self.since = gateway.now()  # of the stage, or of a request's first octet
+        self.transfer: int | None = None
+        self.keep, self.stuck, self.discarded = True, False, 0
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+
+    # The transport's word on a client that does not read.
+
+    def pauseProducing(self) -> None:
+        self.stuck = True
+
+    def resumeProducing(self) -> None:
+        self.stuck = False
+        self.read_on()
+
+    def stopProducing(self) -> None:
+        self.stuck = True
+
+    # What comes.
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.stage in (Stage.ENDING, Stage.CLOSED):
+            self.discarded += len(data)
+            if self.discarded > MOST_DISCARDED:
+                self.transport.pauseProducing()
+            return
+        if not self.reader.begun:
+            self.since = self.gateway.now()
+        self.reader.feed(data)
+        if self.stage is not Stage.BUSY and not self.stuck:
+            return self.read_on()
+        if self.reader.pending > MOST_AHEAD:
+            self.refuse(400, "too much ahead of an answer")
+
+    def read_on(self) -> None:
+        """The next request, once the last one has its answer."""
+        while self.stage in (Stage.FRESH, Stage.WAITING) and not self.stuck:
+            try:
+                message = self.reader.next()
+            except Malformed as error:
+                return self.refuse(error.status, error.reason)
+            if message is None:
+                return
+            self.keep = message.keep
+            self.gateway.asked(self, message)
+
+    def connectionLost(self, reason: Any = None) -> None:
+        self.step(Cue.LOST)
+        self.gateway.left(self)
+
+    # What goes.
+
+    def busy(self, transfer: int) -> None:
+        self.transfer = transfer
+        self.step(Cue.TAKEN)
+
+    def satisfied(self, verdict: Verdict) -> None:
+        self.gateway.note("answer", "satisfied")
+        self.answer(200, verdict.body)
+
+    def declined(self, pause: int) -> None:
+        self.gateway.note("answer", "declined")
+        self.answer(503, b"", b"Retry-After: %d.%03d\r\n" % divmod(-(-pause // 10), 1000) if pause else b"")
+
+    def aborted(self) -> None:
+        self.gateway.note("answer", "aborted")
+        self.answer(502, b"")
+
+    def answer(self, status: int, body: bytes, extra: bytes = b"") -> None:
+        """The one answer to the request that is open."""
+        self.transfer = None
+        keep = self.keep and self.gateway.keeps
+        if self.stage is not Stage.CLOSED:
+            self.transport.write(writer.answer(status, body, keep, extra))
+            self.since = self.gateway.now()
+            self.step(Cue.ANSWERED if keep else Cue.LAST)
+
+    def refuse(self, status: int, reason: str) -> None:
+        """An error for what is no transfer; nothing more is read on this connection."""
+        self.gateway.note("refused", reason)
+        if self.stage in (Stage.ENDING, Stage.CLOSED):
+            return
+        self.transport.write(writer.answer(status, reason.encode("latin-1", "replace") + b"\n", False))
+        self.step(Cue.REFUSED)
+
+    def step(self, cue: Cue) -> None:
+        """Read the table and act."""
+        self.stage, effect = next_stage(self.stage, cue)
+        if effect == "read on":
+            if self.reader.begun:
+                self.read_on()
+        elif effect == "slow":
+            self.gateway.note("refused", "a request that does not end")
+            self.transport.write(writer.answer(408, b"", False))
+            self.end()
+        elif effect == "close":
+            self.transport.unregisterProducer()
+            self.transport.loseConnection()
+        elif effect == "cut":
+            self.transport.abortConnection()
+        elif effect in ("abandon", "abandon and end") and self.transfer is not None:
+            transfer, self.transfer = self.transfer, None
+            self.gateway.abandoned(transfer)
+        if effect in ("end", "abandon and end"):
+            self.end()
+
+    def end(self) -> None:
+        """Close our side, and hear the client out for a while: a close with octets unread would tear the answer."""
+        self.since = self.gateway.now()
+        self.reader = RequestReader(BOUNDS)
+        self.transport.unregisterProducer()
+        self.transport.loseWriteConnection()
+
+    def close_idle(self) -> None:
+        """The gateway leaves: closed if nothing is open on it."""
+        if not self.reader.begun:
+            self.step(Cue.IDLE)
+
+    def look(self, now: int, short: bool) -> None:
+        """What time brings."""
+        cue = due(self.stage, self.reader.begun, now - self.since, short)
+        if cue is not None:
+            self.step(cue)
+
+
+class Clients(Factory):
+    """Accepts within the clients' share of descriptors."""
+
+    noisy = False
+
+    def __init__(self, gateway: Gateway, most: int) -> None:
+        self.gateway, self.most = gateway, most
+        self.open = dict[Client, None]()  # in the order of their coming
+        self.port: Any = None
+        self.paused = False
+
+    def buildProtocol(self, address: Any) -> Client | None:
+        if len(self.open) >= self.most:
+            self.look(True)
+        if len(self.open) >= self.most:
+            self.pause()
+            self.gateway.note("refused", "no descriptor for a client")
+            return None
+        client = Client(self.gateway)
+        self.open[client] = None
+        if len(self.open) >= self.most:
+            self.pause()
+        return client
+
+    def pause(self) -> None:
+        """Later clients wait before the door."""
+        if self.port is not None and not self.paused:
+            self.paused = True
+            self.port.pauseProducing()
+
+    def left(self, client: Client) -> None:
+        self.open.pop(client, None)
+        if self.paused and len(self.open) < self.most and self.port is not None:
+            self.paused = False
+            self.port.resumeProducing()
+
+    def look(self, short: bool) -> None:
+        now = self.gateway.now()
+        for client in list(self.open):
+            client.look(now, short)
--- /dev/null
+++ b/milletsill/platform/gateway.py
@@ -0,0 +1,196 @@
+"""The gateway on the platform as one object: door, host of the module, links, list, tallies."""
+from __future__ import annotations
+
+import resource
+from collections import Counter
+from typing import Any, Callable, Sequence
+
+from milletsill.edge.host import Ended, Host, Make
+from milletsill.http1.reader import Message
+from milletsill.interface import Arrival, News
+from milletsill.platform.asks import BadAsk, Cargo, Categories, cargo_of
+from milletsill.platform.configuration import Deployment
+from milletsill.platform.decide import (ANSWER_MARGIN, DOOR_CLOSE, IDLE_CLOSE, Event, Process, pass_on, shares_of)
+from milletsill.platform.discovery import Follower
+from milletsill.platform.door import Client, Clients
+from milletsill.platform.links import Fleet, Sending
+from milletsill.platform.nodes import Place
+from milletsill.policy import Scheduler
+
+LOOK_EVERY, TALLY_EVERY = 0.1, 5.0  # seconds
+MOST_REMARKS = 20  # lines between two tallies
+BACKLOG = 512
+READY, LIVE = b"/health/ready", b"/health/live"
+
+
+class Gateway:
+    """One gateway. `log` takes an event and its values."""
+
+    def __init__(self, deployment: Deployment, reactor: Any, now: Callable[[], int], clock: int, log: Any,
+                 make: Make = Scheduler) -> None:
+        self.deployment, self.reactor, self.now, self.log = deployment, reactor, now, log
+        self.process, self.keeps = Process.STARTING, True
+        self.tally = Counter[tuple[str, str]]()
+        self.remarks = 0
+        facts = deployment.facts
+        shares = shares_of(deployment.sockets)
+        self.categories = Categories(facts)
+        self.clients = Clients(self, shares.clients)
+        self.fleet = Fleet(reactor, now, shares.links, facts["dial"], facts["link_idle"], self.note)
+        self.follower = Follower(reactor, now, deployment.discovery, facts["zones"], clock, self.listed,
+                                 lambda text: self.remark("list", reason=text))
+        self.host = Host(reactor, now, facts, deployment.seed, make, self.carry, self.follower.ask,
+                         lambda text: self.remark("module", reason=text), self.note)
+        self.port: Any = None
+        self.stopped: Callable[[], None] = lambda: None
+        self.calls: list[Any] = []
+        self.late = 0
+
+    # Life.
+
+    def start(self) -> None:
+        """Take the list as it was known, open the door. An error of the address is the caller's."""
+        if self.deployment.known is not None:
+            self.follower.known(self.deployment.known)
+        self.follower.ask()
+        host, port = self.deployment.listen
+        self.port = self.clients.port = self.reactor.listenTCP(port, self.clients, BACKLOG, host)
+        self.step(Event.UP)
+        self.log.info("listening", address=f"{host}:{self.port.getHost().port}", sockets=self.deployment.sockets)
+        self.look(self.now())
+        self.tell_tally()
+
+    def step(self, event: Event) -> None:
+        """Read the table and act."""
+        self.process, effect = pass_on(self.process, event)
+        if effect == "leave":
+            self.log.info("leaving", held=self.host.held)
+            self.keeps = False
+            longest = max(each["patience"] for each in self.deployment.facts["categories"])
+            self.later(IDLE_CLOSE, self.close_idle)
+            self.later(DOOR_CLOSE, self.step, Event.SHUT)
+            self.later(DOOR_CLOSE + longest, self.step, Event.OVERDUE)
+        elif effect == "drain":
+            self.port.stopListening()
+            self.close_idle()
+            self.emptied()
+        elif effect == "stop":
+            self.stop()
+
+    def later(self, span: int, call: Callable[..., None], *values: Any) -> None:
+        self.calls.append(self.reactor.callLater(span / 10_000, call, *values))
+
+    def terminate(self) -> None:
+        """SIGTERM: what was taken is answered, then the end."""
+        self.step(Event.TERM)
+
+    def close_idle(self) -> None:
+        for client in list(self.clients.open):
+            client.close_idle()
+
+    def emptied(self) -> None:
+        if self.process is Process.DRAINING and not self.host.held:
+            self.later(200, self.step, Event.EMPTY)  # the last answers leave
+
+    def stop(self) -> None:
+        self.process = Process.STOPPED
+        self.tell_tally()
+        self.log.info("stopped", held=self.host.held)
+        self.host.stop()
+        self.follower.stop()
+        self.fleet.stop()
+        for call in self.calls:
+            if call.active():
+                call.cancel()
+        self.stopped()
+
+    def reload(self, deployment: Deployment) -> None:
+        """Another configuration: discovery's address moves; what the module was told at its start stands."""
+        self.follower.move(deployment.discovery)
+        if deployment.facts != self.deployment.facts or deployment.listen != self.deployment.listen:
+            self.remark("configuration", reason="settings or address differ: they need a restart")
+        self.log.info("reloaded", discovery="%s:%d" % deployment.discovery)
+
+    def look(self, since: int) -> None:
+        """Ten times a second: connections, links, the watch, the loop's lateness."""
+        now = self.now()
+        self.late = max(self.late, now - since - int(LOOK_EVERY * 10_000))
+        self.clients.look(self.clients.paused)
+        self.fleet.look()
+        self.follower.look()
+        if self.process is not Process.STOPPED:
+            self.calls = [each for each in self.calls if each.active()]
+            self.calls.append(self.reactor.callLater(LOOK_EVERY, self.look, now))
+
+    # The list.
+
+    def listed(self, kind: News, places: Sequence[Place]) -> None:
+        if kind is not News.FAILED:
+            self.fleet.listed(kind is not News.CHANGES, places)
+        self.note("list", kind.value)
+        self.host.listed(kind, [each.listed for each in places])
+
+    # The clients.
+
+    def asked(self, client: Client, message: Message) -> None:
+        """One whole request."""
+        path = message.target.partition(b"?")[0]
+        if path in (READY, LIVE) and message.method == b"GET":
+            client.answer(200 if path == LIVE or self.process is Process.SERVING else 503, b"")
+            return
+        try:
+            arrival = self.categories.arrival(message, self.now(), ANSWER_MARGIN)
+            if arrival.id in self.host.live:
+                raise BadAsk(409, "x-txn is another's open one")
+        except BadAsk as error:
+            return client.refuse(error.status, str(error))
+        if arrival.ends <= self.now() or self.host.held >= (self.deployment.facts["most_held"] or BACKLOG):
+            self.note("answer", "too late or too many")
+            return client.answer(503, b"")
+        client.busy(arrival.id)
+        self.note("arrival", "repeat" if arrival.repeat else "first")
+        self.host.take(arrival, client, cargo_of(message))
+
+    def carry(self, cargo: Cargo, arrival: Arrival, number: int, node: int, ends: int, ended: Ended) -> Sending | None:
+        return self.fleet.carry(cargo, node, ends, ended)
+
+    def abandoned(self, transfer: int) -> None:
+        self.note("answer", "abandoned")
+        self.host.abandon(transfer)
+        self.emptied()
+
+    def left(self, client: Client) -> None:
+        self.clients.left(client)
+
+    # What is said.
+
+    def note(self, what: str, *values: Any) -> None:
+        """Count an event by name and its first value."""
+        self.tally[what, str(values[0])[:60] if values else ""] += 1
+        if what == "answer":
+            self.emptied()
+
+    def remark(self, event: str, **values: Any) -> None:
+        self.remarks += 1
+        if self.remarks <= MOST_REMARKS:
+            self.log.warning(event, **values)
+
+    def tell_tally(self) -> None:
+        """Now and then: counts by cause, and of each node what the module believes beside what the sockets show."""
+        counts = {" ".join(filter(None, each)): count for each, count in sorted(self.tally.items())}
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        self.log.info("tally", held=self.host.held, clients=len(self.clients.open), links=self.fleet.open,
+                      late_ms=self.late / 10, cpu_s=round(usage.ru_utime + usage.ru_stime, 2),
+                      peak_mb=usage.ru_maxrss // 1024, unsaid=max(self.remarks - MOST_REMARKS, 0), **counts)
+        self.tally.clear()
+        self.late = self.remarks = 0
+        nodes = getattr(self.host.module, "nodes", {})
+        for number, there in self.fleet.nodes.items():
+            node = nodes.get(number)
+            if node is not None:
+                self.log.info("node", id=there.name, health=node.health.name, out=len(node.out), held=len(node.extents),
+                              window=round(node.window, 1), lapses=node.lapses, latency_ms=round((node.latency or 0) / 10),
+                              pace_ms=round(node.pace / 10), best_ms=round(node.best / 10), links=len(there.links),
+                              free=len(there.free), waiting=len(there.waiting))
+        if self.process is not Process.STOPPED:
+            self.calls.append(self.reactor.callLater(TALLY_EVERY, self.tell_tally))
--- /dev/null
+++ b/milletsill/platform/links.py
@@ -0,0 +1,298 @@
+"""Links to storage nodes: one dispatch at a time on each, none resent, every dispatch with exactly one end."""
+from __future__ import annotations
+
+from collections import deque
+from typing import Any, Callable, Sequence
+
+from twisted.internet.protocol import Protocol
+
+from milletsill.edge.host import Ended
+from milletsill.http1.decide import Bounds
+from milletsill.http1.reader import AnswerReader, Malformed, Message
+from milletsill.http1.writer import request
+from milletsill.interface import Outcome, Readiness
+from milletsill.platform.asks import Cargo, number_in, report_in
+from milletsill.platform.decide import IDLE_PART, MOST_EACH, MOST_WAITING
+from milletsill.platform.discovery import Dial
+from milletsill.platform.nodes import Place
+
+BOUNDS = Bounds()
+
+
+class Verdict:
+    """What a node's answer says beside its body."""
+
+    __slots__ = ("body", "used", "elsewhere", "report")
+
+    def __init__(self, message: Message) -> None:
+        fields = message.fields
+        used = number_in(fields.get(b"x-volume-use"), 65_535)
+        self.body, self.used = message.body, None if used is None else int(used)
+        self.elsewhere = int(number_in(fields.get(b"x-served-elsewhere"), 65_535) or 0)
+        self.report = report_in(fields.get(b"x-pressure"))
+
+
+def outcome_of(message: Message) -> Outcome:
+    """How a dispatch ended that was answered whole."""
+    if message.status == 200:
+        return Outcome.SATISFIED
+    turned = message.status in (503, 504) and message.fields.get(b"x-turned-away") == b"1"
+    return Outcome.TURNED_AWAY if turned else Outcome.ERROR
+
+
+class Sending:
+    """One dispatch on its way."""
+
+    __slots__ = ("node", "cargo", "ends", "ended", "link", "since", "over")
+
+    def __init__(self, node: Node, cargo: Cargo, ends: int, ended: Ended, now: int) -> None:
+        self.node, self.cargo, self.ends, self.ended, self.since = node, cargo, ends, ended, now
+        self.link: Link | None = None
+        self.over = False
+
+    def end(self, outcome: Outcome, verdict: Verdict | None = None) -> None:
+        """The one word on it."""
+        if not self.over:
+            self.over, self.link = True, None
+            self.ended(outcome, verdict)
+
+    def withdraw(self, outcome: Outcome) -> None:
+        """Given up: its connection closes, which tells the node."""
+        link, self.over, self.link = self.link, True, None
+        if link is not None:
+            link.close()
+        elif self in self.node.waiting:
+            self.node.waiting.remove(self)
+
+
+class Link(Protocol):
+    """One connection to a node. A pull producer only to hear when the last byte was handed over."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.reader = AnswerReader(BOUNDS)
+        self.sending: Sending | None = None
+        self.written, self.closed, self.uses, self.since = True, False, 0, 0
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, False)
+        self.node.up(self)
+
+    def resumeProducing(self) -> None:
+        self.written = True
+
+    def stopProducing(self) -> None:
+        """The connection is lost: connectionLost says so."""
+
+    def start(self, sending: Sending) -> None:
+        """Write one dispatch."""
+        self.sending, sending.link, self.written = sending, self, False
+        self.uses += 1
+        cargo, left = sending.cargo, max((sending.ends - self.node.fleet.now()) // 10, 1)
+        self.transport.write(request(cargo.method, cargo.target, self.node.host_field,
+                                     cargo.fields + [(b"X-Remaining-Ms", b"%d" % left)], cargo.body))
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.sending is None:  # behind a whole answer, or out of nothing: of no further use
+            return self.close()
+        self.reader.feed(data)
+        try:
+            message = self.reader.next()
+        except Malformed as error:
+            self.node.fleet.note("spoilt", error.reason)
+            return self.finish(Outcome.ERROR, None, False)
+        if message is not None:
+            keep = message.keep and self.written and not self.reader.begun
+            self.finish(outcome_of(message), Verdict(message), keep)
+
+    def finish(self, outcome: Outcome, verdict: Verdict | None, keep: bool) -> None:
+        """The present dispatch has its answer."""
+        sending, self.sending = self.sending, None
+        if keep:
+            self.node.idle(self)
+        else:
+            self.close()
+        if sending is not None:
+            sending.end(outcome, verdict)
+
+    def close(self) -> None:
+        """Cut it; a dispatch on it is given up by who calls."""
+        self.sending = None
+        if not self.closed and self.transport is not None:
+            self.transport.abortConnection()
+        self.gone()
+
+    def gone(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.node.lost(self)
+
+    def connectionLost(self, reason: Any = None) -> None:
+        sending, self.sending = self.sending, None
+        self.gone()
+        if sending is None:
+            return
+        if self.written:
+            sending.end(Outcome.RESET)
+        elif self.uses > 1:  # an idle link that was closed before we wrote all: it never ran, and the node may be fine
+            sending.link = None
+            if not self.node.put(sending):
+                sending.end(Outcome.UNREACHED)
+        else:
+            sending.end(Outcome.UNREACHED)
+
+
+class Node:
+    """The links to one node; the last used is used first."""
+
+    def __init__(self, fleet: Fleet, number: int) -> None:
+        self.fleet, self.number = fleet, number
+        self.host, self.port, self.host_field, self.name = "", 0, b"", ""
+        self.retired = False
+        self.links = set[Link]()
+        self.free: list[Link] = []
+        self.waiting = deque[Sending]()
+        self.dials = 0
+
+    def moved(self, place: Place) -> None:
+        """Where the list has it now."""
+        self.name, self.retired = place.name, place.listed.readiness is not Readiness.READY
+        if place.host and (place.host, place.port) != (self.host, self.port):
+            self.host, self.port, self.host_field = place.host, place.port, f"{place.host}:{place.port}".encode()
+            self.clear()
+        if self.retired:
+            self.clear()
+
+    def clear(self) -> None:
+        """Idle links close."""
+        for link in list(self.free):
+            link.close()
+
+    def put(self, sending: Sending) -> bool:
+        """Onto a link that is free, else in line for one."""
+        if self.free:
+            self.free.pop().start(sending)
+            return True
+        if len(self.waiting) >= MOST_WAITING:
+            return False
+        self.waiting.append(sending)
+        self.dial()
+        return True
+
+    def dial(self) -> None:
+        """New links for those that wait, as descriptors allow."""
+        while self.dials < len(self.waiting) and self.dials + len(self.links) < MOST_EACH and self.fleet.room():
+            self.dials += 1
+            self.fleet.open += 1
+            self.fleet.note("dial", "")
+            self.fleet.connect(self.host, self.port, Link(self), self.failed)
+
+    def failed(self) -> None:
+        """A dial came to nothing, and so did the dispatch that waited longest."""
+        self.dials -= 1
+        self.fleet.open -= 1
+        self.fleet.note("dial failed", "")
+        if self.waiting:
+            self.waiting.popleft().end(Outcome.UNREACHED)
+        self.fleet.freed()
+
+    def up(self, link: Link) -> None:
+        self.dials -= 1
+        self.links.add(link)
+        self.idle(link)
+
+    def idle(self, link: Link) -> None:
+        """A link takes the next dispatch, or stands ready."""
+        if self.waiting:
+            return link.start(self.waiting.popleft())
+        if self.retired or link.node is not self:
+            return link.close()
+        link.since = self.fleet.now()
+        self.free.append(link)
+
+    def lost(self, link: Link) -> None:
+        self.links.discard(link)
+        if link in self.free:
+            self.free.remove(link)
+        self.fleet.open -= 1
+        self.fleet.freed()
+
+    def look(self, now: int, dial: int, idle: int) -> None:
+        """Dispatches that waited too long for a link, and links that stood idle too long."""
+        while self.waiting and now - self.waiting[0].since >= dial:
+            self.waiting.popleft().end(Outcome.UNREACHED)
+        while self.free and now - self.free[0].since >= idle:
+            self.free[0].close()
+
+    @property
+    def over(self) -> bool:
+        return self.retired and not (self.links or self.waiting or self.dials)
+
+
+class Fleet:
+    """All links to nodes, within one bound."""
+
+    def __init__(self, reactor: Any, now: Callable[[], int], most: int, dial: int, idle: int,
+                 note: Callable[..., None]) -> None:
+        self.reactor, self.now, self.most, self.note = reactor, now, most, note
+        self.dial_span, self.idle_span = dial, int(idle * IDLE_PART)
+        self.nodes = dict[int, Node]()
+        self.open = 0
+        self.short = False  # somebody waits for a descriptor
+
+    def listed(self, whole: bool, places: Sequence[Place]) -> None:
+        """Nodes as the list has them."""
+        for place in places:
+            number = place.listed.node
+            if place.listed.readiness is not Readiness.GONE or number in self.nodes:
+                node = self.nodes.get(number) or self.nodes.setdefault(number, Node(self, number))
+                node.moved(place)
+        for number in self.nodes.keys() - {each.listed.node for each in places} if whole else ():
+            self.nodes[number].retired = True
+            self.nodes[number].clear()
+
+    def carry(self, cargo: Cargo, node: int, ends: int, ended: Ended) -> Sending | None:
+        """Start one dispatch; None where no link leads there."""
+        there = self.nodes.get(node)
+        if there is None or not there.port:
+            return None
+        sending = Sending(there, cargo, ends, ended, self.now())
+        return sending if there.put(sending) else None
+
+    def connect(self, host: str, port: int, link: Link, failed: Callable[[], None]) -> None:
+        self.reactor.connectTCP(host, port, Dial(link, failed), timeout=max(self.dial_span, 100) / 10_000)
+
+    def room(self) -> bool:
+        """Whether one more link may be opened; the one idle longest makes way."""
+        if self.open >= self.most:
+            oldest = min((node.free[0] for node in self.nodes.values() if node.free), key=lambda link: link.since,
+                         default=None)
+            if oldest is not None:
+                oldest.close()
+        self.short = self.open >= self.most
+        return not self.short
+
+    def freed(self) -> None:
+        """A descriptor came back: later, for who waits."""
+        if self.short:
+            self.short = False
+            self.reactor.callLater(0, self.dial_waiting)
+
+    def dial_waiting(self) -> None:
+        for node in self.nodes.values():
+            if node.waiting:
+                node.dial()
+
+    def look(self) -> None:
+        """What time brings; nodes that left go with their last link."""
+        now = self.now()
+        for node in list(self.nodes.values()):
+            node.look(now, self.dial_span, self.idle_span)
+            if node.over:
+                del self.nodes[node.number]
+
+    def stop(self) -> None:
+        for node in self.nodes.values():
+            for link in list(node.links):
+                link.close()
--- /dev/null
+++ b/milletsill/platform/process.py
@@ -0,0 +1,97 @@
+"""`milletsill serve` as a process: signals first, then configuration, then the gateway until SIGTERM.
+
+Exit status 0 after SIGTERM, 1 where the address cannot be had, 2 for a configuration that cannot be used.
+"""
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import time
+from typing import Any, Callable
+
+USAGE = """Usage: milletsill serve
+
+  Serve the platform's protocol until SIGTERM. Takes its configuration from the file that NODE_CONFIG names (JSON);
+  NODE_NAME, NODE_LISTEN and NODE_DISCOVERY stand in for what it leaves out. SIGHUP reads the file again.
+"""
+
+
+class Signals:
+    """Keeps what came before there was anybody to hear it."""
+
+    def __init__(self) -> None:
+        self.came: list[int] = []
+        self.hear: Callable[[int], None] = self.came.append
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda number, frame: self.hear(number))
+
+    def given_to(self, hear: Callable[[int], None]) -> None:
+        """From now on to this one, first what came."""
+        self.hear = hear
+        while self.came:
+            hear(self.came.pop(0))
+
+
+def main(arguments: list[str]) -> int:
+    """Run until told to end."""
+    if arguments:
+        wanted = arguments in (["--help"], ["-h"])
+        print(USAGE if wanted else "milletsill: serve takes no arguments", file=sys.stdout if wanted else sys.stderr)
+        return 0 if wanted else 2
+    signals = Signals()
+    from milletsill.platform.configuration import Refused, read
+    clock = time.monotonic_ns() // 100_000 - time.time_ns() // 100_000
+    faults = list[str]()
+    try:
+        deployment = read(os.environ, clock, faults.append)
+    except Refused as error:
+        print(f"milletsill: {error}", file=sys.stderr)
+        return 2
+    return serve(deployment, clock, signals, faults)
+
+
+def serve(deployment: Any, clock: int, signals: Signals, faults: list[str]) -> int:
+    """The gateway and its reactor."""
+    from twisted.internet import reactor
+    from twisted.internet.error import CannotListenError
+
+    from milletsill.edge.logs import logger
+    from milletsill.edge.quiet import SETTLED, settle_memory
+    from milletsill.platform.configuration import Refused, read
+    from milletsill.platform.gateway import Gateway
+    log = logger("info", True, sys.stdout, gateway=deployment.name)
+    gateway = Gateway(deployment, reactor, monotonic, clock, log)
+    for each in faults:
+        gateway.remark("list", reason=each)
+
+    def again() -> None:
+        try:
+            gateway.reload(read(os.environ, clock, lambda text: gateway.remark("list", reason=text)))
+        except Refused as error:
+            log.warning("configuration", reason=str(error))
+
+    def heard(number: int) -> None:
+        reactor.callFromThread(again if number == signal.SIGHUP else gateway.terminate)
+
+    gateway.stopped = lambda: reactor.callLater(0.02, reactor.stop)
+    status = list[int]()
+
+    def begin() -> None:
+        try:
+            gateway.start()
+            signals.given_to(heard)
+        except CannotListenError as error:
+            print(f"milletsill: {error}", file=sys.stderr)
+            status.append(1)
+            reactor.stop()
+
+    reactor.callWhenRunning(begin)
+    reactor.callLater(SETTLED, settle_memory)
+    reactor.run(installSignalHandlers=False)
+    return status[0] if status else 0
+
+
+def monotonic() -> int:
+    """Tenths of a millisecond, whole, rounded up: what is over is over."""
+    return -(-time.monotonic_ns() // 100_000)
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -22,21 +22,18 @@
         return [each[1:] for each in self.said if each[0] == name]
 
 
-class Sending:
-    over, link = False, None
-
-
-class Pool:
-    """Keeps dispatches; the test ends them."""
+class Links:
+    """Keeps dispatches to node 7; the test ends them."""
 
     def __init__(self):
         self.held, self.withdrawn = [], 0
 
-    def dispatch(self, order, ended):
-        self.held.append((order, ended))
-        return Sending()
+    def carry(self, cargo, arrival, number, node, ends, ended):
+        if node == 7:
+            self.held.append((cargo, ended))
+        return self if node == 7 else None
 
-    def withdraw(self, sending, outcome):
+    def withdraw(self, outcome):
         self.withdrawn += 1
 
 
@@ -56,11 +53,11 @@
 
 class Hosted(unittest.TestCase):
     def setUp(self):
-        self.clock, self.pool, self.asker, self.log = Clock(), Pool(), Asker(), []
-        self.host = Host(self.clock, lambda: int(self.clock.seconds() * 10_000 + 0.5), {}, 1, Module, "e", 1,
-                         {7: self.pool}.get, lambda: None, self.log.append, lambda *values: None)
+        self.clock, self.pool, self.asker, self.log = Clock(), Links(), Asker(), []
+        self.host = Host(self.clock, lambda: int(self.clock.seconds() * 10_000 + 0.5), {}, 1, Module,
+                         self.pool.carry, lambda: None, self.log.append, lambda *values: None)
         arrival = Arrival(1, 5, 1, 1, 0, 0, False, False, 0, 2.0, 10_000)
-        self.host.take(arrival, self.asker, packets.Read(0, b"/a", 0, 1), "t", "m", "read")
+        self.host.take(arrival, self.asker, "cargo")
         self.module = self.host.module
 
     def verdict(self):
@@ -126,7 +123,7 @@
     def test_a_transfer_stays_until_its_dispatches_have_ended_without_its_data(self):
         self.host.send(1, 7, 500)
         self.host.abandon(1)
-        self.assertIsNone(self.host.live[1].command)
+        self.assertIsNone(self.host.live[1].cargo)
         self.pool.held[0][1](Outcome.RESET, None)
         self.assertEqual(self.host.live, {})
 
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -3,6 +3,7 @@
 import json
 import unittest
 
+from milletsill import facts as shared
 from milletsill.interface import News, Outcome
 from milletsill.wirehost import codec
 from milletsill.wirehost.codec import Batch, Event, Malformed
@@ -47,7 +48,7 @@
                 self.answered(data)
 
     def test_limits_round_so_that_none_is_passed(self):
-        self.assertEqual([codec.at_most(250_000_000), codec.at_least(250_050_000)], [2499, 2502])
+        self.assertEqual([shared.at_most(250_000_000), shared.at_least(250_050_000)], [2499, 2502])
 
     def test_facts_take_our_names_and_pass_over_unknown_ones(self):
         facts = codec.facts_of(FACTS)
