Answers of up to 1 MiB pass, within a quarter of the memory; they counted as spoilt

Change: answers up to 1 MiB, put together once, counted against a quarter of the memory from their head until the client took them.

--- a/milletsill/http1/reader.py
+++ b/milletsill/http1/reader.py
@@ -63,11 +63,13 @@
         self.bounds = bounds
         self.buffer = b""
         self.message: Message | None = None  # whose head was read
+        self.pieces: list[bytes] = []  # of its body, where that is told by its length
+        self.wanted = 0  # octets of it still to come
 
     @property
     def pending(self) -> int:
         """Octets that wait to be read."""
-        return len(self.buffer)
+        return len(self.buffer) + sum(map(len, self.pieces))
 
     @property
     def begun(self) -> bool:
@@ -75,7 +77,11 @@
         return self.message is not None or bool(self.buffer)
 
     def feed(self, data: bytes) -> None:
-        self.buffer = self.buffer + data if self.buffer else data
+        if self.wanted > len(data):  # long bodies are put together once
+            self.pieces.append(data)
+            self.wanted -= len(data)
+        else:
+            self.buffer = self.buffer + data if self.buffer else data
 
     def next(self) -> Message | None:
         """The next whole message; None where more bytes are wanted; `Malformed` once and for all."""
@@ -87,13 +93,25 @@
         if message.chunked:
             if not self.chunks(message):
                 return None
-        elif len(self.buffer) < message.length:
+        elif message.length and not self.counted(message):
             return None
-        elif message.length:
-            message.body, self.buffer = self.buffer[:message.length], self.buffer[message.length:]
         self.message, message.parser = None, None
         return message
 
+    def counted(self, message: Message) -> bool:
+        """Whether a body told by its length is whole: put it together."""
+        if self.wanted == 0:
+            self.wanted = message.length
+        if len(self.buffer) < self.wanted:
+            if self.buffer:
+                self.pieces.append(self.buffer)
+                self.wanted, self.buffer = self.wanted - len(self.buffer), b""
+            return False
+        self.pieces.append(self.buffer[:self.wanted])
+        message.body, self.buffer = b"".join(self.pieces), self.buffer[self.wanted:]
+        self.pieces, self.wanted = [], 0
+        return True
+
     def head(self) -> Message | None:
         """Cut a head off and read it."""
         end = self.buffer.find(END)
--- a/milletsill/platform/configuration.py
+++ b/milletsill/platform/configuration.py
@@ -10,6 +10,7 @@
 from milletsill.platform.nodes import BadEntry, News, address_of, news_of
 
 MOST_OCTETS = 8 << 20
+LEAST_MEMORY = 64  # MB, where no limit is told
 
 
 class Refused(Exception):
@@ -25,6 +26,7 @@
     discovery: tuple[str, int]
     seed: int
     sockets: int
+    memory_mb: int
     facts: Mapping[str, Any]
     known: News | None
 
@@ -58,9 +60,7 @@
     if not facts["categories"] or not facts["plans"]:
         raise ValueError("settings: no categories or no plans")
     limits = given.get("limits")
-    sockets = limits.get("sockets", 0) if isinstance(limits, dict) else 0
-    if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 0:
-        raise ValueError(f"limits: sockets {str(sockets)[:40]!r} is not a number")
+    sockets, memory = (limit_of(limits, name) for name in ("sockets", "memory_mb"))
     try:
         seed = int(str(given.get("seed", "0")), 16)
     except ValueError:
@@ -69,5 +69,13 @@
     return Deployment(str(given.get("name") or environ.get("NODE_NAME", "")),
                       address_of(given.get("listen") or environ.get("NODE_LISTEN")),
                       address_of(given.get("discovery") or environ.get("NODE_DISCOVERY")), seed,
-                      sockets or os.sysconf("SC_OPEN_MAX"), facts,
+                      sockets or os.sysconf("SC_OPEN_MAX"), memory or LEAST_MEMORY, facts,
                       news_of(known, facts["zones"], clock, remark) if known is not None else None)
+
+
+def limit_of(limits: Any, name: str) -> int:
+    """A limit, 0 where none is told."""
+    value = limits.get(name, 0) if isinstance(limits, dict) else 0
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        raise ValueError(f"limits: {name} {str(value)[:40]!r} is not a number")
+    return value
--- a/milletsill/platform/decide.py
+++ b/milletsill/platform/decide.py
@@ -77,6 +77,28 @@
     return Shares(clients, free - clients)
 
 
+# --- Long answers.
+
+MOST_ANSWER = 1 << 20  # octets of one answer's body; the platform's page says 64 KiB, its reads bring up to six times that
+SHORT_ANSWER = 1 << 16  # up to this an answer is not counted
+HELD_PART = 0.25  # of the memory: for long answers, coming in or waiting for clients that read slowly
+
+
+class Octets:
+    """What long answers hold of the memory. Guards the process against being killed for memory by answers that are long or
+    clients that do not read. Harm: past the bound a good answer counts as spoilt."""
+
+    def __init__(self, memory_mb: int) -> None:
+        self.most, self.held = int(memory_mb * HELD_PART) << 20, 0
+
+    def take(self, octets: int) -> bool:
+        """Whether there is room for one more."""
+        if self.held + octets > self.most:
+            return False
+        self.held += octets
+        return True
+
+
 # --- Links.
 
 IDLE_PART = 0.7  # an idle link is closed after this part of the time after which the node may close it
--- a/milletsill/platform/door.py
+++ b/milletsill/platform/door.py
@@ -25,6 +25,7 @@
         self.since = gateway.now()  # of the stage, or of a request's first octet
         self.transfer: int | None = None
         self.keep, self.stuck, self.discarded = True, False, 0
+        self.charged = 0  # octets of an answer that the client has not taken yet
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -37,6 +38,7 @@
 
     def resumeProducing(self) -> None:
         self.stuck = False
+        self.discharge()
         self.read_on()
 
     def stopProducing(self) -> None:
@@ -70,8 +72,13 @@
             self.keep = message.keep
             self.gateway.asked(self, message)
 
+    def discharge(self) -> None:
+        self.gateway.octets.held -= self.charged
+        self.charged = 0
+
     def connectionLost(self, reason: Any = None) -> None:
         self.step(Cue.LOST)
+        self.discharge()
         self.gateway.left(self)
 
     # What goes.
@@ -98,6 +105,9 @@
         keep = self.keep and self.gateway.keeps
         if self.stage is not Stage.CLOSED:
             self.transport.write(writer.answer(status, body, keep, extra))
+            if self.stuck and not self.charged:
+                self.charged = len(body)
+                self.gateway.octets.held += self.charged
             self.since = self.gateway.now()
             self.step(Cue.ANSWERED if keep else Cue.LAST)
 
--- a/milletsill/platform/gateway.py
+++ b/milletsill/platform/gateway.py
@@ -10,7 +10,7 @@
 from milletsill.interface import Arrival, News
 from milletsill.platform.asks import BadAsk, Cargo, Categories, cargo_of
 from milletsill.platform.configuration import Deployment
-from milletsill.platform.decide import (ANSWER_MARGIN, DOOR_CLOSE, IDLE_CLOSE, Event, Process, pass_on, shares_of)
+from milletsill.platform.decide import (ANSWER_MARGIN, DOOR_CLOSE, IDLE_CLOSE, Event, Octets, Process, pass_on, shares_of)
 from milletsill.platform.discovery import Follower
 from milletsill.platform.door import Client, Clients
 from milletsill.platform.links import Fleet, Sending
@@ -36,7 +36,8 @@
         shares = shares_of(deployment.sockets)
         self.categories = Categories(facts)
         self.clients = Clients(self, shares.clients)
-        self.fleet = Fleet(reactor, now, shares.links, facts["dial"], facts["link_idle"], self.note)
+        self.octets = Octets(deployment.memory_mb)
+        self.fleet = Fleet(reactor, now, shares.links, self.octets, facts["dial"], facts["link_idle"], self.note)
         self.follower = Follower(reactor, now, deployment.discovery, facts["zones"], clock, self.listed,
                                  lambda text: self.remark("list", reason=text))
         self.host = Host(reactor, now, facts, deployment.seed, make, self.carry, self.follower.ask,
--- a/milletsill/platform/links.py
+++ b/milletsill/platform/links.py
@@ -12,11 +12,11 @@
 from milletsill.http1.writer import request
 from milletsill.interface import Outcome, Readiness
 from milletsill.platform.asks import Cargo, number_in, report_in
-from milletsill.platform.decide import IDLE_PART, MOST_EACH, MOST_WAITING
+from milletsill.platform.decide import IDLE_PART, MOST_ANSWER, MOST_EACH, MOST_WAITING, SHORT_ANSWER, Octets
 from milletsill.platform.discovery import Dial
 from milletsill.platform.nodes import Place
 
-BOUNDS = Bounds()
+BOUNDS = Bounds(body=MOST_ANSWER)
 
 
 class Verdict:
@@ -73,6 +73,7 @@
         self.reader = AnswerReader(BOUNDS)
         self.sending: Sending | None = None
         self.written, self.closed, self.uses, self.since = True, False, 0, 0
+        self.charged = 0  # octets counted for a long answer
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -102,13 +103,28 @@
         except Malformed as error:
             self.node.fleet.note("spoilt", error.reason)
             return self.finish(Outcome.ERROR, None, False)
-        if message is not None:
-            keep = message.keep and self.written and not self.reader.begun
-            self.finish(outcome_of(message), Verdict(message), keep)
+        if message is None:
+            return self.charge()
+        keep = message.keep and self.written and not self.reader.begun
+        self.finish(outcome_of(message), Verdict(message), keep)
+
+    def charge(self) -> None:
+        """A long answer is on its way: there must be room for it."""
+        length = self.reader.message.length if self.reader.message is not None else 0
+        if length > SHORT_ANSWER and not self.charged:
+            if not self.node.fleet.octets.take(length):
+                self.node.fleet.note("spoilt", "no room for a long answer")
+                return self.finish(Outcome.ERROR, None, False)
+            self.charged = length
+
+    def discharge(self) -> None:
+        self.node.fleet.octets.held -= self.charged
+        self.charged = 0
 
     def finish(self, outcome: Outcome, verdict: Verdict | None, keep: bool) -> None:
         """The present dispatch has its answer."""
         sending, self.sending = self.sending, None
+        self.discharge()
         if keep:
             self.node.idle(self)
         else:
@@ -126,6 +142,7 @@
     def gone(self) -> None:
         if not self.closed:
             self.closed = True
+            self.discharge()
             self.node.lost(self)
 
     def connectionLost(self, reason: Any = None) -> None:
@@ -233,9 +250,9 @@
 class Fleet:
     """All links to nodes, within one bound."""
 
-    def __init__(self, reactor: Any, now: Callable[[], int], most: int, dial: int, idle: int,
+    def __init__(self, reactor: Any, now: Callable[[], int], most: int, octets: Octets, dial: int, idle: int,
                  note: Callable[..., None]) -> None:
-        self.reactor, self.now, self.most, self.note = reactor, now, most, note
+        self.reactor, self.now, self.most, self.octets, self.note = reactor, now, most, octets, note
         self.dial_span, self.idle_span = dial, int(idle * IDLE_PART)
         self.nodes = dict[int, Node]()
         self.open = 0
