A dispatch lost alone is no lapse of a node that was heard of late

Checked by a probe of every dispatch that timed out: not a byte came, those sent after it were answered at the usual pace, and nothing else was out (1 at the median); overload, links and descriptors were excluded by that, our own lateness by the tally (1 ms). Wrong: policy.py, returned(): one lost dispatch counted as a lapse of its node: window to one, and a rest as long as its wait. Change: the first without a word, while the node was heard within two of its waits, is no lapse; the second is.

--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -23,6 +23,7 @@
 HOPE, PART = 0.6, 0.5  # in time with this share of its service left; a part of a reserve: gateways to it
 RUN, HIT, FOLLOW_WAIT = 2, 0.5, 0.5  # most that leave behind a run's first; their cost, the wait, in services
 LOST, MOST_LAPSES = 6, 3  # latencies without an answer until a dispatch is lost; doublings of a node's rest
+HEARD = 2  # waits of a lost dispatch within which its node was heard of late
 CREDITS, ASKED = 4, 10  # of a node; cold windows over which it is counted what is asked for it here
 DRAWN, STRAIN = 8, 1 / 4  # nodes drawn for a new object; an answer's weight in a node's strain
 ENDING_TICKS, ASK_AGAIN = 2, 1 / 8  # before a client gives up; share of the stated time until a failed watch
@@ -131,8 +132,8 @@
         self.wait = self.pace = self.best = 0.0  # smoothed wait, smoothed latency a unit, the best of late
         self.strain = self.asked = 0.0  # smoothed wait, in shortest target times, and load; units asked here
         self.follow: Transfer | None = None
-        self.follow_until = self.heard = self.rest_until = self.lapses = self.lapsed = self.asked_at = 0
-        self.barred_at = 0
+        self.follow_until = self.rest_until = self.lapses = self.lapsed = self.asked_at = 0
+        self.barred_at, self.heard, self.silent = 0, -NEVER, 0  # silent: the last end without a word
         self.wake_at, self.drawn, self.lucky = NEVER, -NEVER, False  # the draw of rule 4
         self.sends: deque[tuple[int, float]] = deque()  # units sent within the window of rule 4
 
@@ -537,13 +538,17 @@
         self.touched[node.id] = node
         waited = answer.latency - transfer.units * self.clear / node.size
         self.ease(sent, answer.outcome is not Outcome.SATISFIED or waited > CROWDED * self.shortest, now)
-        if answer.outcome in NO_WORD + (Outcome.TURNED_AWAY,) and sent.sent >= node.lapsed:
+        # Guards against resting a node for a dispatch that was lost alone (a connection fell silent, an answer went
+        # astray): the first without a word while the node was heard of late. Harm: one that is hung is known later.
+        alone = answer.outcome in NO_WORD and node.heard >= max(node.silent, sent.sent - HEARD * answer.latency)
+        node.silent = now if answer.outcome in NO_WORD else node.silent
+        if answer.outcome in NO_WORD + (Outcome.TURNED_AWAY,) and sent.sent >= node.lapsed and not alone:
             # Guards against many gateways that keep trying a node which is crowded, slow, hung or gone. Harm:
             # after a short fault it is left idle for a while.
             node.lapses, node.lapsed = min(node.lapses + 1, MOST_LAPSES), now
             span = max(answer.latency, node.latency or self.facts["tick"])
             node.rest_until = now + int(span * (2 ** node.lapses - 1) * self.uniform(0.5, 1.5))
-        if answer.outcome in NO_WORD and node.heard <= sent.sent:
+        if answer.outcome in NO_WORD and node.heard <= sent.sent and not alone:
             self.sign(node, Sign.LAPSE, now)
         elif answer.outcome not in UNSETTLED + (Outcome.MOOT,):
             node.heard, node.credit = now, min(node.credit + 1, CREDITS)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -418,6 +418,17 @@
                 rests.append(at.rest_until - now)
             self.assertEqual(rests, [400, 1200])
 
+    def test_a_dispatch_lost_alone_at_a_node_heard_of_late_is_no_lapse(self):
+        for heard, silent, outcome, lapses, health in (
+                (1000, 0, Outcome.TIMED_OUT, 0, Health.STEADY), (0, 0, Outcome.TIMED_OUT, 1, Health.RETURNED),
+                (1000, 1500, Outcome.RESET, 1, Health.RETURNED), (1000, 0, Outcome.TURNED_AWAY, 1, Health.STEADY)):
+            of, _ = scheduler()
+            at = node(of)
+            of.dispatch(transfer(of, 1), at, 1500)
+            at.heard, at.silent = heard, silent
+            of.returned(1900, answer(1, outcome, latency=400))
+            self.assertEqual((at.lapses, at.health), (lapses, health), (heard, silent, outcome))
+
     def test_a_lost_dispatch_frees_its_slot_and_may_go_again(self):
         of, _ = scheduler()
         at, one = node(of), transfer(of, 1)
