A first dispatch is lost after six latencies where its target leaves time for another

Wrong: policy.py, dispatch(): max(left, lost) for reserved work and left for surplus, whatever time there was. Change: the first dispatch ends after six latencies where that is at most half of what is left. The host answers what the module left open after the last time-out, not before it: a dispatch that hung to the end was told as cancelled.

--- a/milletsill/edge/host.py
+++ b/milletsill/edge/host.py
@@ -103,8 +103,8 @@
         self.live[arrival.id] = Live(arrival, asker, cargo)
         self.held += 1
         # Guards rule 1 against a module that failed before it said what becomes of a transfer. Harm: none, it comes after
-        # the module's own last word.
-        self.at(arrival.ends - self.facts.get("tick", 1), self.overdue, self.live[arrival.id])
+        # the last time-out and the module's own last word.
+        self.at(arrival.ends + 1, self.overdue, self.live[arrival.id])
         self.tell(self.module.taken, arrival)
         self.settle_soon()
 
--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -521,11 +521,14 @@
         transfer.dispatches.append(sent)
         node.out.append(sent)
         node.sends.append((now, transfer.units))
-        # Guards against dispatches lost without a word; not before the target: few answers make a poor guess.
-        # Surplus, and all at a node that lapsed, ends there: no late work for nodes. Harm: late utility.
+        # Guards against dispatches lost without a word; not before the target (few answers make a poor guess), but
+        # where as much time is left for another. Surplus, and all at a node that lapsed, ends at the target: no late
+        # work for nodes. Harm: late utility; what a node that pauses still answers is asked for twice.
         left, lost = transfer.target - now, int(LOST * max(node.latency or 0, self.service(node, transfer)))
         sent.final = left > 0 and (not transfer.reserved or node.lapses > 0)
         timeout = left if sent.final else max(left, lost)
+        if not number and node.latency is not None and node.credit > 0 and 2 * lost <= left:
+            timeout, sent.final = lost, False
         self.port.send(transfer.id, node.id, 0 if transfer.category["repeats"] == "exclusive" else timeout)
         self.cue(transfer, Cue.SENT, now)
 
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -76,6 +76,18 @@
         self.assertEqual((self.asker.told, answer.over, answer.elsewhere, dict(answer.report), self.host.live),
                          (["satisfied"], True, 2, {"queue": 3.0}, {}))
 
+    def test_an_error_in_the_module_is_said_and_every_transfer_still_gets_its_answer(self):
+        def failing(now, *values):
+            raise KeyError("lost")
+        self.module.settle = failing
+        self.host.abandon(1)  # settles
+        self.clock.advance(0)
+        arrival = Arrival(2, 5, 1, 1, 0, 0, False, False, 0, 2.0, 20_000)
+        self.host.take(arrival, self.asker, "cargo")
+        self.clock.advance(2.01)
+        self.assertEqual((self.asker.told, self.host.live, self.host.held), (["aborted"], {}, 0))
+        self.assertTrue(self.log and all("KeyError" in each for each in self.log), self.log)
+
     def test_a_send_decided_before_the_process_stood_is_not_made(self):
         self.host.most_stale = 200
         self.clock.advance(0)  # settled now
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -398,6 +398,17 @@
             of.dispatch(one, at, now)
             self.assertEqual(port.of("send"), [(1, 7, timeout)])
 
+    def test_a_first_dispatch_is_lost_sooner_where_its_target_leaves_time_for_another(self):
+        for latency, number, credit, timeout, final in ((400.0, 0, 2, 2400, False), (None, 0, 2, 6000, True),
+                                                        (600.0, 0, 2, 6000, True), (400.0, 1, 2, 6000, True),
+                                                        (400.0, 0, 0, 6000, True)):
+            of, port = scheduler()
+            at, one = node(of), transfer(of, 1, ends=50_000)
+            one.target, one.reserved, at.latency, at.wait, at.credit = 6000, False, latency, 0.0, credit
+            one.dispatches = [None] * number
+            of.dispatch(one, at, 0)
+            self.assertEqual((port.of("send")[-1][2], at.out[0].final), (timeout, final), (latency, number, credit))
+
     def test_surplus_that_timed_out_at_its_target_is_declined_at_once(self):
         of, port = scheduler()
         one = transfer(of, 1)
