--- /dev/null
+++ b/tests/test_http1.py
@@ -0,0 +1,108 @@
+"""HTTP/1.1 messages: whole ones out of any split of the bytes, bounds, and what two programs could read differently."""
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from milletsill.http1 import writer
+from milletsill.http1.decide import Bounds
+from milletsill.http1.lines import AnswerLines
+from milletsill.http1.reader import AnswerReader, Malformed, RequestReader
+
+HOST = b"Host: a\r\n"
+STREAM = (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 300\r\n\r\n" + b"x\r\n" * 100
+          + b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n1;a=b\r\n!\r\n0\r\n\r\n"
+          + b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+
+
+def read(reader, *pieces):
+    """Status or method, body of each whole message."""
+    found = []
+    for piece in pieces:
+        reader.feed(piece)
+        while (message := reader.next()) is not None:
+            found.append((message.status or message.method, message.body))
+    return found
+
+
+class Requests(unittest.TestCase):
+
+    def refused(self, data, status):
+        with self.assertRaises(Malformed, msg=data[:80]) as caught:
+            read(RequestReader(Bounds()), data)
+        self.assertEqual(caught.exception.status, status, data[:80])
+
+    def test_what_can_be_read_in_two_ways_is_refused(self):
+        head = b"PUT /a HTTP/1.1\r\n" + HOST
+        for lines in (b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", b"Content-Length: 3\r\nContent-Length: 3\r\n",
+                      b"Content-Length: -3\r\n", b"Content-Length: +3\r\n", b"Content-Length: 3, 3\r\n", b"Content-Length : 3\r\n",
+                      b"A: b\n", b"A: b\r\n c\r\n", b"A: b\rC: d\r\n", b"A: \x00\r\n", b"Host: b\r\n"):
+            self.refused(head + lines + b"\r\n", 400)
+        self.refused(b"GET /a HTTP/1.1\r\n\r\n", 400)
+        self.refused(head + b"Transfer-Encoding: gzip, chunked\r\n\r\n", 501)
+
+    def test_bounds_are_kept_without_reading_on(self):
+        head = b"PUT /a HTTP/1.1\r\n" + HOST
+        self.refused(head + b"Content-Length: 62914560\r\n\r\n", 413)
+        self.refused(head + b"A: " + b"x" * 9000, 431)
+        self.refused(head + b"A: b\r\n" * 70 + b"\r\n", 431)
+        self.refused(head + b"Transfer-Encoding: chunked\r\n\r\nfffff\r\n" + b"x" * 70_000, 413)
+        self.refused(b"\x16\x03\x01\x02\x00\n\n", 400)
+
+    def test_a_request_hidden_behind_a_body_is_a_request_of_its_own(self):
+        first = b"PUT /a HTTP/1.1\r\n" + HOST + b"Content-Length: 4\r\n\r\nbody"
+        self.assertEqual(read(RequestReader(Bounds()), first + b"GET /b HTTP/1.1\r\n" + HOST + b"\r\n"),
+                         [(b"PUT", b"body"), (b"GET", b"")])
+
+    def test_what_the_writer_writes_is_read_again(self):
+        data = writer.request(b"PUT", b"/a?b", b"h:1", [(b"X-Txn", b"1")], b"body")
+        reader = RequestReader(Bounds())
+        reader.feed(data)
+        message = reader.next()
+        self.assertEqual((message.target, message.fields[b"x-txn"], message.body, message.keep),
+                         (b"/a?b", b"1", b"body", True))
+
+    @settings(max_examples=150, deadline=None)
+    @given(st.lists(st.one_of(st.binary(max_size=40), st.sampled_from(
+        [b"\r\n", b"\r\n\r\n", b"GET / HTTP/1.1\r\n", HOST, b"Content-Length: 5\r\n", b"Transfer-Encoding: chunked\r\n"]))))
+    def test_noise_raises_nothing_but_malformed(self, pieces):
+        for reader in (RequestReader(Bounds()), AnswerReader(Bounds())):
+            try:
+                read(reader, *pieces)
+            except Malformed as error:
+                self.assertIn(error.status, range(400, 600))
+
+
+class Answers(unittest.TestCase):
+
+    @settings(max_examples=150, deadline=None)
+    @given(st.lists(st.integers(1, 120), min_size=1))
+    def test_any_split_gives_the_same_messages(self, sizes):
+        pieces, at, turn = [], 0, 0
+        while at < len(STREAM):
+            size = sizes[turn % len(sizes)]
+            pieces.append(STREAM[at:at + size])
+            at, turn = at + size, turn + 1
+        self.assertEqual(read(AnswerReader(Bounds()), *pieces), [(200, b"x\r\n" * 100), (200, b"hi!"), (503, b"")])
+
+    def test_what_is_not_whole_or_over_the_bound_is_malformed(self):
+        for data in (b"HTTP/1.1 200 OK\r\n\r\nuntil the end", b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n",
+                     b"HTTP/1.1 101 Up\r\n\r\n", b"HTTP/1.1 103 Hint\r\n\r\n" * 20, b"noise\r\n\r\n"):
+            with self.assertRaises(Malformed, msg=data[:60]):
+                read(AnswerReader(Bounds()), data)
+
+    def test_octets_behind_a_whole_answer_leave_it_good(self):
+        reader = AnswerReader(Bounds())
+        self.assertEqual(read(reader, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi" + b"HTTP/1.1 200"), [(200, b"hi")])
+        self.assertTrue(reader.begun)
+
+    def test_lines_of_a_long_answer_come_as_they_are_whole(self):
+        lines = AnswerLines(100)
+        self.assertEqual(lines.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\na\nb\r\n"), [b"a"])
+        self.assertEqual(lines.feed(b"2\r\nc\n\r\n"), [b"bc"])
+        with self.assertRaises(Malformed):
+            lines.feed(b"c8\r\n" + b"x" * 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
