What was never dispatched is declined at half of its client's time

Checked in tallies by seconds: up to 113 transfers held by one gateway while two cells had no node for 3.5 to 5 s, its nodes answering the rest; readiness and the leave after SIGTERM were excluded by a probe (asked once, at the start; clients stop 1.3 to 2.1 s after SIGTERM by themselves). Wrong: policy.py, woken(): what was never dispatched was held to 4 ms before its client leaves. Change: a wake at 0.48 of the client's time, at which what has no dispatch yet is declined, with a time to come back.

--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -23,6 +23,7 @@
 HOPE, PART = 0.6, 0.5  # in time with this share of its service left; a part of a reserve: gateways to it
 RUN, HIT, FOLLOW_WAIT = 2, 0.5, 0.5  # most that leave behind a run's first; their cost, the wait, in services
 LOST, MOST_LAPSES = 6, 3  # latencies without an answer until a dispatch is lost; doublings of a node's rest
+UNSENT = 0.48  # of its client's time, until what was never dispatched is given up
 HEARD = 2  # waits of a lost dispatch, or shortest target times, within which its node was heard of late
 CREDITS, ASKED = 4, 10  # of a node; cold windows over which it is counted what is asked for it here
 DRAWN, STRAIN = 8, 1 / 4  # nodes drawn for a new object; an answer's weight in a node's strain
@@ -256,6 +257,7 @@
             self.keys.setdefault(transfer.extent, deque()).append(transfer)
         # A host keeps its wakes until they are due: a weak one does not hold what is over.
         self.port.wake(transfer.ends - ENDING_TICKS * self.facts["tick"], ref(transfer))
+        self.port.wake(now + int(UNSENT * (transfer.ends - now)), ref(transfer))
         self.unplaced.append(transfer)
 
     def place(self, transfer: Transfer, now: int) -> bool:
@@ -607,7 +609,10 @@
         if isinstance(what, ReferenceType):
             what = what()
         if isinstance(what, Transfer):
-            self.cue(what, Cue.HOPELESS, now)
+            # What was never dispatched is given up while its client has time for another try. Guards against holding
+            # it to the end for nothing (a cell without a node, a long surge). Harm: its late utility.
+            if not what.dispatches or now >= what.ends - ENDING_TICKS * self.facts["tick"]:
+                self.cue(what, Cue.HOPELESS, now)
         elif isinstance(what, Node):
             what.wake_at = NEVER
             self.touched[what.id] = what
