--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -20,6 +20,16 @@
         of.woken(one.ends - 40, one)
         self.assertEqual(port.of("decline"), [(1, 5000)])
 
+    def test_what_was_never_dispatched_is_given_up_at_half_of_its_clients_time(self):
+        for dispatched, told in ((False, [(1, 5000)]), (True, [])):
+            of, port = scheduler()
+            one = transfer(of, 1)
+            if dispatched:
+                of.dispatch(one, node(of), 0)
+                of.returned(100, answer(1, Outcome.TURNED_AWAY))
+            of.woken(one.ends // 2, one)
+            self.assertEqual(port.of("decline"), told)
+
     def test_a_timeout_at_the_clients_time_is_answered_at_once(self):
         of, port = scheduler({"repeats": "ticketed", "group": "cell"})
         at, one = node(of), transfer(of, 1)
