--- a/milletsill/platform/decide.py
+++ b/milletsill/platform/decide.py
@@ -58,7 +58,8 @@
 
 # --- Descriptors.
 
-SPARE = 24  # standard streams, the reactor's own, discovery, a list read, the listening socket
+SPARE = 40  # standard streams, the reactor's own, discovery, a list read, the listening socket, and OVER
+OVER = 16  # clients that were accepted with the last one, before accepting pauses
 CLIENTS_PART = 0.45
 
 
--- a/milletsill/platform/door.py
+++ b/milletsill/platform/door.py
@@ -8,7 +8,7 @@
 from milletsill.http1 import writer
 from milletsill.http1.decide import Bounds
 from milletsill.http1.reader import Malformed, RequestReader
-from milletsill.platform.decide import MOST_AHEAD, MOST_DISCARDED, Cue, Stage, due, next_stage
+from milletsill.platform.decide import MOST_AHEAD, MOST_DISCARDED, OVER, Cue, Stage, due, next_stage
 
 if TYPE_CHECKING:
     from milletsill.platform.gateway import Gateway
@@ -173,8 +173,7 @@
     def buildProtocol(self, address: Any) -> Client | None:
         if len(self.open) >= self.most:
             self.look(True)
-        if len(self.open) >= self.most:
-            self.pause()
+        if len(self.open) >= self.most + OVER:
             self.gateway.note("refused", "no descriptor for a client")
             return None
         client = Client(self.gateway)
