--- a/milletsill/cli/main.py
+++ b/milletsill/cli/main.py
@@ -40,6 +40,13 @@
     sys.exit(run(loaded, files))
 
 
+@main.command()
+def serve() -> None:
+    """Serve the platform's protocol until SIGTERM; NODE_CONFIG names the file."""
+    from milletsill.platform import process
+    sys.exit(process.main([]))
+
+
 @main.command()
 @click.argument("file", type=click.Path())
 @click.option("--scenario", is_flag=True, help="FILE is a day of the laboratory.")
