--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -523,9 +523,9 @@
         transfer.dispatches.append(sent)
         node.out.append(sent)
         node.sends.append((now, transfer.units))
-        # Guards against dispatches lost without a word; not before the target (few answers make a poor guess),
-        # but where as much time is left for another. Surplus, and all at a node that lapsed, ends at the target:
-        # no late work for nodes. Harm: late utility; what a node that pauses still answers is asked for twice.
+        # Guards against dispatches lost without a word; not before the target (few answers make a poor
+        # guess), but where as much time is left for another. Surplus, and all at a node that lapsed, ends at
+        # the target: no late work. Harm: late utility; a node that pauses is asked twice.
         left, lost = transfer.target - now, int(LOST * max(node.latency or 0, self.service(node, transfer)))
         sent.final = left > 0 and (not transfer.reserved or node.lapses > 0)
         timeout = left if sent.final else max(left, lost)
@@ -543,8 +543,8 @@
         self.touched[node.id] = node
         waited = answer.latency - transfer.units * self.clear / node.size
         self.ease(sent, answer.outcome is not Outcome.SATISFIED or waited > CROWDED * self.shortest, now)
-        # Guards against resting a node for a dispatch that was lost alone (a connection fell silent, an answer
-        # went astray): the first without a word while the node was heard of late. Harm: a hung one is known later.
+        # Guards against resting a node for a dispatch that was lost alone (a connection fell silent): the
+        # first without a word while the node was heard of late. Harm: a hung one is known later.
         of_late = sent.sent - HEARD * max(answer.latency, self.shortest)  # a reset may come at once
         alone = answer.outcome in NO_WORD and node.heard >= max(node.silent, of_late)
         node.silent = now if answer.outcome in NO_WORD else node.silent
