Gateways take turns at a cold node where an even part is below one unit

Ruled out by the same trace: news of a start that comes late or not at all (each such dispatch names the node's age), `since` and clocks (ages fit the list's), run_on and further dispatches (they pass the same gate and were counted).

At fault: `cold_wait`. The draw let one gateway send `largest_units`, whatever the node bears, and `learn` gave back what was answered, so one that was lucky went on all window; with 200 gateways the sum has the right mean and any spread.

Now: by the node's start (which the list tells all alike), its id and the settings' own number of this gateway, each knows whose turn it is. A turn is open for a quarter of the rule's window, then one and a quarter pass without any; its takers together send what a node bears. Nothing is drawn, nothing given back within a turn.

--- a/milletsill/edge/facts.py
+++ b/milletsill/edge/facts.py
@@ -37,7 +37,7 @@
     """The facts of one gateway's file; shapes and units as interface.py has them."""
     rules, reports = file.rules, list(file.reports.field)
     return pick_facts(
-        gateways=file.gateways, tick=max(at_least(rules.tick_ms), 1), zone=file.zone,
+        gateways=file.gateways, index=None, tick=max(at_least(rules.tick_ms), 1), zone=file.zone,
         categories=[category_of(each) for each in file.category], plans=[plan_of(each) for each in file.plan],
         writes=[place for place, each in enumerate(file.category) if each.write],
         meter=at_most(rules.meter_ms), share_utility=rules.share_utility, spare_utility=rules.spare_utility,
--- a/milletsill/facts.py
+++ b/milletsill/facts.py
@@ -59,8 +59,10 @@
     extra, limits, rules = (given.get(name) or {} for name in ("extra", "limits", "rules"))
     report, fees = given.get("report") or {}, given.get("fees") or {}
     budget = rules.get("resend_span_ns")
+    index = given.get("self_index")
     return {
-        "gateways": max(int(given.get("peers_total", 1)), 1), "tick": at_least(given.get("resolution_ns", 0)),
+        "gateways": max(int(given.get("peers_total", 1)), 1), "index": None if index is None else int(index),
+        "tick": at_least(given.get("resolution_ns", 0)),
         "zone": given.get("zone", 0), "categories": [category_of(each) for each in given.get("classes", [])],
         "plans": [plan_of(each) for each in given.get("plans", [])], "writes": extra.get("writes", []),
         "meter": int(extra.get("meter_ns", 0)) // UNIT, "share_utility": extra.get("fair_worth", 0.0),
--- a/milletsill/interface.py
+++ b/milletsill/interface.py
@@ -5,7 +5,7 @@
 `settle` once when nothing more is known for now; the module acts through the `Port` that it was given.
 
 The facts given at the start are a plain map of names to values:
-  gateways, tick, categories, plans, writes, zone, meter, share_utility, spare_utility, unit_mean,
+  gateways, index (this one's among them, None where it is not told), tick, categories, plans, writes, zone, meter, share_utility, spare_utility, unit_mean,
   largest_units, cold_units, cells, tells_elsewhere,
   may_probe, may_cancel, may_copy, most_dispatches, most_held, pause_told, longest_pause,
   list_on_request, report_fields, report_by, waste_fee, probe_fee, list_fee,
--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -25,7 +25,7 @@
 LOST, MOST_LAPSES = 6, 3  # latencies without an answer until a dispatch is lost; doublings of a node's rest
 UNSENT = 0.48  # of its client's time, until what was never dispatched is given up
 HEARD = 2  # waits of a lost dispatch, or shortest target times, within which its node was heard of late
-CREDITS, ASKED = 4, 10  # of a node; cold windows over which it is counted what is asked for it here
+CREDITS = 4  # of a node
 DRAWN, STRAIN = 8, 1 / 4  # nodes drawn for a new object; an answer's weight in a node's strain
 ENDING_TICKS, ASK_AGAIN = 2, 1 / 8  # before a client gives up; share of the stated time until a failed watch
 CROWDED, EASE, LEAST_SURPLUS = 1 / 4, 0.7, 1 / 16  # a volume's surplus: a crowded answer's wait; its window
@@ -131,11 +131,11 @@
         self.window, self.credit, self.size = FIRST_WINDOW, CREDITS, 1.0
         self.latency: float | None = None  # M
         self.wait = self.pace = self.best = 0.0  # smoothed wait, smoothed latency a unit, the best of late
-        self.strain = self.asked = 0.0  # smoothed wait, in shortest target times, and load; units asked here
+        self.strain = 0.0  # smoothed wait, in shortest target times, and load
         self.follow: Transfer | None = None
-        self.follow_until = self.rest_until = self.lapses = self.lapsed = self.asked_at = 0
+        self.follow_until = self.rest_until = self.lapses = self.lapsed = 0
         self.barred_at, self.heard, self.silent = 0, -NEVER, 0  # silent: the last end without a word
-        self.wake_at, self.drawn, self.lucky = NEVER, -NEVER, False  # the draw of rule 4
+        self.wake_at = NEVER
         self.sends: deque[tuple[int, float]] = deque()  # units sent within the window of rule 4
 
     def crowded(self) -> bool:
@@ -154,6 +154,8 @@
         self.facts, self.port, self.born = facts, port, now
         chance = Random(seed)
         self.uniform, self.choices = chance.uniform, chance.choices
+        index = facts["index"]  # among the gateways; by chance where it is not told
+        self.index = int(self.uniform(0, facts["gateways"])) if index is None else index
         self.nodes, self.volumes = dict[int, Node](), dict[int, Volume]()
         self.transfers = dict[int, Transfer]()
         self.cells, self.serving = dict[int, Node](), list[Node]()  # in service, by cell; all of these
@@ -289,8 +291,6 @@
 
     def hold(self, transfer: Transfer, node: Node, now: int) -> None:
         self.touched[node.id] = transfer.node = node
-        node.asked *= 2 ** ((node.asked_at - now) / (ASKED * (self.facts["cold_window"] + 1)))
-        node.asked, node.asked_at = node.asked + transfer.units, now
         m = node.latency if node.latency is not None else transfer.category["target_time"] / FIRST_M
         transfer.tag = transfer.target - int(m)
         missed = now + HOPE * self.service(node, transfer) > transfer.target
@@ -455,26 +455,43 @@
 
     def cold_wait(self, transfer: Transfer, node: Node, now: int) -> int:
         """Rule 4: sends less answers stay under this gateway's part of what a cold node bears, cut to leave
-        room for what it can do. Where no transfer is that small, chance lets that share of gateways send.
+        room for what it can do.
         """
         facts, age = self.facts, now - (node.since or -NEVER)
-        span, largest, least = facts["cold_window"] + 2, facts["largest_units"], facts["cold_from"] or 1.0
+        span = facts["cold_window"] + 2
         while node.sends and node.sends[0][0] + span <= now:
             node.sends.popleft()
         if age >= facts["warm_after"]:
             return 0
-        part = facts["cold_units"] / self.parted("cold", node.id, facts["gateways"], now - span, now)
-        part *= 1 - 1 / max(facts["cold_multiple"], 1)
-        part *= 1 + (1 / least - 1) * max(age, 0) / facts["warm_after"]
-        if part < 1:
-            if now >= node.drawn + span:
-                asked = node.asked / min(max((now - self.born) / span, 1), ASKED)
-                asked = max(asked, sum(each[2].units for each in node.extents))
-                node.drawn, node.lucky = now, self.uniform(0, asked) < part
-            part = largest if node.lucky else 0.0
+        part = self.bears(age) / self.parted("cold", node.id, facts["gateways"], now - span, now)
+        if part < 1 and ("cold", node.id) not in self.parts:
+            return self.turn_wait(transfer, node, max(age, 0), now)
         if sum(units for _, units in node.sends) + transfer.units <= part:
             return 0
-        return max((node.sends[0][0] if node.sends else max(node.drawn, now - span)) + span - now, 1)
+        return max((node.sends[0][0] if node.sends else now - span) + span - now, 1)
+
+    def bears(self, age: int) -> float:
+        """Units that a cold node bears of those who know of its start, in any window; never less than told."""
+        facts = self.facts
+        grown = (1 / (facts["cold_from"] or 1.0) - 1) * max(age, 0) / facts["warm_after"]
+        return facts["cold_units"] * (1 - 1 / max(facts["cold_multiple"], 1)) * (1 + grown)
+
+    def turn_wait(self, transfer: Transfer, node: Node, age: int, now: int) -> int:
+        """Where an even part is below one unit, gateways take turns: each knows by the node's start and id whose
+        turn it is. Guards rule 4 against the chance that many send together, whatever is asked where; a turn
+        is open for a quarter of a window, and the pause behind it leaves a quarter for what is on its way.
+        Harm: a turn of one who holds nothing is lost to the others.
+        """
+        facts, span = self.facts, self.facts["cold_window"] + 2
+        turn, past = divmod(age, span * 3 // 2)
+        bears = self.bears(turn * (span * 3 // 2) - span)
+        share = min(bears, max(facts["unit_mean"], 1))
+        takers = int(bears / share) if share else 0
+        mine = (self.index - node.id - turn * takers) % facts["gateways"] < takers
+        spent = sum(units for at, units in node.sends if at >= now - past and units > 0)
+        if mine and past < span // 4 and spent + transfer.units <= share:
+            return 0
+        return span * 3 // 2 - past
 
     def part(self, now: int, what: str, id: int, share: float | None, ends: int, after: float) -> None:
         """Another part than the even one; None: the even one. What has filled until now fills at the old."""
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,126 @@
+"""Many modules in front of one node that has just come up: what they send it together (rule 4). Simulated time, no bench."""
+import heapq
+import unittest
+from collections import deque
+from itertools import count
+from random import Random
+
+from milletsill.interface import Answer, Arrival, News, Outcome
+from milletsill.policy import Scheduler
+from tests.helpers import BASE, CATEGORY, line
+
+STARTS, SECOND = 5_000, 10_000  # the node's start
+
+
+class Gateway:
+    """One module and its port."""
+
+    def __init__(self, fleet, index):
+        self.fleet, self.dispatches = fleet, {}
+        self.module = Scheduler({**fleet.facts, "index": index}, fleet.chance.getrandbits(32), fleet.now, self)
+
+    def send(self, transfer, node, timeout):
+        number = self.dispatches[transfer] = self.dispatches.get(transfer, -1) + 1
+        self.fleet.reached(self, transfer, number)
+
+    def wake(self, at, what):
+        self.fleet.at(at, lambda: self.module.woken(self.fleet.now, what), self)
+
+    def __getattr__(self, name):  # what else the module does is not looked at
+        return lambda *values: None
+
+
+class Fleet:
+    """`even`: one share of the traffic for each gateway; else a tenth of them have nine tenths."""
+
+    def __init__(self, seed, gateways, rate, even, **facts):
+        self.chance, self.now, self.events, self.numbers = Random(seed), 0, [], count()
+        self.facts = {**BASE, "categories": [CATEGORY], "gateways": gateways, **facts}
+        self.units, self.sent, self.busy_until, self.even = {}, [], STARTS, even
+        self.gateways = [Gateway(self, each) for each in range(gateways)]
+        for index in range(gateways):
+            self.at(STARTS + int(self.chance.uniform(0, SECOND)), lambda index=index: self.told(index))
+        for index in self.chance.sample(range(gateways), gateways // 2):  # restarts inside the warm-up
+            self.at(STARTS + int(self.chance.uniform(0, self.facts["warm_after"])), lambda index=index: self.restart(index))
+        at = 0.0
+        while at < STARTS + self.facts["warm_after"]:
+            self.at(int(at), self.arrival)
+            at += self.chance.expovariate(rate) * SECOND
+
+    def at(self, at, call, gateway=None):
+        heapq.heappush(self.events, (max(at, self.now), next(self.numbers), call, gateway))
+
+    def told(self, index):
+        self.gateways[index].module.listed(self.now, News.CHANGES, [line(7, since=STARTS)])
+
+    def restart(self, index):
+        self.gateways[index] = Gateway(self, index)
+        self.told(index)
+
+    def arrival(self):
+        some = len(self.gateways) if self.even or self.chance.random() < 0.1 else len(self.gateways) // 10 + 1
+        gateway, id = self.gateways[self.chance.randrange(some)], next(self.numbers)
+        self.units[id] = min(1 + int(self.chance.expovariate(1.0)), 8)
+        gateway.module.taken(self.now, Arrival(id, id, id % 50, 9, 0, 0, False, False, 0, float(self.units[id]), self.now + 15_000))
+        self.at(self.now, lambda: None, gateway)
+
+    def reached(self, gateway, transfer, number):
+        """The node works off what comes at what the settings promise of it; one answer in ten is lost."""
+        age, facts = self.now - STARTS, self.facts
+        self.sent.append((self.now, self.units[transfer]))
+        rate = facts["cold_units"] / facts["cold_multiple"] / facts["cold_window"] * self.grown(age)
+        sent = self.now
+        self.busy_until = max(self.busy_until, self.now) + int(self.units[transfer] / rate)
+        if self.chance.random() < 0.9:
+            self.at(self.busy_until, lambda: gateway.module.returned(self.now, Answer(
+                transfer, number, 7, Outcome.SATISFIED, True, self.now - sent, None, 0, {})), gateway)
+
+    def grown(self, age):
+        return 1 + (1 / self.facts["cold_from"] - 1) * max(age, 0) / self.facts["warm_after"]
+
+    def play(self):
+        ends = STARTS + self.facts["warm_after"]
+        while self.events and self.events[0][0] < ends:
+            self.now, _, call, gateway = heapq.heappop(self.events)
+            call()
+            if gateway is not None:
+                gateway.module.settle(self.now)
+        return self
+
+    def most(self):
+        """The most units sent in one window, in parts of what the settings let all together send in it."""
+        window, units, most = deque(), 0, 0.0
+        for at, each in self.sent:
+            window.append((at, each))
+            units += each
+            while window[0][0] <= at - self.facts["cold_window"]:
+                units -= window.popleft()[1]
+            most = max(most, units / (self.facts["cold_units"] * self.grown(window[0][0] - STARTS)))
+        return most
+
+
+class ColdNode(unittest.TestCase):
+    """No gateway knows of another, and all together stay within what the node bears."""
+
+    def check(self, gateways, rate, **facts):
+        sent = 0
+        for seed, even in ((1, True), (2, False), (3, True)):
+            fleet = Fleet(seed, gateways, rate, even, **facts).play()
+            self.assertLessEqual(fleet.most(), 1.0, (seed, even))
+            sent += len(fleet.sent)
+        self.assertGreater(sent, 5, "a guard that sends nothing")
+
+    def test_two_hundred_gateways_and_little_traffic(self):
+        self.check(200, 40.0, cold_units=2.0, cold_multiple=2.5, cold_from=0.18, warm_after=150_000)
+
+    def test_two_hundred_gateways_that_all_have_much_to_send(self):
+        self.check(200, 300.0, cold_units=2.0, cold_multiple=2.5, cold_from=0.18, warm_after=150_000)
+
+    def test_a_larger_budget_over_a_longer_window(self):
+        self.check(200, 200.0, cold_units=27.0, cold_multiple=3.0, cold_from=0.19, warm_after=170_000, cold_window=30_000)
+
+    def test_a_thousand_gateways(self):
+        self.check(1024, 150.0, cold_units=12.0, cold_multiple=3.0, cold_from=0.3, warm_after=60_000)
+
+    def test_few_gateways_with_a_part_each(self):
+        self.check(5, 60.0, cold_units=27.0, cold_multiple=3.0, cold_from=0.19, warm_after=100_000, cold_window=30_000)
