--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -483,7 +483,7 @@
     def bears(self, age: int) -> float:
         """Units that a cold node bears in any window of those who know of its start."""
         facts = self.facts
-        grown = (1 / (facts["cold_from"] or 1.0) - 1) * max(age, 0) / facts["warm_after"]
+        grown = (1 / (facts["cold_from"] or 1.0) - 1) * max(age, 0) / max(facts["warm_after"], 1)
         return facts["cold_units"] * (1 - 1 / max(facts["cold_multiple"], 1)) * (1 + grown)
 
     def turn_wait(self, transfer: Transfer, node: Node, age: int, now: int) -> int:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -165,6 +165,11 @@
         of.learn(at.out[0], answer(1, Outcome.SATISFIED), 600)  # what it answered is not given back within a turn
         self.assertGreater(of.cold_wait(transfer(of, 3, units=1.0), at, 600), 0)
 
+    def test_a_node_that_starts_a_moment_from_now_is_cold_too(self):
+        for warm_after in (0, 100_000):
+            of, _ = scheduler(gateways=100, index=50, warm_after=warm_after)
+            self.assertGreater(of.cold_wait(transfer(of, 1), node(of, since=3), 1), 0)
+
     def test_a_restarted_gateway_takes_its_turn_for_spent(self):
         of, _ = scheduler(gateways=100, index=7)
         of.listed(5, News.CACHED, [line(7, since=1)])
