--- a/milletsill/edge/facts.py
+++ b/milletsill/edge/facts.py
@@ -48,7 +48,7 @@
         pause_told=rules.longest_pause_ms > 0, longest_pause=at_most(rules.longest_pause_ms),
         list_on_request=True, report_fields=reports, report_by="piggyback" if reports else "silent",
         waste_fee=0.0, probe_fee=0.0, list_fee=0.0, drain_grace=at_most(rules.drain_grace_ms),
-        ask_within=at_most(rules.ask_within_ms), quiet=0, told_within=None, cold_from=rules.cold_from,
+        ask_within=at_most(rules.ask_within_ms), cold_from=rules.cold_from,
         warm_after=at_least(rules.warm_after_s * 1000), cold_multiple=rules.cold_multiple,
         cold_window=at_least(rules.cold_window_ms), further_free=rules.further_free,
         further_ratio=rules.further_ratio,
--- a/milletsill/edge/host.py
+++ b/milletsill/edge/host.py
@@ -224,7 +224,7 @@
         """One dispatch has ended: the client's answer first, then the module, then what follows."""
         if out.over or self.stopped:
             return
-        out.over = True
+        out.over, out.sending = True, None  # cuts the circle of both and of what tells the end: freed at once
         now, first = self.now(), not live.answered
         satisfied = outcome is Outcome.SATISFIED and first
         if satisfied:
--- a/milletsill/facts.py
+++ b/milletsill/facts.py
@@ -78,7 +78,7 @@
         "report_by": report.get("via", "silent"), "waste_fee": fees.get("waste", 0.0),
         "probe_fee": fees.get("probe", 0.0), "list_fee": fees.get("membership_mode", 0.0),
         "drain_grace": at_most(rules.get("stop_sending_within_ns", 0)),
-        "ask_within": at_most(rules.get("ask_within_ns", 0)), "quiet": 0, "told_within": None, "cold_from": rules.get("cold_from", 0.0),
+        "ask_within": at_most(rules.get("ask_within_ns", 0)), "cold_from": rules.get("cold_from", 0.0),
         "warm_after": at_least(rules.get("warm_after_ns", 0)),
         "cold_multiple": rules.get("fall_multiple", 0.0), "cold_window": at_least(rules.get("fall_ns", 0)),
         "further_free": rules.get("extra_free", 0), "further_ratio": rules.get("further_ratio", 0.0),
--- a/milletsill/interface.py
+++ b/milletsill/interface.py
@@ -9,8 +9,7 @@
   largest_units, cold_units, cells, tells_elsewhere,
   may_probe, may_cancel, may_copy, most_dispatches, most_held, pause_told, longest_pause,
   list_on_request, report_fields, report_by, waste_fee, probe_fee, list_fee,
-  drain_grace, ask_within, quiet (how long a watch may have been silent when it is told as FAILED),
-  told_within (after which what the list has to tell counts as told, heard or not; None: never), cold_from, warm_after, cold_multiple, cold_window,
+  drain_grace, ask_within, cold_from, warm_after, cold_multiple, cold_window,
   further_free, further_ratio, further_window (None where no budget is stated), key_rest.
 A category is a map of: target_time, patience, utility, late_utility, repeats, group, repeat_window,
 in_order, streams.  A plan is a map of: usual_rate, reserve_rate, weight, price, limit_rate (0: none),
--- a/milletsill/platform/configuration.py
+++ b/milletsill/platform/configuration.py
@@ -7,7 +7,6 @@
 from typing import Any, Callable, Mapping
 
 from milletsill.facts import facts_of
-from milletsill.platform.decide import QUIET, TOLD
 from milletsill.platform.nodes import BadEntry, News, address_of, news_of
 
 MOST_OCTETS = 8 << 20
@@ -58,7 +57,6 @@
         facts = facts_of(given.get("settings"))
     except ValueError as error:
         raise ValueError(f"settings: {error}") from None
-    facts |= {"quiet": QUIET, "told_within": TOLD, "ask_within": min(facts["ask_within"] or TOLD, TOLD)}
     if not facts["categories"] or not facts["plans"]:
         raise ValueError("settings: no categories or no plans")
     limits = given.get("limits")
--- a/milletsill/platform/decide.py
+++ b/milletsill/platform/decide.py
@@ -109,8 +109,7 @@
 
 # --- Discovery.
 
-QUIET = 40_000  # a watch without a byte for this long is broken: an empty line comes every 2 s, and one may be late
-TOLD = 60_000  # whatever the list has to tell counts as told by then, whether it arrived or not
+QUIET = 60_000  # a watch without a byte for this long is broken: an empty line comes every 2 s
 DIAL = 10_000
 MOST_LINE = 4 << 20  # octets of one list
 
--- a/milletsill/platform/discovery.py
+++ b/milletsill/platform/discovery.py
@@ -125,7 +125,7 @@
         first = watch is self.watch and watch.version >= 0
         if line:
             self.news(news_of(json.loads(line), self.zones, self.clock, self.remark))
-        else:  # the list was heard of
+        elif first:
             self.told(Kind.CHANGES, ())
         if first:
             watch.version = -1  # has spoken
--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -164,8 +164,6 @@
         self.unplaced, self.touched = list[Transfer](), dict[int, Node]()
         self.taken_at, self.further_at = deque[int](), deque[int]()
         self.parts = dict[tuple[str, int], Part]()  # those that are not even; as many as were told
-        self.heard, self.unheard = now, now if facts["list_on_request"] else NEVER  # the list, since when not
-        self.told_within = facts["told_within"] or NEVER
         self.numbers, self.asks, self.strain, self.clear = 0, 0, 0.0, 0.0  # clear: a unit's usual time
         self.shortest = min((each["target_time"] for each in facts["categories"]), default=1)
         self.idle = IDLE * max((each["patience"] for each in facts["categories"]), default=1)
@@ -174,14 +172,10 @@
 
     def listed(self, now: int, news: News, entries: Sequence[Listed]) -> None:
         if news is News.FAILED:
-            self.unheard = min(self.unheard, max(self.heard, now - self.facts["quiet"]))
             # Guards rule 3 against a lost or refused watch; could harm a slow list: the pause grows.
             pause = self.facts["ask_within"] * min(ASK_AGAIN * self.asks, 1 / 2) * self.uniform(0.5, 1)
             return self.port.wake(now + int(pause), "ask")
-        if news is not News.CACHED:
-            self.asks, self.heard, self.unheard = 0, now, NEVER
-        if news is News.CHANGES and not entries:
-            return
+        self.asks *= news is News.CACHED
         for entry in entries:
             node = self.nodes.get(entry.node)
             fresh = entry.since is not None and (node is None or entry.since != node.since)
@@ -427,10 +421,6 @@
         """0 if the transfer may go to the node now, else how long to wait before asking again."""
         if transfer.phase is Phase.OVER or now >= transfer.ends or node.health is Health.BARRED:
             return NEVER  # rules 1 and 3; no grace is used
-        if now - self.unheard >= self.told_within:
-            # Guards rules 3 and 4 against what the list has had to tell for so long that it counts as told: a
-            # node that drains, left, or came up cold. Harm: while no list can be had, nothing is sent at all.
-            return int(ASK_AGAIN * self.facts["ask_within"]) + 1
         return max(self.repeat_wait(transfer, node, now), self.cold_wait(transfer, node, now),
                    self.key_wait(transfer, now), self.limit_wait(transfer, now))
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from milletsill.interface import Answer, Arrival, Listed, Outcome, Readiness
-from milletsill.policy import NEVER, Node, Scheduler, Transfer
+from milletsill.policy import Node, Scheduler, Transfer
 
 BASE: dict[str, Any] = {
     "gateways": 2, "index": 0, "tick": 20, "plans": [
@@ -12,7 +12,7 @@
          "limit_store": 0.0, "limit_slack": 0.0}],
     "share_utility": 0.3, "unit_mean": 2.0, "largest_units": 8, "cold_units": 20.0, "may_cancel": True, "may_copy": True,
     "most_dispatches": 3, "pause_told": True, "longest_pause": 5000, "list_on_request": True,
-    "ask_within": 100_000, "quiet": 0, "told_within": None, "cold_from": 0.25, "cold_multiple": 2.0, "warm_after": 100_000,
+    "ask_within": 100_000, "cold_from": 0.25, "cold_multiple": 2.0, "warm_after": 100_000,
     "cold_window": 10_000, "further_free": 0, "further_ratio": 0.0, "further_window": None, "key_rest": 3000}
 CATEGORY: dict[str, Any] = {"target_time": 3000, "patience": 15_000, "utility": 1.0, "repeats": "rerunnable",
                             "group": "all", "repeat_window": 20_000, "in_order": False}
@@ -36,9 +36,7 @@
     port = Noted()
     plans = [{**BASE["plans"][0], **(plan or {})}]
     given = {**BASE, "categories": [{**CATEGORY, **(category or {})}], **facts, "plans": plans}
-    made = Scheduler(given, 1, 0, port)  # type: ignore[arg-type]
-    made.unheard = NEVER
-    return made, port
+    return Scheduler(given, 1, 0, port), port  # type: ignore[arg-type]
 
 
 def line(node: int, cell: int = 0, since: int | None = None, zone: int = 0,
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -63,6 +63,12 @@
     def verdict(self):
         return Verdict(DONE, "0", {"queue": 3.0}, None, 2, packets.Data(0, b"x"))
 
+    def test_a_dispatch_that_ended_holds_on_to_nothing(self):
+        self.host.send(1, 7, 5000)
+        out = self.host.live[1].outs[0]
+        self.pool.held[0][1](Outcome.ERROR, None)
+        self.assertEqual((out.over, out.sending), (True, None))
+
     def test_events_of_one_moment_are_settled_once(self):
         self.host.abandon(1)
         self.clock.advance(0)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -436,10 +436,9 @@
     def test_an_empty_first_line_is_an_answer_too_and_silence_is_a_break(self):
         watch, wire = self.watch()
         watch.dataReceived(self.HEAD + b"1\r\n\n\r\n")
-        watch.dataReceived(b"1\r\n\n\r\n")  # the module hears that the list was heard of
-        self.reactor.advance(4.1)
+        self.reactor.advance(6.1)
         self.follower.look()
-        self.assertEqual((self.told, wire.aborted), ([(News.CHANGES, 0), (News.CHANGES, 0), (News.FAILED, 0)], True))
+        self.assertEqual((self.told, wire.aborted), ([(News.CHANGES, 0), (News.FAILED, 0)], True))
 
     def test_what_cannot_be_read_ends_the_watch_with_one_line(self):
         for data in (b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", b"noise\r\n", self.HEAD + b"3\r\n{[\n\r\n",
@@ -501,12 +500,6 @@
             reader.feed(ask(X_Lane="none"))
             Categories(deployment.facts).arrival(reader.next(), 1000, 60)
 
-    def test_the_list_counts_as_told_after_six_seconds_whatever_the_settings_say(self):
-        for stated, taken in ((10, 60_000), (4, 39_999), (0, 60_000)):
-            rules = SETTINGS["rules"] | {"ask_within_ns": stated * 1_000_000_000}
-            facts = deployment_of(GIVEN | {"settings": SETTINGS | {"rules": rules}}, {}, 0, print).facts
-            self.assertEqual((facts["ask_within"], facts["quiet"], facts["told_within"]), (taken, 40_000, 60_000))
-
     def test_a_configuration_that_cannot_be_used_is_one_line(self):
         with tempfile.TemporaryDirectory() as folder:
             path = os.path.join(folder, "c.json")
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -2,7 +2,7 @@
 import unittest
 
 from milletsill.interface import News, Outcome, Readiness
-from milletsill.policy import CREDITS, NEVER, Health, Phase, Scheduler, Sign, Store
+from milletsill.policy import CREDITS, NEVER, Health, Phase, Sign, Store
 from tests.helpers import answer, arrival, line, node, scheduler, transfer
 
 
@@ -112,32 +112,6 @@
             of.woken(1, "ask")
         self.assertEqual(len(port.of("watch")), 10)
 
-    def test_nothing_is_sent_once_the_list_was_not_heard_of_for_the_stated_time(self):
-        of, _ = scheduler(quiet=30_000, told_within=100_000)
-        at, one = node(of), transfer(of, 1, ends=1 << 40)
-        of.listed(50_000, News.CHANGES, [])
-        of.listed(70_000, News.FAILED, [])  # silent since 50,000, or broken at 70,000
-        of.listed(99_000, News.FAILED, [])
-        self.assertEqual([of.wait_for(one, at, now) > 0 for now in (149_999, 150_000)], [False, True])
-        self.assertLess(of.wait_for(one, at, 150_000), NEVER)
-        of.listed(150_001, News.CHANGES, [])
-        self.assertEqual(of.wait_for(one, at, 400_000), 0)
-
-    def test_where_a_watch_cannot_be_silent_it_was_heard_of_until_it_failed(self):
-        of, _ = scheduler(told_within=100_000)
-        of.listed(50_000, News.CHANGES, [])
-        of.listed(500_000, News.FAILED, [])
-        self.assertEqual(of.wait_for(transfer(of, 1, 500_000, ends=1 << 40), node(of), 599_999), 0)
-
-    def test_a_gateway_that_never_heard_the_list_sends_for_the_stated_time(self):
-        of, _ = scheduler(told_within=100_000)
-        made = Scheduler(of.facts, 1, 1000, of.port)
-        self.assertEqual(made.unheard, 1000)
-        for stated, holds in ((100_000, True), (None, False)):
-            of, _ = scheduler(told_within=stated)
-            of.unheard = 0
-            self.assertEqual(of.wait_for(transfer(of, 1, 200_000, ends=1 << 40), node(of), 200_000) > 0, holds)
-
     def test_a_cold_node_gets_this_gateways_part_and_more_as_it_warms(self):
         for now, units, lawful in ((0, 5.0, True), (0, 6.0, False), (50_000, 12.0, True), (50_000, 13.0, False),
                                    (100_001, 99.0, True)):
