Rules 2 to 7 hold where the settings leave out what they rest on

Need: another layout is to come whose settings may lack what the module has always been told.

Seen, by tests with settings of another shape (tests/test_layouts.py, tests/test_platform.py), all failing on the text before: without resolution_ns key_wait returned a wait of 0 to the second transfer of a key (rule 5); set_size 0 became 1, so that each gateway took a volume's whole limit (rule 7); a budget with a span of 0 returned a wait of 0 (rule 6); any membership_mode but on_request was taken for pushed, and no list was asked for (rule 3); nodes of zones that the settings do not name counted as one zone (rule 2); without ask_within_ns a failed watch was asked for again after 0; without cold_bears, or without any rule for cold nodes, a cold node got nothing for its whole warm-up.

Lines at fault: policy.key_wait, taken, repeat_wait, listed, cold_wait, bears; facts.gathered; platform/nodes.place_of; wirehost hear.

--- a/milletsill/facts.py
+++ b/milletsill/facts.py
@@ -73,7 +73,7 @@
         "may_copy": limits.get("second_copies", False), "most_dispatches": limits.get("max_attempts", 1),
         "most_held": limits.get("most_held", 0), "pause_told": limits.get("retry_after", False),
         "longest_pause": int(limits.get("max_retry_after_ns", 0)) // UNIT,
-        "list_on_request": given.get("membership_mode") == "on_request",
+        "list_on_request": given.get("membership_mode") != "pushed",
         "report_fields": [REPORTS.get(name, name) for name in report.get("fields", [])],
         "report_by": report.get("via", "silent"), "waste_fee": fees.get("waste", 0.0),
         "probe_fee": fees.get("probe", 0.0), "list_fee": fees.get("membership_mode", 0.0),
--- a/milletsill/interface.py
+++ b/milletsill/interface.py
@@ -69,7 +69,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """A transfer that the gateway has taken; `cell` is None for a new object; `ends` is a clock time."""
+    """A transfer that the gateway has taken; `cell` is None for a new object; `ends` is a clock time; `gateways` is 0 where
+    it is not told how many share its volume."""
 
     id: int
     extent: int
--- a/milletsill/platform/nodes.py
+++ b/milletsill/platform/nodes.py
@@ -46,6 +46,14 @@
     return value
 
 
+def zone_of(zone: Any, name: str, zones: Sequence[str]) -> int:
+    """The place of a node's zone in the settings. Guards rule 2, which may turn on the zone: one that the settings do not
+    name is itself alone, and a node without any shares its zone with none. Harm: none to what they name."""
+    if isinstance(zone, str) and zone in zones:
+        return zones.index(zone)
+    return len(zones) + number_of(f"zone {zone}" if isinstance(zone, str) and zone else f"node {name}")
+
+
 def place_of(entry: Any, zones: Sequence[str], clock: int) -> Place:
     """One entry; `clock` is our clock less the wall's, in tenths of a millisecond."""
     if not isinstance(entry, dict):
@@ -61,7 +69,7 @@
     gone = readiness is Readiness.GONE and "addr" not in entry
     host, port = ("", 0) if gone else address_of(entry.get("addr"))
     started = whole(entry, "started_ms", 1 << 53)
-    zone = zones.index(entry["zone"]) if entry.get("zone") in zones else len(zones)
+    zone = zone_of(entry.get("zone"), name, zones)
     since = started * 10 + clock if started else None
     return Place(name, host, port, Listed(number_of(name), readiness, float(size), 0, zone, since,
                                           whole(entry, "cell", MOST_CELL)))
--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -173,7 +173,8 @@
     def listed(self, now: int, news: News, entries: Sequence[Listed]) -> None:
         if news is News.FAILED:
             # Guards rule 3 against a lost or refused watch; could harm a slow list: the pause grows.
-            pause = self.facts["ask_within"] * min(ASK_AGAIN * self.asks, 1 / 2) * self.uniform(0.5, 1)
+            span = self.facts["ask_within"] or self.idle // IDLE  # the longest patience, where none is told
+            pause = span * min(ASK_AGAIN * self.asks, 1 / 2) * self.uniform(0.5, 1)
             return self.port.wake(now + int(pause), "ask")
         self.asks *= news is News.CACHED
         for entry in entries:
@@ -241,9 +242,10 @@
     def taken(self, now: int, arrival: Arrival) -> None:
         category, plan = self.facts["categories"][arrival.category], self.facts["plans"][arrival.plan]
         self.forget_idle(now)
-        volume = self.volumes.pop(arrival.volume, None) or Volume(plan, arrival.gateways, self.born)
+        gateways = arrival.gateways or self.facts["gateways"]  # guards rule 7: not told, it may be all
+        volume = self.volumes.pop(arrival.volume, None) or Volume(plan, gateways, self.born)
         self.volumes[arrival.volume], volume.used_at = volume, now  # the least lately used stands first
-        volume.id, volume.gateways = arrival.volume, max(volume.gateways, arrival.gateways)
+        volume.id, volume.gateways = arrival.volume, max(volume.gateways, gateways)
         transfer = self.transfers[arrival.id] = Transfer(arrival, category, volume, now)
         rate = plan["reserve_rate"] * volume.gateways ** -PART  # an estimate: others' use of it is not known
         if ("reserve", volume.id) in self.parts:
@@ -444,7 +446,7 @@
         self.lapse_counts(now)
         if len(self.further_at) + 1 <= facts["further_free"] + facts["further_ratio"] * len(self.taken_at):
             return 0
-        return max(self.further_at[0] + span + 2 - now, 1) if self.further_at else span
+        return max(self.further_at[0] + span + 2 - now, 1) if self.further_at else max(span, 1)
 
     def lapse_counts(self, now: int) -> None:  # rule 6: what lies before the window
         span = self.facts["further_window"]
@@ -461,7 +463,7 @@
         span = facts["cold_window"] + 2
         while node.sends and node.sends[0][0] + span <= now:
             node.sends.popleft()
-        if age >= facts["warm_after"]:
+        if age >= facts["warm_after"] or not facts["cold_multiple"] * facts["cold_window"]:
             return 0
         part = self.bears(age) / self.parted("cold", node.id, facts["gateways"], now - span, now)
         if part < 1 and ("cold", node.id) not in self.parts:
@@ -471,10 +473,12 @@
         return max((node.sends[0][0] if node.sends else now - span) + span - now, 1)
 
     def bears(self, age: int) -> float:
-        """Units that a cold node bears in any window of those who know of its start."""
+        """Units that a cold node bears in any window of those who know of its start; one usual transfer where
+        it is not told."""
         facts = self.facts
+        units = facts["cold_units"] or facts["unit_mean"]
         grown = (1 / (facts["cold_from"] or 1.0) - 1) * max(age, 0) / max(facts["warm_after"], 1)
-        return facts["cold_units"] * (1 - 1 / max(facts["cold_multiple"], 1)) * (1 + grown)
+        return units * (1 - 1 / max(facts["cold_multiple"], 1)) * (1 + grown)
 
     def turn_wait(self, transfer: Transfer, node: Node, age: int, now: int) -> int:
         """Where an even part is below one unit, gateways take turns: each knows by the node's start and id
@@ -515,7 +519,7 @@
         self.live(transfer.extent, now)
         keyed = self.keys[transfer.extent]
         rest = 0 if transfer.dispatches else max(self.key_rests.get(transfer.extent, now) - now, 0)
-        return rest if keyed[0] is transfer else self.facts["tick"]
+        return rest if keyed[0] is transfer else max(self.facts["tick"], 1)
 
     def limit_wait(self, transfer: Transfer, now: int) -> int:  # rule 7: an even part
         volume = transfer.volume
--- a/milletsill/wirehost/host.py
+++ b/milletsill/wirehost/host.py
@@ -76,7 +76,7 @@
         elif event.code == codec.TAKEN:
             tid, key, sharers, category, plan, flags, shard, units, volume, ends = fields
             cell = int(shard) if shard >= 0 else None
-            module.taken(now, Arrival(tid, key, volume, max(int(sharers), 1), category, plan, bool(flags & 2),
+            module.taken(now, Arrival(tid, key, volume, max(int(sharers), 0), category, plan, bool(flags & 2),
                                       bool(flags & 4), cell, units, ends // UNIT))
         elif event.code == codec.RETURNED:
             tid, outcome, node, others, used, over, number, lag, _ = fields
--- /dev/null
+++ b/tests/test_layouts.py
@@ -0,0 +1,99 @@
+"""Settings of shapes that no deployment at hand has, from the first message to what the module does with them."""
+import unittest
+
+from milletsill.facts import facts_of
+from milletsill.interface import Arrival, News, Outcome, Readiness
+from milletsill.policy import NEVER, Scheduler
+from tests.helpers import Noted, answer, line
+
+SECOND = 1_000_000_000
+
+
+def settings(**parts):
+    """The first message of a small layout; each part is laid over the base's, None takes it away."""
+    base = {"peers_total": 4, "self_index": 0, "resolution_ns": 2_000_000, "membership_mode": "pushed", "weights": "nominal",
+            "zone": 0, "zones": ["a", "b"],
+            "classes": [{"name": "read", "aim_ns": SECOND // 2, "hard_limit_ns": 2 * SECOND, "worth": 1.0,
+                         "idempotency": "free", "group": "all"}],
+            "plans": [{"name": "p", "guaranteed": 10.0}],
+            "extra": {"writes": [False], "largest": 8, "slots_total": 2, "unit_mean": 2.0, "cold_bears": 20.0},
+            "limits": {"max_attempts": 3, "second_copies": True, "retry_after": True, "max_retry_after_ns": SECOND},
+            "rules": {"stop_sending_within_ns": SECOND, "ask_within_ns": 10 * SECOND, "fall_multiple": 3.0,
+                      "fall_ns": SECOND, "cold_from": 0.25, "warm_after_ns": 10 * SECOND}}
+    for name, part in parts.items():
+        laid = {**base[name], **part} if isinstance(part, dict) else part
+        base[name] = {key: value for key, value in laid.items() if value is not None} if isinstance(laid, dict) else laid
+    return {name: part for name, part in base.items() if part is not None}
+
+
+def category(**changed):
+    return [{**settings()["classes"][0], **changed}]
+
+
+def module(**parts):
+    """A module with the facts of such settings, and what it says."""
+    port = Noted()
+    return Scheduler(facts_of(settings(**parts)), 1, 0, port), port
+
+
+def arrival(number, cell=0, extent=0, gateways=1, units=2.0, category=0, plan=0, ends=20_000):
+    return Arrival(number, extent, 1, gateways, category, plan, False, False, cell, units, ends)
+
+
+class Rules(unittest.TestCase):
+    """What the rules rest on where a setting is missing."""
+
+    def test_a_key_keeps_its_order_where_no_tick_is_told(self):
+        of, _ = module(resolution_ns=None, classes=category(sequential=True))
+        of.listed(0, News.WHOLE, [line(7)])
+        for number in (1, 2):
+            of.taken(0, arrival(number, extent=5))
+        self.assertGreater(of.key_wait(of.transfers[2], 0), 0)
+
+    def test_a_limit_is_parted_among_all_where_a_volumes_gateways_are_not_told(self):
+        for told, parts in ((0, 4), (1, 1), (3, 3)):
+            of, _ = module(plans=[{"name": "p", "ceiling_rate": 8.0, "most_at_once": 8.0}])
+            of.taken(100_000, arrival(1, gateways=told, ends=200_000))
+            of.limit_wait(of.transfers[1], 100_000)
+            self.assertAlmostEqual(of.volumes[1].limit.level, 8.0 / parts)
+
+    def test_a_budget_without_a_span_still_holds(self):
+        of, _ = module(rules={"resend_span_ns": 0, "further_ratio": 0.1})
+        of.listed(0, News.WHOLE, [line(7)])
+        of.taken(0, arrival(1))
+        of.dispatch(of.transfers[1], of.nodes[7], 0)
+        self.assertGreater(of.repeat_wait(of.transfers[1], of.nodes[7], 5), 0)
+
+    def test_the_list_is_asked_for_unless_the_settings_say_that_it_is_pushed(self):
+        for mode, asked in (("pushed", 0), ("on_request", 1), ("polled", 1), (None, 1)):
+            _, port = module(membership_mode=mode)
+            self.assertEqual(len(port.of("watch")), asked, mode)
+
+    def test_a_failed_watch_waits_between_calls_where_no_span_is_told(self):
+        of, port = module(rules={"ask_within_ns": None})
+        for _ in range(3):
+            of.listed(0, News.FAILED, [])
+            of.woken(0, "ask")
+        at = [when for when, what in port.of("wake") if what == "ask"]
+        self.assertGreater(at[1], 0)
+        self.assertLessEqual(max(at), 20_000)  # the longest patience
+
+    def test_a_cold_node_without_a_stated_budget_gets_one_usual_transfer_a_turn(self):
+        of, _ = module(extra={"cold_bears": None}, peers_total=1)
+        of.listed(20_000, News.WHOLE, [line(7, since=20_000)])
+        for number in (1, 2):
+            of.taken(20_000, arrival(number, units=1.0, ends=60_000))
+        self.assertEqual(of.cold_wait(of.transfers[1], of.nodes[7], 20_000), 0)
+        of.dispatch(of.transfers[1], of.nodes[7], 20_000)
+        self.assertGreater(of.cold_wait(of.transfers[2], of.nodes[7], 20_000), 0)
+
+    def test_without_a_rule_for_cold_nodes_none_is_held_back(self):
+        for rules in ({"fall_multiple": None}, {"fall_ns": None}):
+            of, _ = module(rules=rules)
+            of.listed(20_000, News.WHOLE, [line(7, since=20_000)])
+            of.taken(20_000, arrival(1, units=8.0, ends=60_000))
+            self.assertEqual(of.cold_wait(of.transfers[1], of.nodes[7], 20_000), 0, rules)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -459,6 +459,12 @@
         new.dataReceived(self.HEAD + self.line(9))
         self.assertEqual((wire.aborted, [kind for kind, _ in self.told]), (True, [News.WHOLE, News.CHANGES, News.CHANGES]))
 
+    def test_a_zone_that_the_settings_do_not_name_is_shared_only_with_its_like(self):
+        zones = [place_of(NODE | {"id": name, "zone": zone}, ["z"], 0).listed.zone
+                 for name, zone in (("a", "z"), ("b", "z"), ("c", "y"), ("d", "y"), ("e", "x"), ("f", None), ("g", None))]
+        self.assertEqual([zones[0], zones[2]], [zones[1], zones[3]])
+        self.assertEqual(len(set(zones)), 5)
+
     def test_an_entry_that_does_not_parse_is_left_out_alone(self):
         bad = [{}, 5, NODE | {"addr": "x"}, NODE | {"state": "new"}, NODE | {"cell": -1}, NODE | {"weight": float("nan")}]
         news = news_of({"version": 3, "servers": bad + [NODE | {"started_ms": 5}]}, ["z"], 7, self.log.append)
