Several nodes a cell: a choice by credit, wait and strain before the queues

Need: the module knew one node for each cell. A layout with several, or with no cells at all (every node then is of cell 0), would use the one listed last.

Seen: of twelve transfers of a cell with three nodes the text before places 12, 0 and 0, now 4, 4 and 4 (probe with the test's own settings); a further dispatch went back to the node that had just failed; a resting node kept what others of its cell could take. Lines at fault: policy.listed (cells: one Node each), place, sign, cue, returned.

BD-EDF decides at the node as before. A transfer of a cell with one node takes the same path as ever.

--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -153,12 +153,12 @@
     def __init__(self, facts: Facts, seed: int, now: int, port: Port) -> None:
         self.facts, self.port, self.born = facts, port, now
         chance = Random(seed)
-        self.uniform, self.choices = chance.uniform, chance.choices
+        self.uniform, self.sample = chance.uniform, chance.sample
         index = facts["index"]  # among the gateways; by chance where it is not told
         self.index = int(self.uniform(0, facts["gateways"])) if index is None else index
         self.nodes, self.volumes = dict[int, Node](), dict[int, Volume]()
         self.transfers = dict[int, Transfer]()
-        self.cells, self.serving = dict[int, Node](), list[Node]()  # in service, by cell; all of these
+        self.cells, self.serving = dict[int, list[Node]](), list[Node]()  # in service, by cell; all of these
         self.outstanding = dict[tuple[int, int], Dispatch]()
         self.keys, self.key_rests = dict[int, deque[Transfer]](), dict[int, int]()  # rule 5
         self.unplaced, self.touched = list[Transfer](), dict[int, Node]()
@@ -189,8 +189,10 @@
         missing = self.nodes.keys() - {entry.node for entry in entries} if news is not News.CHANGES else ()
         for each in sorted(missing):
             self.sign(self.nodes[each], Sign.UNREADY, now)
-        self.cells = {node.cell: node for node in self.nodes.values() if node.health is not Health.BARRED}
-        self.serving = list(self.cells.values())
+        self.serving = [node for node in self.nodes.values() if node.health is not Health.BARRED]
+        self.cells = {}
+        for node in self.serving:
+            self.cells.setdefault(node.cell, []).append(node)
         self.forget_nodes(now)
 
     def forget_nodes(self, now: int) -> None:
@@ -235,7 +237,14 @@
             node.lapses, node.rest_until = 0, now
         if effect == "empty":
             node.barred_at = now
-            for _, _, transfer in list(node.extents):
+            self.hand_back(node)
+
+    def hand_back(self, node: Node) -> None:
+        """What is held at a node that left or rests is placed again where there is a choice. Guards against
+        waiting for one node while others could. Harm: it loses its run; what credit was spent on stays.
+        """
+        for _, _, transfer in list(node.extents):
+            if node.health is Health.BARRED or not transfer.spent and len(self.choice(transfer)) > 1:
                 node.take(transfer)
                 self.unplaced.append(transfer)
 
@@ -264,20 +273,38 @@
         self.port.wake(now + int(UNSENT * (transfer.ends - now)), ref(transfer))
         self.unplaced.append(transfer)
 
+    def choice(self, transfer: Transfer) -> Sequence[Node]:
+        """The nodes that can take it: those of its cell, or, for a new object, all until it may have run in one."""
+        cell = transfer.cell
+        if cell is None:
+            if not (ran := transfer.ran()):
+                return self.serving
+            cell = ran[-1].node.cell
+        return self.cells.get(cell, ())
+
     def place(self, transfer: Transfer, now: int) -> bool:
-        """To the node of its cell; a new object, where credit is left, to the least strained of some drawn by
-        chance: gateways that see the same must not all choose the same. Until one has credit it is held.
+        """To the node of its cell; where there is a choice, to the best of some drawn by chance: gateways that
+        see the same must not all choose the same. A new object is held until one has credit.
         """
-        node = self.cells.get(transfer.cell)
-        if transfer.cell is None and self.serving:
-            drawn = self.choices(self.serving, k=DRAWN)
-            if ready := [each for each in drawn if self.credit(each, now) > 0]:
-                node = min(ready, key=self.strain_of)
-                node.credit, transfer.spent = node.credit - 1, True
+        nodes, new = self.choice(transfer), transfer.cell is None and not transfer.ran()
+        if transfer.dispatches:
+            nodes = [each for each in nodes if self.repeat_wait(transfer, each, now) < NEVER]
+        node = nodes[0] if nodes else None
+        if node is not None and (new or len(nodes) > 1):
+            drawn = self.sample(nodes, min(DRAWN, len(nodes)))
+            node = min(drawn, key=lambda each: self.reluctance(transfer, each, now))
+            if new and self.credit(node, now) <= 0:
+                return False
+            node.credit, transfer.spent = node.credit - new, new
         if node is not None:
             self.hold(transfer, node, now)
         return node is not None
 
+    def reluctance(self, transfer: Transfer, node: Node, now: int) -> tuple[bool, bool, bool, float]:
+        """What speaks against a node, weightiest first: no credit, a wait, that it was there before, its strain."""
+        waits = now < node.rest_until or self.cold_wait(transfer, node, now) > 0
+        return self.credit(node, now) <= 0, waits, node is transfer.node, self.strain_of(node)
+
     def credit(self, node: Node, now: int) -> int:
         """A node without credit that has nothing to answer is tried with one, else it could earn none."""
         idle = not node.out and not node.extents and now >= node.rest_until
@@ -575,6 +602,7 @@
             node.lapses, node.lapsed = min(node.lapses + 1, MOST_LAPSES), now
             span = max(answer.latency, node.latency or self.facts["tick"])
             node.rest_until = now + int(span * (2 ** node.lapses - 1) * self.uniform(0.5, 1.5))
+            self.hand_back(node)
         if answer.outcome in NO_WORD and node.heard <= sent.sent and not alone:
             self.sign(node, Sign.LAPSE, now)
         elif answer.outcome not in UNSETTLED + (Outcome.MOOT,):
@@ -589,7 +617,7 @@
             transfer.spent = False
             late = now >= transfer.ends - ENDING_TICKS * self.facts["tick"]
             ended = late or sent.final and answer.outcome is Outcome.TIMED_OUT
-            never = ended or self.repeat_wait(transfer, node, now) >= NEVER
+            never = ended or all(self.repeat_wait(transfer, each, now) >= NEVER for each in self.choice(transfer))
             self.cue(transfer, Cue.LAST if never else Cue.AGAIN, now)
         self.let_go(transfer)
 
@@ -643,10 +671,8 @@
 
     def cue(self, transfer: Transfer, cue: Cue, now: int) -> None:
         transfer.phase, effect = TRANSFER_TABLE.get((transfer.phase, cue), (transfer.phase, ""))
-        if effect == "hold" and (transfer.node is None or transfer.cell is None and not transfer.ran()):
+        if effect == "hold":
             self.unplaced.append(transfer)
-        elif effect == "hold":
-            self.hold(transfer, transfer.node, now)
         elif effect:
             self.end(transfer, effect == "give_up")
 
--- a/tests/test_layouts.py
+++ b/tests/test_layouts.py
@@ -95,5 +95,74 @@
             self.assertEqual(of.cold_wait(of.transfers[1], of.nodes[7], 20_000), 0, rules)
 
 
+class Choice(unittest.TestCase):
+    """Several nodes in a cell: which one, before the queues of that one decide when."""
+
+    def cell(self, *lines, now=0, **parts):
+        of, port = module(**parts)
+        of.listed(now, News.WHOLE, [line(number, **entry) for number, entry in lines])
+        return of, port
+
+    def test_all_nodes_of_a_cell_are_used(self):
+        of, _ = self.cell(*((number, {}) for number in (7, 8, 9)))
+        for number in range(12):
+            of.taken(0, arrival(number))
+        of.settle(0)
+        self.assertEqual([len(of.nodes[each].out) + len(of.nodes[each].extents) for each in (7, 8, 9)], [4, 4, 4])
+
+    def test_without_cells_any_node_takes_any_transfer(self):
+        of, port = self.cell((7, {}), (8, {}), extra={"slots_total": None})
+        for number in (1, 2):
+            of.taken(0, arrival(number))
+        of.settle(0)
+        self.assertEqual({node for _, node, _ in port.of("send")}, {7, 8})
+
+    def test_what_a_resting_node_holds_goes_to_another_of_its_cell(self):
+        of, _ = self.cell((7, {}), (8, {}))
+        for number in range(12):
+            of.taken(0, arrival(number))
+        of.settle(0)
+        gone = next(iter(of.nodes[7].out))
+        of.returned(100, answer(gone.transfer.id, Outcome.TURNED_AWAY, latency=100))
+        self.assertFalse(of.nodes[7].extents)
+        of.settle(100)
+        self.assertFalse(of.nodes[7].extents)
+
+    def test_a_further_dispatch_prefers_another_node_of_the_cell_where_the_rules_let_it(self):
+        for repeats, group, zone, elsewhere in (("free", "all", 1, True), ("guarded", "zone", 0, True),
+                                                ("guarded", "zone", 1, False), ("guarded", "cell", 1, True)):
+            of, _ = self.cell((7, {}), (8, {"zone": zone}), classes=category(idempotency=repeats, group=group,
+                                                                            window_ns=SECOND))
+            of.taken(0, arrival(1))
+            one = of.transfers[1]
+            of.hold(one, of.nodes[7], 0)
+            of.dispatch(one, of.nodes[7], 0)
+            of.returned(100, answer(1, Outcome.ERROR, latency=100))
+            self.assertTrue(of.place(one, 100))
+            self.assertIs(one.node, of.nodes[8 if elsewhere else 7], (repeats, group, zone))
+
+    def test_a_cold_node_whose_part_is_spent_is_passed_over(self):
+        of, _ = self.cell((7, {}), (8, {"since": 20_000}), now=20_000)
+        of.nodes[8].sends.append((20_000, 99.0))
+        of.taken(20_000, arrival(1, ends=40_000))
+        of.place(of.transfers[1], 20_000)
+        self.assertIs(of.transfers[1].node, of.nodes[7])
+
+    def test_a_new_object_stays_in_the_cell_where_it_may_have_run(self):
+        of, _ = self.cell((7, {}), (8, {"cell": 1}), (9, {}))
+        of.taken(0, arrival(1, cell=None))
+        of.dispatch(of.transfers[1], of.nodes[7], 0)
+        of.transfers[1].dispatches[0].outcome = Outcome.RESET
+        self.assertEqual(of.choice(of.transfers[1]), [of.nodes[7], of.nodes[9]])
+
+    def test_a_node_that_leaves_hands_over_to_those_that_stay(self):
+        of, _ = self.cell((7, {}), (8, {}))
+        of.taken(0, arrival(1))
+        of.hold(of.transfers[1], of.nodes[7], 0)
+        of.listed(5, News.CHANGES, [line(7, readiness=Readiness.DRAINING)])
+        of.place(of.transfers[1], 5)
+        self.assertIs(of.transfers[1].node, of.nodes[8])
+
+
 if __name__ == "__main__":
     unittest.main()
