What settings leave out is off: no reserves, plans, units, sizes or target times

Lines at fault: policy.taken, Transfer.__init__, listed, learn, strain_of, repeat_wait; facts.category_of, gathered.

--- a/milletsill/edge/facts.py
+++ b/milletsill/edge/facts.py
@@ -21,7 +21,7 @@
 
 
 def category_of(given: Any) -> dict[str, Any]:
-    return {"name": given.name, "target_time": at_most(given.target_ms), "patience": at_most(given.patience_ms),
+    return {"name": given.name, "target_time": at_most(given.target_ms), "stretch": 0.0, "patience": at_most(given.patience_ms),
             "utility": given.utility, "late_utility": given.late_utility, "streams": False,
             "repeats": given.repeats, "group": given.group, "repeat_window": at_most(given.repeat_window_ms),
             "in_order": given.in_order}
@@ -53,7 +53,7 @@
         cold_window=at_least(rules.cold_window_ms), further_free=rules.further_free,
         further_ratio=rules.further_ratio,
         further_window=at_least(rules.further_window_ms) if rules.HasField("further_window_ms") else None,
-        key_rest=at_least(rules.key_rest_ms))
+        key_rest=at_least(rules.key_rest_ms), sized=True, cross_fee=0.0)
 
 
 def atlas_of(file: Any) -> Atlas:
--- a/milletsill/interface.py
+++ b/milletsill/interface.py
@@ -10,9 +10,10 @@
   may_probe, may_cancel, may_copy, most_dispatches, most_held, pause_told, longest_pause,
   list_on_request, report_fields, report_by, waste_fee, probe_fee, list_fee,
   drain_grace, ask_within, cold_from, warm_after, cold_multiple, cold_window,
-  further_free, further_ratio, further_window (None where no budget is stated), key_rest.
-A category is a map of: target_time, patience, utility, late_utility, repeats, group, repeat_window,
-in_order, streams.  A plan is a map of: usual_rate, reserve_rate, weight, price, limit_rate (0: none),
+  further_free, further_ratio, further_window (None where no budget is stated), key_rest,
+  sized (whether the list's sizes tell what nodes can do), cross_fee (of a dispatch into another zone).
+A category is a map of: target_time, stretch (of the target time, by the transfer's work), patience, utility,
+late_utility, repeats, group, repeat_window, in_order, streams.  A plan is a map of: usual_rate, reserve_rate, weight, price, limit_rate (0: none),
 limit_store, limit_slack; rates are units a second.
 """
 from __future__ import annotations
--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -96,13 +96,15 @@
 
 
 class Transfer:
-    def __init__(self, arrival: Arrival, category: Mapping[str, Any], volume: Volume, now: int) -> None:
+    def __init__(self, arrival: Arrival, category: Mapping[str, Any], volume: Volume, units: float,
+                 clear: float, now: int) -> None:
         self.id, self.extent, self.volume, self.category = arrival.id, arrival.extent, volume, category
-        self.cell, self.units, self.ends = arrival.cell, arrival.units, arrival.ends
+        self.cell, self.units, self.ends = arrival.cell, units, arrival.ends
         # From the client's first try; one with less than a target time left is one of many short tries.
-        dated = arrival.repeat and arrival.ends - now >= category["target_time"]
+        target_time = category["target_time"] + int(category["stretch"] * units * clear)
+        dated = arrival.repeat and arrival.ends - now >= target_time
         start = min(now, arrival.ends - category["patience"]) if dated else now
-        self.target = self.tag = min(start + category["target_time"], arrival.ends)
+        self.target = self.tag = min(start + target_time, arrival.ends)
         self.utility = category["utility"] * volume.plan["price"]  # of a unit
         self.phase, self.reserved, self.spent = Phase.HELD, True, False
         self.node: Node | None = None
@@ -165,7 +167,13 @@
         self.taken_at, self.further_at = deque[int](), deque[int]()
         self.parts = dict[tuple[str, int], Part]()  # those that are not even; as many as were told
         self.numbers, self.asks, self.strain, self.clear = 0, 0, 0.0, 0.0  # clear: a unit's usual time
-        self.shortest = min((each["target_time"] for each in facts["categories"]), default=1)
+        self.shortest = max(min((each["target_time"] for each in facts["categories"]), default=1), 1)
+        # Where no plan has a reserve the usual rate stands in; without one all go by their target times.
+        plans = facts["plans"]
+        claims = [name for name in ("reserve_rate", "usual_rate") if any(plan[name] for plan in plans)]
+        self.plans = [{**plan, "reserve_rate": plan[name]} for name in claims[:1] for plan in plans] or plans
+        self.unreserved = not claims
+        self.largest = facts["largest_units"] or facts["unit_mean"]
         self.idle = IDLE * max((each["patience"] for each in facts["categories"]), default=1)
         if facts["list_on_request"]:
             self.woken(now, "ask")
@@ -181,7 +189,8 @@
             node = self.nodes.get(entry.node)
             fresh = entry.since is not None and (node is None or entry.since != node.since)
             node = node or self.nodes.setdefault(entry.node, Node(entry))
-            node.cell, node.zone, node.since, node.size = entry.cell, entry.zone, entry.since, entry.size or 1
+            node.cell, node.zone, node.since = entry.cell, entry.zone, entry.since
+            node.size = entry.size if self.facts["sized"] and 0 < entry.size < NEVER else 1
             if fresh and now - self.born <= self.facts["cold_window"]:
                 node.sends.append((now, NEVER))  # guards rule 4: a former self may have spent its part
             ready = Sign.FRESH if fresh else Sign.READY
@@ -211,7 +220,7 @@
             if oldest is not None and now - self.volumes[oldest].used_at > self.idle:
                 volume = self.volumes.pop(oldest)
                 parted = ("limit", oldest) in self.parts
-                if parted or not volume.forgettable(now, self.facts["largest_units"]):
+                if parted or not volume.forgettable(now, self.largest):
                     self.volumes[oldest], volume.used_at = volume, now
             key = next(iter(self.keys), None)
             if key is not None and not self.live(key, now):
@@ -249,19 +258,23 @@
                 self.unplaced.append(transfer)
 
     def taken(self, now: int, arrival: Arrival) -> None:
-        category, plan = self.facts["categories"][arrival.category], self.facts["plans"][arrival.plan]
+        categories, plans = self.facts["categories"], self.plans
+        if arrival.category >= len(categories) or arrival.plan >= len(plans):  # no rule is told for it
+            return self.port.decline(arrival.id, 0)
+        category, plan = categories[arrival.category], plans[arrival.plan]
+        units = arrival.units if 0 < arrival.units < NEVER else self.facts["unit_mean"]
         self.forget_idle(now)
         gateways = arrival.gateways or self.facts["gateways"]  # guards rule 7: not told, it may be all
         volume = self.volumes.pop(arrival.volume, None) or Volume(plan, gateways, self.born)
         self.volumes[arrival.volume], volume.used_at = volume, now  # the least lately used stands first
         volume.id, volume.gateways = arrival.volume, max(volume.gateways, gateways)
-        transfer = self.transfers[arrival.id] = Transfer(arrival, category, volume, now)
+        transfer = self.transfers[arrival.id] = Transfer(arrival, category, volume, units, self.clear, now)
         rate = plan["reserve_rate"] * volume.gateways ** -PART  # an estimate: others' use of it is not known
         if ("reserve", volume.id) in self.parts:
             rate = plan["reserve_rate"] / self.parted("reserve", volume.id, volume.gateways, now, now)
-        there = volume.reserve.fill(now, rate, rate + self.facts["largest_units"])
-        transfer.reserved = there >= transfer.units
-        volume.reserve.level -= transfer.units if transfer.reserved else 0
+        there = volume.reserve.fill(now, rate, rate + self.largest)
+        transfer.reserved = self.unreserved or there >= units
+        volume.reserve.level -= units if transfer.reserved else 0
         transfer.utility *= 1.0 if transfer.reserved else self.facts["share_utility"]
         if self.facts["further_window"] is not None:  # nothing older is ever counted
             self.taken_at.append(now)
@@ -274,7 +287,7 @@
         self.unplaced.append(transfer)
 
     def choice(self, transfer: Transfer) -> Sequence[Node]:
-        """The nodes that can take it: those of its cell, or, for a new object, all until it may have run in one."""
+        """The nodes that can take it: those of its cell; a new object's are all, until it may have run."""
         cell = transfer.cell
         if cell is None:
             if not (ran := transfer.ran()):
@@ -283,8 +296,8 @@
         return self.cells.get(cell, ())
 
     def place(self, transfer: Transfer, now: int) -> bool:
-        """To the node of its cell; where there is a choice, to the best of some drawn by chance: gateways that
-        see the same must not all choose the same. A new object is held until one has credit.
+        """To the node of its cell; where there is a choice, to the best of some drawn by chance: gateways
+        that see the same must not all choose the same. A new object is held until one has credit.
         """
         nodes, new = self.choice(transfer), transfer.cell is None and not transfer.ran()
         if transfer.dispatches:
@@ -301,7 +314,7 @@
         return node is not None
 
     def reluctance(self, transfer: Transfer, node: Node, now: int) -> tuple[bool, bool, bool, float]:
-        """What speaks against a node, weightiest first: no credit, a wait, that it was there before, its strain."""
+        """What speaks against a node, weightiest first: no credit, a wait, that it was there, its strain."""
         waits = now < node.rest_until or self.cold_wait(transfer, node, now) > 0
         return self.credit(node, now) <= 0, waits, node is transfer.node, self.strain_of(node)
 
@@ -316,7 +329,8 @@
     def strain_of(self, node: Node) -> float:  # in shortest target times; the mean of all until it is known
         units = sum(each.transfer.units for each in node.out) + sum(each[2].units for each in node.extents)
         known = self.strain if node.latency is None else node.strain
-        return known + node.lapses + units * self.clear / node.size / self.shortest
+        away = self.facts["cross_fee"] if node.zone != self.facts["zone"] else 0.0
+        return known + away + node.lapses + units * self.clear / node.size / self.shortest
 
     def hold(self, transfer: Transfer, node: Node, now: int) -> None:
         self.touched[node.id] = transfer.node = node
@@ -457,8 +471,8 @@
         if not transfer.dispatches:
             return 0
         facts, category, ran = self.facts, transfer.category, transfer.ran()
-        place = {"all": lambda other: 0, "zone": lambda other: other.zone}.get(
-            category["group"], lambda other: other.cell)
+        place = {"all": lambda other: 0, "zone": lambda other: other.zone,
+                 "cell": lambda other: other.cell}.get(category["group"], lambda other: other.id)
         if (len(transfer.dispatches) >= facts["most_dispatches"]
                 or not transfer.spent and self.credit(node, now) <= 0
                 or any(each.outcome is None for each in transfer.dispatches) and not facts["may_copy"]
@@ -617,7 +631,8 @@
             transfer.spent = False
             late = now >= transfer.ends - ENDING_TICKS * self.facts["tick"]
             ended = late or sent.final and answer.outcome is Outcome.TIMED_OUT
-            never = ended or all(self.repeat_wait(transfer, each, now) >= NEVER for each in self.choice(transfer))
+            never = ended or all(self.repeat_wait(transfer, each, now) >= NEVER
+                                 for each in self.choice(transfer))
             self.cue(transfer, Cue.LAST if never else Cue.AGAIN, now)
         self.let_go(transfer)
 
--- a/tests/test_layouts.py
+++ b/tests/test_layouts.py
@@ -1,7 +1,7 @@
 """Settings of shapes that no deployment at hand has, from the first message to what the module does with them."""
 import unittest
 
-from milletsill.facts import facts_of
+from milletsill.facts import facts_of, missing_in, unknown_in
 from milletsill.interface import Arrival, News, Outcome, Readiness
 from milletsill.policy import NEVER, Scheduler
 from tests.helpers import Noted, answer, line
@@ -21,7 +21,7 @@
             "rules": {"stop_sending_within_ns": SECOND, "ask_within_ns": 10 * SECOND, "fall_multiple": 3.0,
                       "fall_ns": SECOND, "cold_from": 0.25, "warm_after_ns": 10 * SECOND}}
     for name, part in parts.items():
-        laid = {**base[name], **part} if isinstance(part, dict) else part
+        laid = {**base.get(name, {}), **part} if isinstance(part, dict) else part
         base[name] = {key: value for key, value in laid.items() if value is not None} if isinstance(laid, dict) else laid
     return {name: part for name, part in base.items() if part is not None}
 
@@ -164,5 +164,119 @@
         self.assertIs(of.transfers[1].node, of.nodes[8])
 
 
+class Absent(unittest.TestCase):
+    """What is not there, or is nothing: served with that feature off."""
+
+    def test_without_plans_transfers_are_taken_under_the_plainest(self):
+        for plans in ([], None):
+            of, port = module(plans=plans)
+            of.listed(0, News.WHOLE, [line(7)])
+            of.taken(0, arrival(1))
+            of.settle(0)
+            self.assertEqual(len(port.of("send")), 1)
+
+    def test_where_no_plan_has_a_reserve_all_go_by_their_target_times(self):
+        for plans, reserved in (([{}], True), ([{}, {"guaranteed": 1.0}], False), ([{"usual_rate": 1.0}], False),
+                                ([{"usual_rate": 80.0}], True), ([{"usual_rate": 80.0}, {"guaranteed": 1.0}], False)):
+            of, _ = module(plans=plans)
+            for number in range(9):
+                of.taken(0, arrival(number, units=8.0))
+            self.assertEqual(of.transfers[8].reserved, reserved)
+
+    def test_a_transfer_without_units_counts_as_a_usual_one(self):
+        for units in (0.0, -1.0, float("nan"), float("inf")):
+            of, _ = module()
+            of.listed(0, News.WHOLE, [line(7)])
+            of.taken(0, arrival(1, units=units))
+            of.dispatch(of.transfers[1], of.nodes[7], 0)
+            of.returned(100, answer(1, Outcome.SATISFIED, over=True))
+            self.assertEqual(of.nodes[7].pace, 200.0)
+
+    def test_one_time_of_a_category_stands_for_the_other(self):
+        for given, both in (({"aim_ns": None}, 20_000), ({"hard_limit_ns": None}, 5_000), ({"aim_ns": 0}, 20_000)):
+            one = facts_of(settings(classes=category(**given)))["categories"][0]
+            self.assertEqual((one["target_time"], one["patience"]), (both, both))
+
+    def test_a_stretched_target_grows_with_the_work(self):
+        of, _ = module(classes=category(aim_stretch=3.0))
+        of.clear = 100.0
+        for number, units, target in ((1, 2.0, 5_600), (2, 8.0, 7_400), (3, 80.0, 20_000)):
+            of.taken(0, arrival(number, units=units))
+            self.assertEqual(of.transfers[number].target, target)
+
+    def test_sizes_that_follow_load_say_nothing_of_what_a_node_can_do(self):
+        for weights, size in (("live", 1), ("nominal", 0.25)):
+            of, _ = module(weights=weights)
+            entry = line(7)
+            object.__setattr__(entry, "size", 0.25)
+            of.listed(0, News.WHOLE, [entry])
+            self.assertEqual(of.nodes[7].size, size)
+
+    def test_an_absurd_size_counts_as_one(self):
+        for size in (0.0, -1.0, float("nan"), float("inf")):
+            of, _ = module()
+            entry = line(7)
+            object.__setattr__(entry, "size", size)
+            of.listed(0, News.WHOLE, [entry])
+            self.assertEqual(of.nodes[7].size, 1)
+
+    def test_a_node_at_home_is_preferred_where_crossing_costs(self):
+        of, _ = module(fees={"cross_zone": 0.02}, zone=1)
+        of.listed(0, News.WHOLE, [line(7), line(8, zone=1)])
+        for number in range(3):
+            of.taken(0, arrival(number, units=0.001))
+            of.place(of.transfers[number], 0)
+            self.assertIs(of.transfers[number].node, of.nodes[8])
+
+    def test_what_no_setting_tells_of_costs_only_itself(self):
+        for strange in ({"category": 9}, {"plan": 9}):
+            of, port = module()
+            of.listed(0, News.WHOLE, [line(7)])
+            of.taken(0, arrival(1, **strange))
+            of.taken(0, arrival(2))
+            of.settle(0)
+            self.assertEqual((port.of("decline"), [sent[0] for sent in port.of("send")]), ([(1, 0)], [2]))
+
+    def test_news_of_what_was_never_heard_of_costs_nothing(self):
+        of, port = module()
+        of.listed(0, News.CHANGES, [line(9, readiness=Readiness.GONE), line(7)])
+        of.returned(1, answer(5, Outcome.SATISFIED))
+        of.abandoned(1, 5)
+        of.woken(1, None)
+        of.taken(1, arrival(1))
+        of.taken(1, arrival(2, cell=99))
+        of.settle(1)
+        self.assertEqual([sent[:2] for sent in port.of("send")], [(1, 7)])
+
+
+class Words(unittest.TestCase):
+    """What cannot be meant is one line that names its field."""
+
+    def test_each_names_its_field(self):
+        for field, parts in (("classes[0].aim_ns", {"classes": category(aim_ns="soon")}),
+                             ("classes[0].aim_ns", {"classes": category(aim_ns=None, hard_limit_ns=0)}),
+                             ("classes[0].worth", {"classes": category(worth=-1)}), ("classes", {"classes": 5}),
+                             ("plans[0].ceiling_rate", {"plans": [{"ceiling_rate": float("nan")}]}),
+                             ("plans", {"plans": [3]}), ("peers_total", {"peers_total": float("inf")}),
+                             ("rules.cold_from", {"rules": {"cold_from": 2}}), ("limits.cancel", {"limits": {"cancel": "no"}}),
+                             ("extra.largest", {"extra": {"largest": [8]}}), ("extra.writes", {"extra": {"writes": [1]}}),
+                             ("zones", {"zones": "a"}), ("membership_mode", {"membership_mode": 1}), ("rules", {"rules": [1]}),
+                             ("resolution_ns", {"resolution_ns": True}), ("report.fields", {"report": {"fields": [None]}})):
+            whole = {**settings(), "report": {}}
+            for name, part in parts.items():
+                whole[name] = {**whole[name], **part} if isinstance(part, dict) else part
+            with self.assertRaises(ValueError, msg=field) as caught:
+                facts_of(whole)
+            self.assertTrue(str(caught.exception).startswith(field + ":"), str(caught.exception))
+            self.assertNotIn("\n", str(caught.exception))
+
+    def test_unknown_names_are_found_and_missing_ones(self):
+        given = settings(limits={"burst": 3}, rules={"fall_ns": None})
+        given["classes"][0]["colour"] = given["shape"] = 1
+        self.assertEqual(unknown_in(given), ["shape", "classes.colour", "limits.burst"])
+        self.assertEqual(missing_in(given, ("rules.fall_ns", "rules.fall_multiple", "fees.waste", "tier")),
+                         ["rules.fall_ns", "fees.waste", "tier"])
+
+
 if __name__ == "__main__":
     unittest.main()
