--- a/milletsill/facts.py
+++ b/milletsill/facts.py
@@ -112,6 +112,13 @@
             "limit_slack": part.number("cap_slack")}
 
 
+def gateways_of(whole: Part) -> int:
+    """How many share limits and what cold nodes bear: the one number that nothing safe can stand in for."""
+    if not whole.whole("peers_total"):
+        raise ValueError("peers_total: missing or 0, and the parts of limits and of cold nodes' budgets rest on it")
+    return whole.whole("peers_total")
+
+
 def facts_of(given: Any) -> dict[str, Any]:
     """The settings under our names and in our units; names that are not known are passed over. ValueError where they
     are of no use."""
@@ -120,7 +127,7 @@
     whole = Part(given)
     extra, limits, rules, report, fees = (whole.part(name) for name in ("extra", "limits", "rules", "report", "fees"))
     return {
-        "gateways": max(whole.whole("peers_total", 1), 1),
+        "gateways": gateways_of(whole),
         "index": None if given.get("self_index") is None else whole.whole("self_index"),
         "tick": at_least(whole.number("resolution_ns")), "zone": whole.whole("zone"),
         "categories": [category_of(each) for each in whole.parts("classes")],
@@ -163,4 +170,4 @@
 def missing_in(given: Mapping[str, Any], needed: Sequence[str]) -> list[str]:
     """Those of some names, each `part.name` or `name`, that settings leave out."""
     return [name for name in needed
-            if (given.get(name.partition(".")[0]) or {} if "." in name else given).get(name.rpartition(".")[2]) is None]
+            if (given.get(name.partition(".")[0]) or {} if "." in name else given).get(name.rpartition(".")[2]) in (None, [])]
--- a/milletsill/platform/asks.py
+++ b/milletsill/platform/asks.py
@@ -16,6 +16,7 @@
 KEY = re.compile(rb"[!-~]{1,256}\Z")
 LONGEST_WAIT = 36_000_000  # tenths of a millisecond; nobody waits for an hour
 MOST_GATEWAYS = 1 << 20
+MOST = 1e9  # units and cells, where the settings set no bound
 
 
 class BadAsk(Exception):
@@ -42,7 +43,10 @@
         self.facts = facts
         self.categories = {each["name"].encode(): place for place, each in enumerate(facts["categories"])}
         self.plans = {each["name"].encode(): place for place, each in enumerate(facts["plans"])}
-        self.writes = {place for place, each in enumerate(facts["writes"]) if each is True}
+        self.planless = list(self.plans) == [b""]  # the settings name no plan: requests need not either
+        # Which categories write; where the settings leave it out, a request's method says it.
+        self.writes = {place for place, each in enumerate(facts["writes"]) if each} if facts["writes"] else None
+        self.largest, self.cells = facts["largest_units"] or MOST, facts["cells"] or MOST
 
     def one(self, message: Message, name: bytes, form: re.Pattern[bytes] | None = None) -> bytes:
         """A field that must be there once, in its form."""
@@ -54,11 +58,12 @@
     def arrival(self, message: Message, came: int, margin: int, by: int | None = None) -> Arrival:
         """The transfer that a request asks for; `came` is when its last octet was read; it is over at `by` at the latest."""
         id = int(self.one(message, b"x-txn", HEX16), 16)
-        category, plan = self.pick(self.categories, message, b"x-lane"), self.pick(self.plans, message, b"x-plan")
+        category = self.pick(self.categories, message, b"x-lane")
+        plan = 0 if self.planless else self.pick(self.plans, message, b"x-plan")
         path = TARGET.match(message.target)
         if path is None or path.group(1) != message.fields[b"x-lane"]:
             raise BadAsk(404, "the path is not the category's")
-        write = category in self.writes
+        write = message.method == b"PUT" if self.writes is None else category in self.writes
         if message.method != (b"PUT" if write else b"GET") or not write and message.body:
             raise BadAsk(405, "method or body do not fit the category")
         if self.facts["categories"][category]["repeats"] == "ticketed":
@@ -90,8 +95,8 @@
                 and WHOLE.match(hosts)):
             raise BadAsk(400, "x-io is malformed")
         cell = None if shard == b"-1" else int(shard)
-        if not 0 < float(units) <= self.facts["largest_units"] or not 0 < int(hosts) <= MOST_GATEWAYS or (
-                cell is not None and cell >= self.facts["cells"]):
+        if not 0 < float(units) <= self.largest or not 0 < int(hosts) <= MOST_GATEWAYS or (
+                cell is not None and cell >= self.cells):
             raise BadAsk(400, "x-io is out of bounds")
         return int(volume, 16), float(units), cell, int(hosts)
 
--- a/milletsill/platform/configuration.py
+++ b/milletsill/platform/configuration.py
@@ -6,11 +6,16 @@
 from dataclasses import dataclass
 from typing import Any, Callable, Mapping
 
-from milletsill.facts import facts_of
+from milletsill.facts import facts_of, missing_in, unknown_in
 from milletsill.platform.nodes import BadEntry, News, address_of, news_of
 
 MOST_OCTETS = 8 << 20
 LEAST_MEMORY = 64  # MB, where no limit is told
+MOST_NAMES = 20  # in one line
+# Settings without which something is off or a plainer value stands in.
+WANTED = ("resolution_ns", "membership_mode", "plans", "extra.cold_bears", "extra.largest", "extra.slots_total", "extra.unit_mean",
+          "extra.writes", "limits.conn_idle_ns", "limits.dial_timeout_ns", "limits.max_attempts", "limits.most_held",
+          "rules.ask_within_ns", "rules.fall_multiple", "rules.fall_ns", "rules.warm_after_ns")
 
 
 class Refused(Exception):
@@ -57,8 +62,12 @@
         facts = facts_of(given.get("settings"))
     except ValueError as error:
         raise ValueError(f"settings: {error}") from None
-    if not facts["categories"] or not facts["plans"]:
-        raise ValueError("settings: no categories or no plans")
+    if not facts["categories"]:
+        raise ValueError("settings: classes: none, so nothing can be taken")
+    for names, what in ((unknown_in(given["settings"]), "not known and passed over"),
+                        (missing_in(given["settings"], WANTED), "missing, what rests on them is off or at its plainest")):
+        if names:
+            remark(f"settings {what}: {', '.join(name[:60] for name in names[:MOST_NAMES])}")
     limits = given.get("limits")
     sockets, memory = (limit_of(limits, name) for name in ("sockets", "memory_mb"))
     try:
--- a/milletsill/platform/decide.py
+++ b/milletsill/platform/decide.py
@@ -104,6 +104,7 @@
 # --- Links.
 
 IDLE_PART = 0.7  # an idle link is closed after this part of the time after which the node may close it
+UNTOLD_DIAL, UNTOLD_IDLE = 10_000, 50_000  # where the settings do not say how long a dial and an idle link last
 MOST_EACH = 128  # links to one node
 MOST_WAITING = 128  # dispatches that wait for a link to one node
 
--- a/milletsill/platform/gateway.py
+++ b/milletsill/platform/gateway.py
@@ -10,7 +10,8 @@
 from milletsill.interface import Arrival, News
 from milletsill.platform.asks import BadAsk, Cargo, Categories, cargo_of
 from milletsill.platform.configuration import Deployment
-from milletsill.platform.decide import (ANSWER_MARGIN, Event, Octets, Process, leave_within, pass_on, shares_of)
+from milletsill.platform.decide import (ANSWER_MARGIN, UNTOLD_DIAL, UNTOLD_IDLE, Event, Octets, Process, leave_within,
+                                        pass_on, shares_of)
 from milletsill.platform.discovery import Follower
 from milletsill.platform.door import Client, Clients
 from milletsill.platform.links import Fleet, Sending
@@ -38,7 +39,8 @@
         self.categories = Categories(facts)
         self.clients = Clients(self, shares.clients)
         self.octets = Octets(deployment.memory_mb)
-        self.fleet = Fleet(reactor, now, shares.links, self.octets, facts["dial"], facts["link_idle"], self.note)
+        self.fleet = Fleet(reactor, now, shares.links, self.octets, facts["dial"] or UNTOLD_DIAL,
+                           facts["link_idle"] or UNTOLD_IDLE, self.note)
         self.follower = Follower(reactor, now, deployment.discovery, facts["zones"], clock, self.listed,
                                  lambda text: self.remark("list", reason=text))
         self.host = Host(reactor, now, facts, deployment.seed, make, self.carry, self.follower.ask,
--- a/milletsill/platform/nodes.py
+++ b/milletsill/platform/nodes.py
@@ -63,8 +63,8 @@
         raise BadEntry(f"id {str(name)[:40]!r} is not a name")
     if not isinstance(state, str) or state not in STATES:
         raise BadEntry(f"state {str(state)[:40]!r} is not one of {', '.join(STATES)}")
-    if isinstance(size, bool) or not isinstance(size, (int, float)) or not 0 < size < 1e6:
-        raise BadEntry(f"weight {str(size)[:40]!r} is not a number above 0")
+    if isinstance(size, bool) or not isinstance(size, (int, float)) or not 0 <= size < 1e6:
+        raise BadEntry(f"weight {str(size)[:40]!r} is not a number from 0")
     readiness = STATES[state]
     gone = readiness is Readiness.GONE and "addr" not in entry
     host, port = ("", 0) if gone else address_of(entry.get("addr"))
--- a/milletsill/platform/process.py
+++ b/milletsill/platform/process.py
@@ -63,11 +63,11 @@
     log = Lines(sys.stdout, gateway=deployment.name)
     gateway = Gateway(deployment, reactor, monotonic, clock, log)
     for each in faults:
-        gateway.remark("list", reason=each)
+        gateway.remark("configuration", reason=each)
 
     def again() -> None:
         try:
-            gateway.reload(read(os.environ, clock, lambda text: gateway.remark("list", reason=text)))
+            gateway.reload(read(os.environ, clock, lambda text: gateway.remark("configuration", reason=text)))
         except Refused as error:
             log.warning("configuration", reason=str(error))
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -30,6 +30,22 @@
             of.woken(one.ends // 2, one)
             self.assertEqual(port.of("decline"), told)
 
+    def test_what_is_given_up_is_answered_in_the_same_settle_with_a_time_to_come_back(self):
+        of, port = scheduler()
+        at = node(of)
+        at.rest_until = 4000  # behind its target, and the node is crowded: nothing can be in time there
+        at.lapses = 1
+        of.taken(0, arrival(1))
+        of.settle(0)
+        self.assertEqual((port.of("decline"), of.transfers), ([(1, 5000)], {}))
+
+    def test_what_may_not_go_again_is_answered_with_the_word_of_its_last_dispatch(self):
+        of, port = scheduler(most_dispatches=1)
+        one = transfer(of, 1)
+        of.dispatch(one, node(of), 0)
+        of.returned(100, answer(1, Outcome.ERROR))
+        self.assertEqual((port.of("decline"), of.transfers), ([(1, 5000)], {}))
+
     def test_a_timeout_at_the_clients_time_is_answered_at_once(self):
         of, port = scheduler({"repeats": "ticketed", "group": "cell"})
         at, one = node(of), transfer(of, 1)
