A send to a cold node weighs as a usual transfer at least: rule 4 under other settings

Traced on the wire: the second was sent 40 dispatches of 42 units in its last second, 38 of them of one unit where the usual transfer has 2.14, and had answered 38 units; the first 48 of 58 units, 14 of them followers of one extent, and had answered 53. Ruled out: stalls (none on it then), restarts, news not told (both gateways listed it within 2.4 s), work counted by units (a node that can do 15 units cannot answer 38). So every dispatch weighs as one of usual work, small ones alone fitted into a small part, and what they gave back let the next go at once.

Lines at fault: policy.cold_wait (weighs by units alone), learn (a follower gives back all its units).

Change: a send weighs as a usual transfer at least and gives back its units, a follower half of them; one alone within the part may always go. Two tests, both failing on the text before.

--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -498,7 +498,9 @@
 
     def cold_wait(self, transfer: Transfer, node: Node, now: int) -> int:
         """Rule 4: sends less answers stay under this gateway's part of what a cold node bears, cut to leave
-        room for what it can do.
+        room for what it can do. A send weighs as a usual transfer at least and gives back its units, a
+        follower less: guards against many small or cheap ones, each as much of a load. Harm: where all are
+        small the node idles.
         """
         facts, age = self.facts, now - (node.since or -NEVER)
         span = facts["cold_window"] + 2
@@ -509,7 +511,9 @@
         part = self.bears(age) / self.parted("cold", node.id, facts["gateways"], now - span, now)
         if part < 1 and ("cold", node.id) not in self.parts:
             return self.turn_wait(transfer, node, max(age, 0), now)
-        if sum(units for _, units in node.sends) + transfer.units <= part:
+        owed = sum(units for _, units in node.sends)
+        weighs = max(transfer.units, facts["unit_mean"])
+        if owed + weighs <= part or owed <= 0 and transfer.units <= part:
             return 0
         return max((node.sends[0][0] if node.sends else now - span) + span - now, 1)
 
@@ -584,7 +588,7 @@
         node.take(transfer)
         transfer.dispatches.append(sent)
         node.out.append(sent)
-        node.sends.append((now, transfer.units))
+        node.sends.append((now, max(transfer.units, self.facts["unit_mean"])))
         # Guards against dispatches lost without a word; not before the target (few answers make a poor
         # guess), but where as much time is left for another. Surplus, and all at a node that lapsed, ends at
         # the target: no late work. Harm: late utility; a node that pauses is asked twice.
@@ -645,8 +649,9 @@
     def learn(self, sent: Dispatch, answer: Answer, now: int) -> None:
         node, transfer = sent.node, sent.transfer
         node.lapses = max(node.lapses - 1, 0)
+        near = node.follow is not None and 0 < node.follow.extent == transfer.extent
+        node.sends.append((now, -transfer.units * (HIT if near else 1)))
         node.follow, node.follow_until = transfer, now + int(FOLLOW_WAIT * self.service(node, transfer))
-        node.sends.append((now, -transfer.units))
         pace = answer.latency / transfer.units
         self.clear *= 1 + CLEAR_STEP * (CLEAR - (pace * node.size < self.clear))
         self.clear = self.clear or pace * node.size
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -173,6 +173,29 @@
         of.learn(at.out[0], answer(1, Outcome.SATISFIED), 600)
         self.assertEqual(of.cold_wait(transfer(of, 3), at, 600), 0)
 
+    def test_small_transfers_to_a_cold_node_weigh_as_usual_ones(self):
+        """Each is as much of a load there, and answers of small ones tell of little work."""
+        of, _ = scheduler()  # this gateway's part is five units, a usual transfer two
+        at = node(of, since=1)
+        for number in range(1, 40):
+            one = transfer(of, number, units=1.0)
+            if of.cold_wait(one, at, 10 * number):
+                break
+            of.dispatch(one, at, 10 * number)
+            of.learn(at.out[-1], answer(number, Outcome.SATISFIED), 10 * number + 5)
+        self.assertEqual(number, 5)
+
+    def test_a_follower_that_a_cold_node_answered_gives_back_less(self):
+        given = []
+        for extent in (5, 6):
+            of, _ = scheduler()
+            at = node(of, since=1)
+            for number, named in ((1, 5), (2, extent)):
+                of.dispatch(transfer(of, number, extent=named), at, 10)
+                of.learn(at.out[-1], answer(number, Outcome.SATISFIED), 20)
+            given.append(at.sends[-1][1])
+        self.assertEqual(given, [-1.0, -2.0])
+
     def test_a_restarted_gateway_takes_a_cold_nodes_part_for_spent(self):
         of, _ = scheduler()
         of.listed(1000, News.CACHED, [line(7, since=900)])
