--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -17,6 +17,7 @@
 
 # Tuned values. Shares and counts only: every span comes from the facts or from what is seen.
 FIRST_WINDOW, LEAST_WINDOW, MOST_WINDOW = 2.0, 1.0, 32.0
+TOGETHER = 9.0  # the least window is this over the gateways and one more, where that is above the one before
 NEAR, FAR, NARROWER = 1.5, 2.0, 0.95  # a window widens below, narrows above these multiples of the best pace
 SMOOTH, FIRST_M = 1 / 8, 10  # weight of a new latency in M, which starts at the target time over this
 CLEAR, CLEAR_STEP = 0.3, 0.05  # best pace: what this share of answers stays under; how fast it is learnt
@@ -124,13 +125,13 @@
 
 
 class Node:
-    def __init__(self, entry: Listed) -> None:
+    def __init__(self, entry: Listed, window: float) -> None:
         self.id, self.cell, self.zone, self.since = entry.node, entry.cell, entry.zone, entry.since
         self.health = Health.STEADY
         self.due, self.extents = Queue(), Queue()  # deadline queue, by tag; both queues by extent
         self.background = Queue()  # surplus and what will be late, first in, first out
         self.out: list[Dispatch] = []
-        self.window, self.credit, self.size = FIRST_WINDOW, CREDITS, 1.0
+        self.window, self.credit, self.size = window, CREDITS, 1.0
         self.latency: float | None = None  # M
         self.wait = self.pace = self.best = 0.0  # smoothed wait, smoothed latency a unit, the best of late
         self.strain = 0.0  # smoothed wait, in shortest target times, and load
@@ -158,6 +159,8 @@
         self.uniform, self.sample = chance.uniform, chance.sample
         index = facts["index"]  # among the gateways; by chance where it is not told
         self.index = int(self.uniform(0, facts["gateways"])) if index is None else index
+        # Where few gateways share a node, one out from each leaves most of it idle.
+        self.least = max(TOGETHER / (facts["gateways"] + 1), LEAST_WINDOW)
         self.nodes, self.volumes = dict[int, Node](), dict[int, Volume]()
         self.transfers = dict[int, Transfer]()
         self.cells, self.serving = dict[int, list[Node]](), list[Node]()  # in service, by cell; all of these
@@ -188,7 +191,7 @@
         for entry in entries:
             node = self.nodes.get(entry.node)
             fresh = entry.since is not None and (node is None or entry.since != node.since)
-            node = node or self.nodes.setdefault(entry.node, Node(entry))
+            node = node or self.nodes.setdefault(entry.node, Node(entry, max(FIRST_WINDOW, self.least)))
             node.cell, node.zone, node.since = entry.cell, entry.zone, entry.since
             node.size = entry.size if self.facts["sized"] and 0 < entry.size < NEVER else 1
             if fresh and now - self.born <= self.facts["cold_window"]:
@@ -241,7 +244,7 @@
         node.health, effect = NODE_TABLE.get((node.health, sign), (node.health, ""))
         self.touched[node.id] = node
         if effect in ("narrow", "restart"):
-            node.window, node.credit = LEAST_WINDOW, min(node.credit, 1)
+            node.window, node.credit = self.least, min(node.credit, 1)
         if effect == "restart":
             node.lapses, node.rest_until = 0, now
         if effect == "empty":
@@ -665,7 +668,7 @@
         node.pace += new * (pace - node.pace)
         node.best = self.clear / node.size
         if node.crowded():
-            node.window = max(node.window * NARROWER, LEAST_WINDOW)
+            node.window = max(node.window * NARROWER, self.least)
         elif node.pace < NEAR * node.best and sent.full:
             node.window = min(node.window + 1 / node.window, MOST_WINDOW)
             self.sign(node, Sign.PROVEN, now)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -46,7 +46,7 @@
 
 
 def node(of: Scheduler, number: int = 7, **entry: Any) -> Node:
-    made = of.nodes[number] = Node(line(number, **entry))
+    made = of.nodes[number] = Node(line(number, **entry), 2.0)
     of.cells.setdefault(made.cell, []).append(made)
     of.clear = 200.0
     of.serving.append(made)
--- a/tests/test_layouts.py
+++ b/tests/test_layouts.py
@@ -3,7 +3,7 @@
 
 from milletsill.facts import facts_of, missing_in, unknown_in
 from milletsill.interface import Arrival, News, Outcome, Readiness
-from milletsill.policy import NEVER, Scheduler
+from milletsill.policy import Scheduler, Sign
 from tests.helpers import Noted, answer, line
 
 SECOND = 1_000_000_000
@@ -163,6 +163,20 @@
         of.place(of.transfers[1], 5)
         self.assertIs(of.transfers[1].node, of.nodes[8])
 
+    def test_the_fewer_gateways_the_wider_a_crowded_nodes_window_stays(self):
+        for gateways, least in ((1, 4.5), (2, 3.0), (8, 1.0), (300, 1.0)):
+            of, _ = self.cell((7, {}), peers_total=gateways)
+            of.nodes[7].window, of.nodes[7].pace = 5.0, 10_000.0
+            for number in range(60):
+                of.taken(0, arrival(number, ends=200_000))
+                of.dispatch(of.transfers[number], of.nodes[7], 0)
+                of.learn(of.nodes[7].out[-1], answer(number, Outcome.SATISFIED, latency=20_000), 0)
+                of.nodes[7].best = 1.0
+                of.clear = 1.0
+            self.assertEqual(of.nodes[7].window, least)
+            of.sign(of.nodes[7], Sign.LAPSE, 0)
+            self.assertEqual(of.nodes[7].window, least)
+
 
 class Absent(unittest.TestCase):
     """What is not there, or is nothing: served with that feature off."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -408,7 +408,7 @@
 
     def test_the_window_widens_near_the_best_pace_and_narrows_far_from_it(self):
         for latency, wider in ((380, True), (4000, False)):
-            of, _ = scheduler()
+            of, _ = scheduler(gateways=8)
             at, one = node(of), transfer(of, 1)
             at.window = 2.0
             of.dispatch(one, at, 0)
@@ -437,7 +437,7 @@
         self.assertGreater(of.strain_of(at), of.strain_of(node(of, 8)))
 
     def test_a_node_without_word_proves_itself(self):
-        of, _ = scheduler()
+        of, _ = scheduler(gateways=8)
         at = node(of)
         at.window = 9.0
         of.sign(at, Sign.LAPSE, 100)
