--- a/milletsill/interface.py
+++ b/milletsill/interface.py
@@ -5,11 +5,10 @@
 `settle` once when nothing more is known for now; the module acts through the `Port` that it was given.
 
 The facts given at the start are a plain map of names to values:
-  gateways, index (this one's among them, None where it is not told), tick, categories, plans, writes, zone, meter, share_utility, spare_utility, unit_mean,
-  largest_units, cold_units, cells, tells_elsewhere,
-  may_probe, may_cancel, may_copy, most_dispatches, most_held, pause_told, longest_pause,
-  list_on_request, report_fields, report_by, waste_fee, probe_fee, list_fee,
-  drain_grace, ask_within, cold_from, warm_after, cold_multiple, cold_window,
+  gateways, index (this one's among them, None where it is not told), tick, categories, plans, writes, zone, share_utility,
+  spare_utility, unit_mean, largest_units (0: not told), cold_units, cells,
+  may_cancel, may_copy, most_dispatches, most_held, pause_told, longest_pause,
+  list_on_request, report_fields, ask_within, cold_from, warm_after, cold_multiple, cold_window,
   further_free, further_ratio, further_window (None where no budget is stated), key_rest,
   sized (whether the list's sizes tell what nodes can do), cross_fee (of a dispatch into another zone).
 A category is a map of: target_time, stretch (of the target time, by the transfer's work), patience, utility,
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -1,4 +1,5 @@
 """Flow export: its decisions, its cache, its senders against collectors that fail, and exact sums through a gateway."""
+import socket
 import unittest
 from itertools import count
 from random import Random
@@ -360,14 +361,16 @@
 
     async def test_a_collector_away_at_the_start_and_restarted_gets_templates_again(self):
         collector = Collector(lambda row: None, lambda text: None)
-        first = reactor.listenTCP(0, Lines(collector), interface="127.0.0.1")
-        number = first.getHost().port
-        await first.stopListening()
+        held = socket.socket()  # keeps its number from everybody else's listeners, and refuses connections
+        self.addCleanup(held.close)
+        held.bind(("127.0.0.1", 0))
+        number = held.getsockname()[1]
         rig = await self.rig(f"127.0.0.1:{number}")
         client = await rig.client(self.edge)
         await client.command(packets.Stat(0, "/f/x"))
         await later(0.3)
         self.assertEqual(self.edge.flows.exporter.senders[0].state, Post.AWAY)
+        held.close()
         port = reactor.listenTCP(number, Lines(collector), interface="127.0.0.1")
         self.addCleanup(port.stopListening)
         await later(3)
