Late work only where it has utility; a choice favours the node that had the extent

Lines at fault: policy.least_useful (late), reluctance.

Change: late work stays only where the category gives it utility and reserves are told; what an extent saves comes off a node's strain, new objects aside. Two tests, both failing on the text before.

--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -317,9 +317,13 @@
         return node is not None
 
     def reluctance(self, transfer: Transfer, node: Node, now: int) -> tuple[bool, bool, bool, float]:
-        """What speaks against a node, weightiest first: no credit, a wait, that it was there, its strain."""
+        """What speaks against a node, weightiest first: no credit, a wait, that it was there, then its strain
+        less what the transfer, where it is no new object, saves behind its extent."""
         waits = now < node.rest_until or self.cold_wait(transfer, node, now) > 0
-        return self.credit(node, now) <= 0, waits, node is transfer.node, self.strain_of(node)
+        behind = self.run_of(node, transfer) or node.follow and 0 < node.follow.extent == transfer.extent
+        near = transfer.cell is not None and transfer.extent and behind
+        saved = transfer.units * self.clear / node.size / self.shortest * HIT if near else 0.0
+        return self.credit(node, now) <= 0, waits, node is transfer.node, self.strain_of(node) - saved
 
     def credit(self, node: Node, now: int) -> int:
         """A node without credit that has nothing to answer is tried with one, else it could earn none."""
@@ -376,7 +380,8 @@
 
     def least_useful(self, node: Node, queue: Queue, clock: float, step: float) -> Transfer | None:
         for place, (_, _, transfer) in enumerate(queue):
-            late = queue is node.background and transfer.reserved and not node.crowded()
+            useful = transfer.reserved and not self.unreserved and transfer.category["late_utility"] > 0
+            late = queue is node.background and useful and not node.crowded()
             if clock + HOPE * self.service(node, transfer) > (transfer.ends if late else transfer.target):
                 return min(queue[:place + 1], key=lambda each: (each[2].utility, each[0]))[2]
             clock += step * transfer.units
--- a/tests/test_layouts.py
+++ b/tests/test_layouts.py
@@ -177,6 +177,17 @@
             of.sign(of.nodes[7], Sign.LAPSE, 0)
             self.assertEqual(of.nodes[7].window, least)
 
+    def test_behind_its_extent_a_transfer_takes_less(self):
+        of, _ = self.cell((7, {}), (8, {}))
+        of.clear = 200.0
+        of.taken(0, arrival(1, extent=5))
+        of.taken(0, arrival(2, extent=5))
+        of.hold(of.transfers[1], of.nodes[7], 0)
+        of.nodes[8].strain = of.nodes[7].strain = 0.0
+        of.nodes[7].latency = of.nodes[8].latency = 1.0
+        grudge = [of.reluctance(of.transfers[2], of.nodes[each], 0)[3] - of.strain_of(of.nodes[each]) for each in (7, 8)]
+        self.assertEqual(grudge, [-0.04, 0.0])
+
 
 class Absent(unittest.TestCase):
     """What is not there, or is nothing: served with that feature off."""
@@ -262,6 +273,15 @@
         of.settle(1)
         self.assertEqual([sent[:2] for sent in port.of("send")], [(1, 7)])
 
+    def test_nothing_is_kept_to_be_late_where_late_answers_have_no_utility(self):
+        for late, plan, kept in ((0.2, {"guaranteed": 90.0}, 1), (0.0, {"guaranteed": 90.0}, 0), (0.2, {}, 0)):
+            of, port = module(classes=category(late_value=late), plans=[plan])
+            of.listed(0, News.WHOLE, [line(7)])
+            of.taken(0, arrival(1))
+            of.nodes[7].rest_until = 6_000  # behind its target, before its client's time
+            of.settle(0)
+            self.assertEqual((len(of.nodes[7].background), len(port.of("decline"))), (kept, 1 - kept))
+
 
 class Words(unittest.TestCase):
     """What cannot be meant is one line that names its field."""
