The whole process under other settings is asked by four clients at once, of many extents

Seen in a clean clone: all 24 answers came from one node. All were of one extent, which a choice of node now keeps together; asked one by one, the node that had answered quicker was as good.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -70,13 +70,14 @@
 
 @contextmanager
 def node_stand_in(body):
-    """A node that answers each request with one octet; gives its port."""
+    """A node that answers each request with one octet after 30 ms; gives its port."""
     class Answer(socketserver.StreamRequestHandler):
         def handle(self):
             with suppress(ConnectionError):
                 while self.rfile.readline(4000):
                     while self.rfile.readline(4000).strip():
                         pass
+                    time.sleep(0.03)
                     self.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + body)
 
     class Server(socketserver.ThreadingTCPServer):
@@ -655,18 +656,20 @@
             process = subprocess.Popen([sys.executable, "-m", "milletsill", "serve"], stdout=subprocess.PIPE,
                                        stderr=subprocess.STDOUT, env=os.environ | {"NODE_CONFIG": path})
             try:
-                client, bodies = self.reached(door), set()
+                clients, bodies = [self.reached(door) for _ in range(4)], set()
                 for number in range(24):
-                    client.sendall(ask(txn=number + 1, drop=("X-Plan",)))
-                    answer = client.recv(2000)
-                    self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
-                    bodies.add(answer[-1:])
+                    clients[number % 4].sendall(ask(txn=number + 1, drop=("X-Plan",), Cookie=f"block={number + 1:016x}"))
+                    for client in clients if number % 4 == 3 else ():
+                        answer = client.recv(2000)
+                        self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+                        bodies.add(answer[-1:])
                 self.assertEqual(bodies, {b"1", b"2"})
                 process.send_signal(signal.SIGTERM)
                 self.assertEqual(process.wait(12), 0)
                 log = process.stdout.read()
                 self.assertTrue(b"missing" in log and b"Traceback" not in log, log[-2000:])
-                client.close()
+                for client in clients:
+                    client.close()
             finally:
                 process.kill()
                 process.wait()
