A transfer that finds no credit any more stands in a node's queue, not outside

There relieve does not look, so it was held until two ticks before its client leaves; a transfer is given up as soon as it cannot be in time.

--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -304,7 +304,7 @@
         """
         nodes, new = self.choice(transfer), transfer.cell is None and not transfer.ran()
         if transfer.dispatches:
-            nodes = [each for each in nodes if self.repeat_wait(transfer, each, now) < NEVER]
+            nodes = [each for each in nodes if self.repeat_wait(transfer, each, now) < NEVER] or nodes
         node = nodes[0] if nodes else None
         if node is not None and (new or len(nodes) > 1):
             drawn = self.sample(nodes, min(DRAWN, len(nodes)))
--- a/tests/test_layouts.py
+++ b/tests/test_layouts.py
@@ -141,6 +141,17 @@
             self.assertTrue(of.place(one, 100))
             self.assertIs(one.node, of.nodes[8 if elsewhere else 7], (repeats, group, zone))
 
+    def test_what_finds_no_credit_any_more_stands_in_a_queue_and_is_given_up_in_time(self):
+        of, port = self.cell((7, {}), (8, {}))
+        of.taken(0, arrival(1))
+        of.unplaced.clear()
+        of.dispatch(of.transfers[1], of.nodes[7], 0)
+        of.returned(100, answer(1, Outcome.ERROR, latency=100))
+        for each in of.nodes.values():
+            each.credit, each.rest_until = 0, 19_000  # behind its target
+        of.settle(5_000)
+        self.assertEqual((len(port.of("decline")), of.unplaced), (1, []))
+
     def test_a_cold_node_whose_part_is_spent_is_passed_over(self):
         of, _ = self.cell((7, {}), (8, {"since": 20_000}), now=20_000)
         of.nodes[8].sends.append((20_000, 99.0))
