--- a/milletsill/policy.py
+++ b/milletsill/policy.py
@@ -145,6 +145,10 @@
         """Whether work of little use would delay what others have there."""
         return self.lapses > 0 or self.pace > FAR * self.best
 
+    def follows(self, transfer: Transfer) -> bool:
+        """Whether its extent is the one that was answered last."""
+        return self.follow is not None and 0 < self.follow.extent == transfer.extent
+
     def take(self, transfer: Transfer) -> None:
         if transfer.queue is not None:
             for queue, order in ((transfer.queue, transfer.order), (self.extents, transfer.extent)):
@@ -320,8 +324,8 @@
         """What speaks against a node, weightiest first: no credit, a wait, that it was there, then its strain
         less what the transfer, where it is no new object, saves behind its extent."""
         waits = now < node.rest_until or self.cold_wait(transfer, node, now) > 0
-        behind = self.run_of(node, transfer) or node.follow and 0 < node.follow.extent == transfer.extent
-        near = transfer.cell is not None and transfer.extent and behind
+        near = transfer.cell is not None and transfer.extent and (
+            node.follows(transfer) or self.run_of(node, transfer))
         saved = transfer.units * self.clear / node.size / self.shortest * HIT if near else 0.0
         return self.credit(node, now) <= 0, waits, node is transfer.node, self.strain_of(node) - saved
 
@@ -657,8 +661,7 @@
     def learn(self, sent: Dispatch, answer: Answer, now: int) -> None:
         node, transfer = sent.node, sent.transfer
         node.lapses = max(node.lapses - 1, 0)
-        near = node.follow is not None and 0 < node.follow.extent == transfer.extent
-        node.sends.append((now, -transfer.units * (HIT if near else 1)))
+        node.sends.append((now, -transfer.units * (HIT if node.follows(transfer) else 1)))
         node.follow, node.follow_until = transfer, now + int(FOLLOW_WAIT * self.service(node, transfer))
         pace = answer.latency / transfer.units
         self.clear *= 1 + CLEAR_STEP * (CLEAR - (pace * node.size < self.clear))
