--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -22,7 +22,7 @@
 
 from google.protobuf import text_format
 
-from milletsill.lab.run import free_ports
+from milletsill.lab.processes import free_ports
 from milletsill.settings.milletsill_pb2 import GatewayFile
 
 FILE = """
--- a/milletsill/lab/__main__.py
+++ b/milletsill/lab/__main__.py
@@ -1,9 +1,10 @@
-"""The laboratory's own processes: `stand`, `load`, `edges`, `deaf`, started by lab/run.py; `wire`, started by the bench."""
+"""The laboratory's own processes: `stand`, `relay`, `load`, `edges`, `deaf`, started by lab/run.py; `wire`, by the bench."""
 from __future__ import annotations
 
 import gc
 import signal
 import sys
+from typing import Any, Callable
 
 from twisted.internet import reactor
 
@@ -11,6 +12,8 @@
 from milletsill.settings.load import load
 from milletsill.settings.milletsill_pb2 import GatewayFile, Scenario
 
+START_WITHIN, LOOK = 300.0, 0.02  # seconds: that the day's start is waited for; between looks
+
 
 def deaf(port: int) -> None:
     """Accepts connections and never reads, for an hour at most."""
@@ -39,20 +42,65 @@
         sys.exit(wire(values[0]))
     if what == "deaf":
         return deaf(int(values[0]))
-    out, start, rest = values
+    out, *rest = values
     scenario = load(f"{out}/scenario.textproto", Scenario, check_scenario)
-    if what == "stand":
-        from milletsill.lab.stand import Stand
-        held = Stand(reactor, scenario, out, float(start), int(rest))
-        held.flush()
-        reactor.addSystemEventTrigger("before", "shutdown", held.close)
-    else:
-        from milletsill.lab.load import Load
-        made = Load(reactor, scenario, [tuple(each.split("=")) for each in rest.split(",")], float(start), out)
-        reactor.callLater(0, made.run)
+    {"stand": stand, "relay": relay, "load": clients}[what](scenario, out, *rest)
+    settle()
     signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(reactor.stop))
     reactor.run(installSignalHandlers=False)
 
 
+def settle() -> None:
+    """What is loaded by now stays: no collection looks at it again, or each full one makes the process late."""
+    gc.collect()
+    gc.freeze()
+
+
+def when_told(out: str, call: Callable[[float], None], waits: float = START_WITHIN) -> None:
+    """Called with the day's start once the run has said it; without a word the process ends."""
+    try:
+        with open(f"{out}/start", encoding="ascii") as source:
+            return call(float(source.read()))
+    except FileNotFoundError:
+        if waits <= 0:
+            return reactor.stop()
+    reactor.callLater(LOOK, when_told, out, call, waits - LOOK)
+
+
+def stand(scenario: Any, out: str, port: str) -> None:
+    from milletsill.lab.stand import Stand
+    held = Stand(reactor, scenario, out, int(port))
+    held.flush()
+    when_told(out, held.begin)
+    reactor.addSystemEventTrigger("before", "shutdown", held.close)
+
+
+def relay(scenario: Any, out: str, port: str, control: str) -> None:
+    from milletsill.lab.record import Recorder
+    from milletsill.lab.relay import LONGEST_SELF, Relay, controls
+    recorder = Recorder(f"{out}/relay.rec", "relay", "relay")
+    held = Relay(reactor, scenario, int(port), recorder)
+    reactor.listenTCP(int(control), controls(held), interface="127.0.0.1")
+    when_told(out, held.plan)
+    reactor.callLater(LONGEST_SELF, reactor.stop)
+    reactor.addSystemEventTrigger("before", "shutdown", recorder.close)
+
+
+def clients(scenario: Any, out: str, doors: str) -> None:
+    from milletsill.lab.load import Load
+    edges = [tuple(each.split("=")) for each in doors.split(",")]
+
+    def begin(start: float) -> None:
+        made = Load(reactor, scenario, edges, start, out)
+        reactor.callLater(0, made.run)
+        settle()
+
+    def ready() -> None:
+        with open(f"{out}/load.ready", "w", encoding="ascii"):
+            when_told(out, begin)
+
+    reactor.callWhenRunning(ready)
+
+
 if __name__ == "__main__":
     main(*sys.argv[1:])
--- a/milletsill/lab/files.py
+++ b/milletsill/lab/files.py
@@ -1,14 +1,25 @@
 """The bytes of a stand-in disk box, kept in memory: files, directories, links, and the answers to commands."""
 from __future__ import annotations
 
+from random import Random
 from typing import Any
 
+import xxhash
+
 from milletsill.files import packets
 from milletsill.files.extensions import DONE, ELSEWHERE, Verdict
 from milletsill.files.wire import Attrs, Name, text_of
 
 MOST_NAMES = 100  # on a page
 MOST_FILE = 64_000_000
+BLOCK = Random(11).randbytes(1 << 17) * 3
+PATTERN = (1 << 17) - 1
+
+
+def pattern(path: str, offset: int, length: int) -> bytes:
+    """What every file of the laboratory holds: told by its path alone, so that any read can be checked."""
+    start = (xxhash.xxh32_intdigest(path.encode()) + offset) & PATTERN
+    return BLOCK[start:start + length]
 
 
 class Files:
--- /dev/null
+++ b/milletsill/lab/report.py
@@ -0,0 +1,54 @@
+"""What a run prints, and whether it was broken."""
+from __future__ import annotations
+
+from typing import Any
+
+from milletsill.lab.audit import RULES, Breach
+from milletsill.lab.lateness import line
+
+MOST_SHOWN, MOST_LATE = 3, 60.0  # milliseconds
+LATE = ": ITS LATENCIES DO NOT COUNT"
+
+
+def service(rows: list[dict[str, Any]]) -> float:
+    """Utility in time over utility due."""
+    due = sum(each["due"] for each in rows)
+    return sum(each["in_time"] for each in rows) / due if due else 0.0
+
+
+def report(result: dict[str, Any]) -> str:
+    """The text that a run prints."""
+    lines = [f"module {result['module']}: service {result['counted'].get('', 0):.3f} (utility in time / utility due, by "
+             "reserve and share; simulated, stand-ins on loopback)",
+             "by category: " + ", ".join(f"{name} {value:.3f}" for name, value in result["counted"].items() if name)
+             + f"; without regard to reserve and share {service(result['rows']):.3f}",
+             f"{'category':<14}{'plan':<12}{'service':>8}{'satisfied':>10}{'declined':>9}{'aborted':>8}{'other':>6}"]
+    for row in result["rows"]:
+        other = sum(row.get(each, 0) for each in ("lost", "unreached", "given up", "status"))
+        lines.append(f"{row['category']:<14}{row['plan']:<12}{service([row]):>8.3f}{row.get('satisfied', 0):>10}"
+                     f"{row.get('declined', 0):>9}{row.get('aborted', 0):>8}{other:>6}")
+    for name in sorted({each["category"] for each in result["rows"]}):
+        lines.append(f"{name}: service {service([r for r in result['rows'] if r['category'] == name]):.3f}, latency ms "
+                     + ", ".join(f"p{q} {ms:.0f}" for q, ms in result["latency_ms"].get(name, {}).items()))
+    lines.append(f"{result['operations']} operations, {result['commands']} commands, {result['dispatches']} "
+                 f"dispatches, {result['unended']} without an end; the lab itself was at most "
+                 f"{result['worst_lag_ms']:.0f} ms late{LATE if result['worst_lag_ms'] > MOST_LATE else ''}")
+    lines += [line(result["late"])] if result["late"] else []
+    lines.append("counts: " + ", ".join(f"{name} {count}" for name, count in sorted(result["counts"].items())))
+    if result["planner"]:
+        lines.append("parts were planned")
+    if result["flows"]:
+        lines.append("flow export, counted against recorded: " + ", ".join(f"{k} {v}" for k, v in result["flows"].items()))
+    lines.append(f"edges ended with {result['exits']}; faults in the logs of {result['faults'] or 'none'}")
+    for rule, found in result["breaches"].items():
+        lines.append(f"rule {rule}, {RULES[rule]}: {'kept' if not found else f'{len(found)} BREACHES'}")
+        for breach in found[:MOST_SHOWN]:
+            lines += [f"  {breach.text}"] + [f"    {each}" for each in breach.packets]
+    return "\n".join(lines)
+
+
+def broken(result: dict[str, Any]) -> bool:
+    """Whether a rule was broken, wrong bytes read, or something left without an end."""
+    held: dict[int, list[Breach]] = result["breaches"]
+    return any(held.values()) or bool(result["counts"].get("reads with wrong bytes")) or bool(
+        result["unended"]) or bool(result["faults"]) or any(result["exits"])
--- a/milletsill/lab/stand.py
+++ b/milletsill/lab/stand.py
@@ -8,8 +8,7 @@
 from milletsill.edge.decide import FREE, Spot, spot_text
 from milletsill.edge.facts import atlas_of
 from milletsill.lab.box import Box, Gates
-from milletsill.lab.files import Files
-from milletsill.lab.load import pattern
+from milletsill.lab.files import Files, pattern
 from milletsill.lab.record import Recorder
 from milletsill.lab.registry import Registry, site
 
@@ -17,10 +16,10 @@
 
 
 class Stand:
-    """All boxes and the registry. `start` is on the monotonic clock, in seconds."""
+    """All boxes and the registry."""
 
-    def __init__(self, reactor: Any, scenario: Any, out: str, start: float, registry_port: int) -> None:
-        self.reactor, self.scenario, self.out, self.start_at = reactor, scenario, out, start
+    def __init__(self, reactor: Any, scenario: Any, out: str, registry_port: int) -> None:
+        self.reactor, self.scenario, self.out = reactor, scenario, out
         self.chance, self.prefix = Random(scenario.seed + 1), scenario.gateway.registry.prefix
         self.recorders = [Recorder(f"{out}/registry.rec", "registry", "registry")]
         self.registry = Registry(reactor, scenario.registry, scenario.seed + 2, self.recorders[0])
@@ -31,8 +30,11 @@
         self.fill()
         for each in self.boxes:
             self.list(each)
-        for each in scenario.trouble:
-            reactor.callLater(max(start + each.at_s - time.monotonic(), 0), self.trouble, each)
+
+    def begin(self, start: float) -> None:
+        """The day starts then, on the monotonic clock, in seconds."""
+        for each in self.scenario.trouble:
+            self.later(start + each.at_s - time.monotonic(), self.trouble, each)
 
     def works(self) -> dict[str, tuple[float, float]]:
         """Seconds a unit and spread, by category."""
--- a/milletsill/settings/decide.py
+++ b/milletsill/settings/decide.py
@@ -322,7 +322,11 @@
 
 TROUBLES = ("vanish", "slow", "pauses", "neighbour", "report_late", "burst", "tenant_burst", "hot_key", "scan",
             "reconnect", "balancer_crash", "balancer_roll", "balancer_stall", "retry_abuse", "give_up", "drain",
-            "replace", "registry_away", "cut", "planner_crash", "planner_stall", "planner_old")
+            "replace", "registry_away", "cut", "planner_crash", "planner_stall", "planner_old", "balancer_leave",
+            "balancer_lost", "balancer_old", "balancer_full", "split", "isolate", "cut_one_way", "lossy", "slow_network",
+            "reset_network")
+OF_FLEET = ("split", "isolate", "cut_one_way", "lossy", "slow_network", "reset_network")
+MOST_IN_FLEET = 250  # gateways of a laboratory fleet: each has a loopback address of its own
 TRAFFIC = ("read", "write", "list", "look", "new")
 MOST_EDGES, MOST_BOXES, MOST_SECONDS = 400, 400, 7200
 
@@ -335,6 +339,8 @@
                                ("seconds", file.seconds, MOST_SECONDS)):
         if not 1 <= value <= most:
             report.add((field,), f"{field} {value:g} is not from 1 to {most}")
+    if file.gateway.HasField("fleet") and file.edges > MOST_IN_FLEET:
+        report.add(("edges",), f"{file.edges} edges in a fleet of {MOST_IN_FLEET} at most")
     kinds = check_names(file.kind, "kind", report, ())
     for place, each in enumerate(file.box):
         if each.kind not in kinds:
@@ -360,6 +366,10 @@
     for place, each in enumerate(file.trouble):
         if each.what not in TROUBLES:
             report.add(("trouble", str(place), "what"), f"{each.what!r} is not one of {', '.join(TROUBLES)}")
+        if each.what in OF_FLEET and not file.gateway.HasField("fleet"):
+            report.add(("trouble", str(place), "what"), f"{each.what!r} is between gateways, and there is no fleet")
+        if each.what == "lossy" and not (0 <= each.size < 1 and 0 <= each.extra <= 1):
+            report.add(("trouble", str(place)), "lossy: size is the share lost, under 1, extra the share that comes twice")
         if not 0 <= each.part <= 1 or not 0 <= each.at_s <= MOST_SECONDS or not 0 <= each.for_s <= MOST_SECONDS:
             report.add(("trouble", str(place)), f"part {each.part:g}, at_s {each.at_s:g} or for_s {each.for_s:g} is "
                                                 "out of range")
