--- a/milletsill/files/extensions.py
+++ b/milletsill/files/extensions.py
@@ -20,6 +20,7 @@
 
 cancel@milletsill (gateway to disk box): uint64 transfer, uint32 number; no answer is owed to the dispatch then.
 hello@milletsill (gateway to disk box): string gateway, uint32 incarnation; STATUS.
+Channels (client to gateway) have two more: files/channels.py.
 beat@milletsill (gateway to disk box): nothing; STATUS at once, beside the queue: tells a half-open link.
 """
 from __future__ import annotations
@@ -186,9 +187,9 @@
     return Reader(packet.body).raw("a handle")
 
 
-def offered() -> bytes:
-    """What a gateway's VERSION packet offers."""
-    pairs = ((COMMAND, "1"), (FSYNC, "1"), (LIMITS, "1"))
+def offered(*further: str) -> bytes:
+    """What a gateway's VERSION packet offers; `further` extensions where it has them (files/channels.py)."""
+    pairs = [(COMMAND, "1"), (FSYNC, "1"), (LIMITS, "1")] + [(each, "1") for each in further]
     return b"".join(put_text(name) + put_text(value) for name, value in pairs)
 
 
