--- a/milletsill/lab/__main__.py
+++ b/milletsill/lab/__main__.py
@@ -1,4 +1,4 @@
-"""The laboratory's own processes: `stand`, `relay`, `load`, `edges`, `deaf`, started by lab/run.py; `wire`, by the bench."""
+"""The laboratory's own processes: `stand`, `relay`, `load`, `channels`, `edges`, `deaf`, started by lab/run.py; `wire`, by the bench."""
 from __future__ import annotations
 
 import gc
@@ -44,7 +44,7 @@
         return deaf(int(values[0]))
     out, *rest = values
     scenario = load(f"{out}/scenario.textproto", Scenario, check_scenario)
-    {"stand": stand, "relay": relay, "load": clients}[what](scenario, out, *rest)
+    {"stand": stand, "relay": relay, "load": clients, "channels": channels}[what](scenario, out, *rest)
     settle()
     signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(reactor.stop))
     reactor.run(installSignalHandlers=False)
@@ -88,15 +88,24 @@
 
 def clients(scenario: Any, out: str, doors: str) -> None:
     from milletsill.lab.load import Load
+    begin_clients(Load, "load", scenario, out, doors)
+
+
+def channels(scenario: Any, out: str, doors: str) -> None:
+    from milletsill.lab.channels import Channels
+    begin_clients(Channels, "channels", scenario, out, doors)
+
+
+def begin_clients(made: Any, name: str, scenario: Any, out: str, doors: str) -> None:
+    """Say that all is loaded, then wait for the day's start."""
     edges = [tuple(each.split("=")) for each in doors.split(",")]
 
     def begin(start: float) -> None:
-        made = Load(reactor, scenario, edges, start, out)
-        reactor.callLater(0, made.run)
+        reactor.callLater(0, made(reactor, scenario, edges, start, out).run)
         settle()
 
     def ready() -> None:
-        with open(f"{out}/load.ready", "w", encoding="ascii"):
+        with open(f"{out}/{name}.ready", "w", encoding="ascii"):
             when_told(out, begin)
 
     reactor.callWhenRunning(ready)
--- a/milletsill/lab/audit.py
+++ b/milletsill/lab/audit.py
@@ -1,18 +1,17 @@
-"""Checks the seven rules from what crossed the sockets, with a decoder of its own; the edge has no say in it.
+"""Checks the seven rules from what crossed the sockets; the edge has no say in it.
 
-Read are the records of boxes, clients and the registry (lab/record.py has the format; it is decoded here again, and so
-are the packets). `audit` gives one `Breach` for each thing found, with the packets that show it. Times are seconds of
-the machine's monotonic clock. Slacks are for the way through the sockets of a busy machine, and stated in the report.
+`audit` gives one `Breach` for each thing found, with the packets that show it. Slacks are for the way through the sockets of
+a busy machine, and stated in the report.
 """
 from __future__ import annotations
 
-import base64
-import json
-import struct
 from collections import defaultdict
 from dataclasses import dataclass, field
 from typing import Any, Iterator
 
+from milletsill.lab.evidence import Dispatch, Evidence, gather
+
+__all__ = ["RULES", "Breach", "audit", "gather"]
 SLACK = 0.06  # seconds between a packet's being written and its being read on a busy machine
 WORK_SLACK = 1.0  # seconds of work of a cold box, for chance in what a transfer costs
 RULES = {1: "one final answer in time", 2: "no effect twice", 3: "drains are kept", 4: "no cold box pushed over",
@@ -28,191 +27,6 @@
     packets: list[str] = field(default_factory=list)
 
 
-@dataclass
-class Sent:
-    """A command of a client: `answers` are (time, kind, language or '')."""
-
-    at: float
-    conn: int
-    edge: str
-    id: int
-    patience: float
-    tries: int
-    mark: str
-    kind: int
-    answers: list[tuple[float, int, str]] = field(default_factory=list)
-    lost: float | None = None
-
-
-@dataclass
-class Dispatch:
-    """A dispatch that reached a box; `verdict` is None where none left it."""
-
-    at: float
-    box: int
-    edge: str
-    incarnation: int
-    transfer: int
-    number: int
-    units: float
-    extent: int
-    ticket: str
-    volume: int
-    category: str
-    mark: str
-    kind: int
-    verdict: int | None = None
-    ended: float | None = None
-
-    def line(self) -> str:
-        return (f"{self.at:.4f} box {self.box} <- {self.edge}.{self.incarnation} transfer {self.transfer} number "
-                f"{self.number} {self.units:g} units {self.category} verdict {self.verdict}")
-
-
-class Cursor:
-    """Counted fields of a packet, decoded here once more on purpose."""
-
-    def __init__(self, data: bytes) -> None:
-        self.data, self.at = data, 0
-
-    def number(self, size: int) -> int:
-        self.at += size
-        return int.from_bytes(self.data[self.at - size:self.at], "big")
-
-    def text(self) -> str:
-        size = self.number(4)
-        self.at += size
-        return self.data[self.at - size:self.at].decode("utf-8", "replace")
-
-
-def entries(path: str) -> Iterator[tuple[float, int, int, int, bytes]]:
-    """Time, connection, direction, whole length and kept bytes of each entry; a torn end is where it ends."""
-    with open(path, "rb") as source:
-        if not source.readline().startswith(b"milletsill record 1 "):
-            raise ValueError(f"{path} is no record")
-        while len(head := source.read(21)) == 21:
-            at, conn, direction, whole, kept = struct.unpack(">QIBII", head)
-            data = source.read(kept)
-            if len(data) < kept:
-                return
-            yield at / 1e9, conn, direction, whole, data
-
-
-def read_clients(path: str) -> tuple[list[Sent], list[str]]:
-    """Commands with their answers, and answers that nobody asked for."""
-    edges: dict[int, str] = {}
-    out: dict[tuple[int, int], Sent] = {}
-    commands, strays = [], []
-    for at, conn, direction, _, data in entries(path):
-        if direction == 2:
-            note = json.loads(data)
-            if note["what"] == "connect":
-                edges[note["conn"]] = note["edge"]
-            else:
-                for each in [key for key in out if key[0] == note["conn"]]:
-                    out.pop(each).lost = at
-            continue
-        cursor = Cursor(data)
-        kind = cursor.number(1)
-        if kind in (1, 2):
-            continue
-        id = cursor.number(4)
-        if direction == 1 and kind == 200:
-            name = cursor.text()
-            if name != "command@milletsill":
-                continue
-            patience, tries, mark = cursor.number(4) / 1000, cursor.number(4), cursor.text()
-            sent = Sent(at, conn, edges[conn], id, patience, tries, mark, cursor.number(1))
-            commands.append(sent)
-            out[conn, id] = sent
-        elif direction == 0:
-            language = ""
-            if kind == 101:
-                cursor.number(4)
-                cursor.text()
-                language = cursor.text()
-            found = out.get((conn, id))
-            if found is None:
-                strays.append(f"{at:.4f} connection {conn} answer {kind} for command {id}, which is not out")
-            else:
-                found.answers.append((at, kind, language))
-                del out[conn, id]
-    return commands, strays
-
-
-def read_box(path: str, number: int) -> tuple[list[Dispatch], list[dict[str, Any]]]:
-    """Dispatches with their verdicts, and the notes of the box."""
-    out: dict[tuple[int, int], Dispatch] = {}
-    found, notes = [], []
-    for at, conn, direction, _, data in entries(path):
-        if direction == 2:
-            notes.append({"at": at, **json.loads(data)})
-            continue
-        cursor = Cursor(data)
-        kind = cursor.number(1)
-        if kind == 200:
-            id, name = cursor.number(4), cursor.text()
-            if name != "dispatch@milletsill":
-                continue
-            edge, incarnation, transfer, count = cursor.text(), cursor.number(4), cursor.number(8), cursor.number(4)
-            units, extent, _ = cursor.number(4) / 1000, cursor.number(8), cursor.number(4)
-            ticket, volume, _, category = cursor.text(), cursor.number(4), cursor.number(4), cursor.text()
-            made = Dispatch(at, number, edge, incarnation, transfer, count, units, extent, ticket, volume, category,
-                            cursor.text(), cursor.number(1))
-            found.append(made)
-            out[conn, id] = made
-        elif kind == 201:
-            id, verdict = cursor.number(4), cursor.number(4)
-            made = out.pop((conn, id), None)
-            if made is not None:
-                made.verdict, made.ended = verdict, at
-    return found, notes
-
-
-def read_told(path: str) -> dict[str, list[tuple[float, int, str]]]:
-    """What the registry told each gateway: (time, box, state), a box that is not in a whole list as gone."""
-    told: dict[str, list[tuple[float, int, str]]] = defaultdict(list)
-    known: dict[str, dict[str, int]] = defaultdict(dict)
-    for at, _, direction, _, data in entries(path):
-        if direction != 1:
-            continue
-        name, _, body = data.partition(b"\n")
-        edge, message = name.decode(), json.loads(body)
-        message = message.get("result", message)
-        keys = known[edge]
-        if "kvs" in message:
-            there = {}
-            for each in message["kvs"]:
-                value = json.loads(base64.b64decode(each["value"]))
-                there[each["key"]] = value["id"]
-                told[edge].append((at, value["id"], value["state"]))
-            told[edge] += [(at, box, "gone") for key, box in keys.items() if key not in there]
-            known[edge] = there
-        for event in message.get("events", []):
-            key = event["kv"]["key"]
-            if event["type"] == "DELETE":
-                if key in keys:
-                    told[edge].append((at, keys.pop(key), "gone"))
-            else:
-                value = json.loads(base64.b64decode(event["kv"]["value"]))
-                keys[key] = value["id"]
-                told[edge].append((at, value["id"], value["state"]))
-    return told
-
-
-@dataclass
-class Evidence:
-    """All that was read."""
-
-    commands: list[Sent]
-    strays: list[str]
-    dispatches: list[Dispatch]
-    notes: list[dict[str, Any]]
-    told: dict[str, list[tuple[float, int, str]]]
-    stops: list[tuple[str, float, float]] = field(default_factory=list)  # (edge, from, to): it did not run then
-    late: float = 0.0  # seconds that the clients' own process was late at the worst: their times are that unsure
-
-
 def transfers_of(evidence: Evidence) -> dict[tuple[str, int, int], list[Dispatch]]:
     """Dispatches by transfer, in the order in which they came."""
     found: dict[tuple[str, int, int], list[Dispatch]] = defaultdict(list)
@@ -228,14 +42,14 @@
     answered: dict[str, float] = {}
     slack = SLACK + evidence.late
     for each in evidence.commands:
-        line = f"{each.at:.4f} {each.edge} connection {each.conn} command {each.id} {each.mark} try {each.tries}"
+        line = each.line()
         ends = each.at + each.patience
         # A gateway that the laboratory stopped is not running: it owes its answer once it runs again.
         ends = max([ends] + [to + SLACK for edge, since, to in evidence.stops
                              if edge == each.edge and since - SLACK <= ends <= to + SLACK])
         if not each.answers and (each.lost is None or each.lost > ends + slack):
             yield Breach(1, f"no answer within {each.patience:g} s", [line])
-        for at, kind, _ in each.answers:
+        for at, kind, *_ in each.answers:
             if at > ends + slack:
                 yield Breach(1, f"an answer {at - ends:.3f} s after patience", [line, f"{at:.4f} answer {kind}"])
             if each.mark:
@@ -391,18 +205,3 @@
 def audit(evidence: Evidence, terms: Any) -> dict[int, list[Breach]]:
     """Every rule with its breaches; `terms` is the scenario."""
     return {rule: list(check(evidence, terms)) for rule, check in CHECKS.items()}
-
-
-def gather(out: str, boxes: int) -> Evidence:
-    """The records of one run."""
-    commands, strays = read_clients(f"{out}/clients.rec")
-    dispatches, notes = [], []
-    for number in range(boxes):
-        found, said = read_box(f"{out}/box-{number}.rec", number)
-        dispatches += found
-        notes += said
-    with open(f"{out}/stops.json", encoding="utf-8") as source:
-        stops = [tuple(each) for each in json.load(source)]
-    with open(f"{out}/load.json", encoding="utf-8") as source:
-        late = json.load(source)["worst_lag_ms"] / 1000
-    return Evidence(commands, strays, dispatches, notes, read_told(f"{out}/registry.rec"), stops, late)
--- a/milletsill/lab/box.py
+++ b/milletsill/lab/box.py
@@ -11,7 +11,7 @@
 from milletsill.files import extensions, packets
 from milletsill.files.extensions import DRAINING, ERROR, FULL, Order, Verdict
 from milletsill.files.framing import Deframer
-from milletsill.files.wire import Malformed
+from milletsill.files.wire import Malformed, text_of
 from milletsill.lab.engine import Engine, Job, Speed
 from milletsill.lab.files import Files
 from milletsill.lab.record import IN, OUT, Recorder
@@ -145,6 +145,7 @@
                 gate.answer(id, Verdict(ERROR, "a fault of the box"), order)
                 continue
             verdict = self.files.run(order.command)
+            self.took_effect(order, verdict)
             if not verdict.text:
                 verdict = Verdict(verdict.verdict, str(self.cell), answer=verdict.answer)
             self.served[order.volume] = self.served.get(order.volume, 0) + int(order.units)
@@ -159,6 +160,13 @@
             if not job.gone:
                 gate.answer(id, verdict, order)
 
+    def took_effect(self, order: Order, verdict: Verdict) -> None:
+        """What was written is noted when it is, also where nobody waits for the answer any more."""
+        if self.recorder is not None and isinstance(order.command, packets.Write) and not verdict.text:
+            self.recorder.note(what="effect", box=self.id, ticket=order.ticket, path=text_of(order.command.handle),
+                               offset=order.command.offset, gateway=order.gateway, transfer=order.transfer,
+                               code=getattr(verdict.answer, "code", -1))
+
     def report(self) -> dict[str, float]:
         """The newest report that is not younger than its delay."""
         now, engine = self.clock(), self.engine
--- /dev/null
+++ b/milletsill/lab/channels.py
@@ -0,0 +1,319 @@
+"""Clients with channels: numbered transfers under every contract, over connections that break off all the time.
+
+A line is one channel of one client. It makes numbers at its rate, keeps some of them out at a time, now and then out of turn,
+and breaks its connection off in the middle to come back at the same or another gateway, or comes in by a second connection
+beside the first. What was not settled is said again until it has an end. Nothing here judges: lab/audit_contracts.py does.
+"""
+from __future__ import annotations
+
+import json
+import time
+from random import Random
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory
+
+from milletsill.files import channels as wire
+from milletsill.files import packets
+from milletsill.files.channels import Asking, Numbered, Opening, Saying
+from milletsill.files.extensions import Terms
+from milletsill.files.wire import Attrs
+from milletsill.lab.clients import ClientLink
+from milletsill.lab.lateness import Lateness
+from milletsill.lab.record import Recorder
+
+TICK, DIAL, AGAIN, SETUP = 0.01, 2.0, 0.2, 3.0  # seconds: between looks; a dial; until the next; until claimed
+LEAST_PAUSE, MOST_PAUSE = 0.05, 1.0  # seconds until a declined number is said again
+SWAPPED, RIVAL = 0.1, 0.2  # parts of sends out of turn, of reconnections beside the old connection
+BYTES = 512
+IS_BATCHES = 3
+DONE_SIGNS = {"superseded": "superseded", "settled": "settled before", "left-out": "left out", "contract": "against the contract"}
+
+
+class ChannelLink(ClientLink):
+    """A connection that carries one channel."""
+
+    keeps = (256, 320)
+
+
+class Item:
+    """One number until it has an end."""
+
+    def __init__(self, number: int, batch: int, last: bool, began: float) -> None:
+        self.number, self.batch, self.last, self.began = number, batch, last, began
+        self.tries, self.due, self.out = 0, began, False
+        self.said = False  # the client was asked, and said what is to become of it
+
+
+class Line:
+    """One channel and its client."""
+
+    def __init__(self, load: Channels, place: int, terms: Any, volume: Any) -> None:
+        self.load, self.place, self.terms, self.volume = load, place, terms, volume
+        self.chance = Random(load.scenario.seed * 1000 + place)
+        self.channel, self.path = f"line-{place}", f"{volume.root}/line-{place}"
+        self.items: dict[int, Item] = {}
+        self.made, self.order = 0, load.orders[terms.contract]
+        self.link: ChannelLink | None = None
+        self.handle, self.file, self.live = b"", b"", False
+        self.dialling = False
+        self.name = ""  # of the gateway that is dialled or held
+        self.made_at = self.since = self.breaks_at = 0.0
+
+    # Connections.
+
+    def dial(self) -> None:
+        """To the same gateway or another."""
+        load = self.load
+        if self.dialling or load.over:
+            return
+        if not self.name or self.chance.random() < self.terms.elsewhere:
+            self.name = self.chance.choice(sorted(load.doors))
+        self.dialling, self.live = True, False
+        host, _, port = load.doors[self.name].rpartition(":")
+        link = ChannelLink(Door(self, self.name), load.next_connection())
+        factory = Factory.forProtocol(lambda: link)
+        factory.noisy = False
+        TCP4ClientEndpoint(load.reactor, host, int(port), timeout=DIAL).connect(factory).addCallbacks(
+            lambda _: self.dialled(link), lambda _: self.missed())
+
+    def missed(self) -> None:
+        self.dialling = False
+        self.load.count("unreached")
+        self.load.reactor.callLater(AGAIN, self.dial)
+
+    def dialled(self, link: ChannelLink) -> None:
+        self.dialling, self.link, self.since = False, link, self.load.now()
+        self.breaks_at = self.since + self.chance.expovariate(1 / self.terms.reconnect_s)
+        if not link.transport.connected:
+            self.lost(link)
+
+    def ready(self, link: ChannelLink) -> None:
+        """The file first, then the claim."""
+        flags = packets.READ_FLAG | packets.WRITE_FLAG | packets.CREATE_FLAG
+        link.command(packets.Open(0, self.path, flags, Attrs()), Terms(int(SETUP * 1000), 0, self.mark("open")),
+                     lambda answer: self.opened(link, answer))
+
+    def mark(self, what: str) -> str:
+        """A mark of its own for each thing said."""
+        return f"{self.channel}.{what}.{self.load.next_mark()}"
+
+    def opened(self, link: ChannelLink, answer: Any) -> None:
+        if not isinstance(answer, packets.Handle):
+            return self.drop(link, "file not opened")
+        if link is not self.link:
+            return
+        self.file = answer.handle
+        said = Opening(self.path, self.channel, self.terms.contract)
+        link.word(lambda id: wire.put_channel(id, said), lambda answer: self.claimed(link, answer))
+
+    def claimed(self, link: ChannelLink, answer: Any) -> None:
+        if not isinstance(answer, packets.ExtendedReply):
+            return self.drop(link, f"not claimed {getattr(answer, 'language', '')}")
+        if link is not self.link:
+            return
+        told = wire.read_opened(answer)
+        self.handle, self.live = told.handle, True
+        self.load.count("claims")
+        for number in told.unsure:
+            if number in self.items:
+                self.settle_unsure(self.items[number])
+        for item in self.items.values():
+            item.out, item.due = False, self.load.now()
+        if told.next > self.made + 1:
+            self.load.count("next beyond what was made")
+
+    def drop(self, link: ChannelLink, why: str) -> None:
+        self.load.count(why)
+        if link.transport is not None:
+            link.transport.abortConnection()
+
+    def lost(self, link: ChannelLink) -> None:
+        if link is self.link:
+            self.link, self.live = None, False
+            for item in self.items.values():
+                item.out = False
+            self.load.reactor.callLater(AGAIN * self.chance.uniform(0.2, 1.5), self.dial)
+
+    def break_off(self) -> None:
+        """In the middle of whatever is out: an end, or a second connection beside it."""
+        link, self.breaks_at = self.link, float("inf")
+        if link is None:
+            return
+        if self.chance.random() < RIVAL:
+            self.load.count("second connections")
+            self.load.reactor.callLater(SETUP, self.drop, link, "old connections ended")
+            self.link, self.live = None, False
+            return self.dial()
+        self.drop(link, "broken off")
+
+    # Numbers.
+
+    def tick(self, now: float) -> None:
+        if self.link is None and not self.dialling:
+            return
+        if self.link is not None and not self.live and now - self.since > SETUP * 2:
+            return self.drop(self.link, "no claim in time")
+        if not self.load.draining and now >= self.breaks_at:
+            return self.break_off()
+        if not self.load.draining and len(self.items) < self.terms.window and now - self.made_at >= 1 / self.terms.per_s:
+            self.make(now)
+        if self.live:
+            self.send(now)
+
+    def make(self, now: float) -> None:
+        self.made += 1
+        self.made_at = now
+        size = self.terms.batch
+        whole = self.order == IS_BATCHES
+        self.items[self.made] = Item(self.made, -(-self.made // size) if whole else 0, whole and not self.made % size, now)
+
+    def send(self, now: float) -> None:
+        """What is due, some of it out of turn."""
+        due = [each for each in self.items.values() if not each.out and each.due <= now]
+        if len(due) > 1 and self.chance.random() < SWAPPED:
+            due.reverse()
+        for item in due:
+            self.say(item, now)
+
+    def say(self, item: Item, now: float) -> None:
+        link, patience = self.link, self.terms.patience_ms
+        assert link is not None
+        offset = (item.number - 1) % self.terms.extents * self.load.extent_bytes
+        data = f"{self.channel}:{item.number}:".encode().ljust(BYTES, b".")
+        terms = Terms(int(patience), item.tries, f"{self.channel}.{item.number}")
+        item.out, item.tries = True, item.tries + 1
+        turn = item.tries
+        link.word(lambda id: wire.put_numbered(id, Numbered(
+            self.handle, item.number, item.batch, item.last, terms, packets.Write(id, self.file, offset, data))),
+            lambda answer: self.answered(link, item, turn, answer))
+
+    def answered(self, link: ChannelLink, item: Item, turn: int, answer: Any) -> None:
+        if item.number not in self.items:
+            return
+        if isinstance(answer, packets.Status) and answer.code == packets.OK:
+            return self.end(item, "done")
+        if link is not self.link or turn != item.tries:
+            return
+        sign = wire.read_sign(answer.language) if isinstance(answer, packets.Status) else None
+        word = sign.word if sign is not None else "lost" if answer is None else "status"
+        self.load.count(f"heard {word}")
+        if word in DONE_SIGNS:
+            return self.end(item, DONE_SIGNS[word])
+        pause = (sign.pause or 0) / 1000 if sign is not None else LEAST_PAUSE
+        item.out, item.due = False, self.load.now() + min(max(pause, LEAST_PAUSE), MOST_PAUSE)
+        if word == "claim-lost":
+            self.drop(link, "claims lost")
+        elif word == "status":
+            self.drop(link, f"status {answer.code}: {answer.message[:60]}")
+        elif word == "stopped" and sign is not None and sign.number in self.items:
+            self.settle_unsure(self.items[sign.number])
+        elif word == "aborted":
+            self.settle_unsure(item)
+
+    def settle_unsure(self, item: Item) -> None:
+        """Asks; where the contract stops for the client's word, says one of the two that are always true to the box."""
+        link = self.link
+        if link is None or not self.live:
+            return
+        handle, number = self.handle, item.number
+        link.word(lambda id: wire.put_channel(id, Asking(handle, number)), lambda answer: self.asked(link, item, answer))
+
+    def asked(self, link: ChannelLink, item: Item, answer: Any) -> None:
+        if not isinstance(answer, packets.ExtendedReply) or link is not self.link or not self.live:
+            return
+        told = wire.read_asked(answer)
+        if told.state != wire.IS_UNSURE or not self.terms.says:
+            return
+        word = wire.AGAIN if self.chance.random() < 0.5 else wire.LEFT_OUT
+        self.load.count("said again" if word == wire.AGAIN else "said left out")
+        handle, number = self.handle, item.number
+        link.word(lambda id: wire.put_channel(id, Saying(handle, number, word)), lambda answer: None)
+
+    def end(self, item: Item, what: str) -> None:
+        del self.items[item.number]
+        self.load.ended(self, item, what)
+
+
+class Door:
+    """What a link asks its owner for; the gateway's name is that of the time of the dial."""
+
+    def __init__(self, line: Line, name: str) -> None:
+        self.line, self.name, self.load = line, name, line.load
+
+    def ready(self, link: ChannelLink) -> None:
+        self.line.ready(link)
+
+    def lost(self, link: ChannelLink) -> None:
+        self.line.lost(link)
+
+
+class Channels:
+    """All clients with channels of a scenario. `start` is on the monotonic clock, in seconds."""
+
+    def __init__(self, reactor: Any, scenario: Any, edges: list[tuple[str, str]], start: float, out: str) -> None:
+        self.reactor, self.scenario, self.start_at, self.out = reactor, scenario, start, out
+        self.doors, self.now = dict(edges), time.monotonic
+        self.recorder = Recorder(f"{out}/channels.rec", "clients", "channels")
+        self.lateness, self.at = Lateness(), start
+        self.connections = self.marks = 0
+        self.extent_bytes = scenario.gateway.rules.extent_bytes
+        self.counts: dict[str, int] = {}
+        self.ends: dict[str, dict[str, int]] = {}
+        self.took: dict[str, HdrHistogram] = {}
+        self.draining = self.over = False
+        self.orders = {each.name: each.order for each in scenario.gateway.fleet.channels.contract}
+        volumes = {each.name: each for each in scenario.gateway.volume}
+        self.lines = [Line(self, place, terms, volumes[terms.volume]) for place, terms in enumerate(
+            terms for terms in scenario.channels for _ in range(terms.channels))]
+        for place, line in enumerate(self.lines):
+            reactor.callLater(max(start - self.now(), 0) + 0.02 * place, line.dial)
+
+    def count(self, what: str) -> None:
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    def next_connection(self) -> int:
+        self.connections += 1
+        return self.connections
+
+    def next_mark(self) -> int:
+        self.marks += 1
+        return self.marks
+
+    def ended(self, line: Line, item: Item, what: str) -> None:
+        name = line.terms.contract
+        row = self.ends.setdefault(name, {})
+        row[what] = row.get(what, 0) + 1
+        if what == "done":
+            self.took.setdefault(name, HdrHistogram(1, 600_000_000, 3)).record_value(
+                max(int((self.now() - item.began) * 1e6), 1))
+
+    def run(self) -> None:
+        """Every few milliseconds: what is due on each line, until all have an end or time is up."""
+        now, scenario = self.now(), self.scenario
+        self.lateness.look(now - self.start_at, now - self.at - TICK if now > self.start_at else 0.0)
+        self.at = now
+        ended = self.start_at + scenario.seconds
+        self.draining = now >= ended
+        if self.draining and (now >= ended + scenario.tail_s or not any(line.items for line in self.lines)):
+            return self.finish()
+        if now >= self.start_at:
+            for line in self.lines:
+                line.tick(now)
+        self.reactor.callLater(TICK, self.run)
+
+    def finish(self) -> None:
+        self.over = True
+        quantiles = {name: {str(q): each.get_value_at_percentile(q) / 1000 for q in (50, 90, 99)}
+                     for name, each in self.took.items()}
+        result = {"ends": self.ends, "latency_ms": quantiles, "counts": self.counts, "late": self.lateness.told(),
+                  "worst_lag_ms": self.lateness.worst * 1000, "connections": self.connections,
+                  "unended": sum(len(line.items) for line in self.lines),
+                  "lines": {line.channel: {"contract": line.terms.contract, "volume": line.volume.name, "made": line.made,
+                                           "open": sorted(line.items)} for line in self.lines}}
+        with open(f"{self.out}/channels.json", "w", encoding="utf-8") as sink:
+            json.dump(result, sink, indent=1)
+        self.reactor.addSystemEventTrigger("after", "shutdown", self.recorder.close)
+        self.reactor.stop()
--- a/milletsill/lab/clients.py
+++ b/milletsill/lab/clients.py
@@ -24,6 +24,8 @@
 class ClientLink(Protocol):
     """One client connection to one edge."""
 
+    keeps = (64, 160)  # bytes of a packet that came in and that goes out
+
     def __init__(self, door: EdgeDoor, number: int) -> None:
         self.door, self.number, self.ids = door, number, 0
         self.deframer = Deframer(64_000_000)
@@ -39,10 +41,11 @@
     def dataReceived(self, data: bytes) -> None:
         self.deframer.feed(data)
         while (body := self.deframer.next()) is not None:
-            self.door.load.recorder.put(self.number, IN, body, 64)
+            self.door.load.recorder.put(self.number, IN, body, self.keeps[0])
             packet = packets.decode(body)
             if isinstance(packet, packets.Version):
                 self.open = True
+                self.door.ready(self)
                 continue
             call = self.waiting.pop(packet.id, None)
             if call is None:
@@ -60,14 +63,18 @@
 
     def send(self, packet: Any) -> None:
         data = packets.encode(packet)
-        self.door.load.recorder.put(self.number, OUT, data[4:], 160)
+        self.door.load.recorder.put(self.number, OUT, data[4:], self.keeps[1])
         self.transport.write(data)
 
     def command(self, command: Any, terms: Terms, call: Callable[[Any], None]) -> None:
         """A command under terms; `call` gets its answer, None where the connection ended."""
+        self.word(lambda id: extensions.put_terms(terms, packets.with_id(command, id)), call)
+
+    def word(self, made: Callable[[int], Any], call: Callable[[Any], None]) -> None:
+        """A packet made for its id."""
         self.ids += 1
         self.waiting[self.ids] = call
-        self.send(extensions.put_terms(terms, packets.with_id(command, self.ids)))
+        self.send(made(self.ids))
 
 
 class EdgeDoor:
@@ -92,6 +99,9 @@
         self.endpoint.connect(factory).addCallbacks(
             lambda _: self.links.append(link), lambda _: self.load.reactor.callLater(AGAIN, self.dial))
 
+    def ready(self, link: ClientLink) -> None:
+        """It may be used."""
+
     def lost(self, link: ClientLink) -> None:
         if link in self.links:
             self.links.remove(link)
--- a/milletsill/lab/lateness.py
+++ b/milletsill/lab/lateness.py
@@ -1,4 +1,5 @@
-"""When a process of the laboratory was late itself, and what of that was the collector, its own work, or no core to run on."""
+"""When a process of the laboratory was late itself, and what of that was the collector, its own work, a wait for a core, or a
+sleep (in a call that blocked, or past its time)."""
 from __future__ import annotations
 
 import gc
@@ -8,6 +9,15 @@
 SAID_FROM, MOST_KEPT = 0.015, 200  # seconds; moments
 
 
+def queued() -> float:
+    """Seconds that this thread was ready to run and had no core, since its start; 0 where the system does not tell."""
+    try:
+        with open("/proc/thread-self/schedstat", "rb", buffering=0) as source:
+            return int(source.read(100).split()[1]) / 1e9
+    except (OSError, IndexError, ValueError):
+        return 0.0
+
+
 class Lateness:
     """Looked at every few milliseconds; keeps the late moments, bounded. Spans in seconds."""
 
@@ -15,7 +25,7 @@
         self.worst = 0.0
         self.moments: list[dict[str, float]] = []
         self.collected = self.began = 0.0
-        self.cpu, self.at = time.thread_time(), time.monotonic()
+        self.cpu, self.at, self.queued = time.thread_time(), time.monotonic(), queued()
         gc.callbacks.append(self.heard)
 
     def heard(self, phase: str, info: dict[str, int]) -> None:
@@ -28,14 +38,14 @@
 
     def look(self, day: float, late: float) -> None:
         """At `day` seconds of the day the process is so late since its last look."""
-        cpu, now = time.thread_time(), time.monotonic()
+        cpu, now, waited = time.thread_time(), time.monotonic(), queued()
         self.worst = max(self.worst, late)
         if late > SAID_FROM and len(self.moments) < MOST_KEPT:
-            worked = cpu - self.cpu
+            span, worked, had = now - self.at, cpu - self.cpu, waited - self.queued
             self.moments.append({"at_s": day, "late_ms": late * 1000, "collector_ms": self.collected * 1000,
-                                 "work_ms": max(worked - self.collected, 0.0) * 1000,
-                                 "off_core_ms": max(now - self.at - worked, 0.0) * 1000})
-        self.cpu, self.at, self.collected = cpu, now, 0.0
+                                 "work_ms": max(worked - self.collected, 0.0) * 1000, "no_core_ms": had * 1000,
+                                 "asleep_ms": max(span - worked - had, 0.0) * 1000})
+        self.cpu, self.at, self.queued, self.collected = cpu, now, waited, 0.0
 
     def told(self) -> list[dict[str, float]]:
         """The late moments, the worst first."""
@@ -48,4 +58,5 @@
         return ""
     worst = moments[0]
     return (f"late by over {SAID_FROM * 1000:.0f} ms {len(moments)} times; the worst at {worst['at_s']:.1f} s: collector "
-            f"{worst['collector_ms']:.0f}, own work {worst['work_ms']:.0f}, off its core {worst['off_core_ms']:.0f} ms")
+            f"{worst['collector_ms']:.0f}, own work {worst['work_ms']:.0f}, no core {worst['no_core_ms']:.0f}, asleep "
+            f"{worst['asleep_ms']:.0f} ms")
--- a/milletsill/lab/relay.py
+++ b/milletsill/lab/relay.py
@@ -235,7 +235,7 @@
             self.other.transport.write(data)
         if self.ended and not self.held:
             self.other.transport.loseConnection()
-        elif not self.over and self.size <= MOST_LATE_BYTES // 2:
+        elif self.open and self.size <= MOST_LATE_BYTES // 2:
             self.transport.resumeProducing()
         if self.held and self.held[0][0] - now < LOOK:
             relay.reactor.callLater(self.held[0][0] - now, self.go_on)
--- a/milletsill/lab/report.py
+++ b/milletsill/lab/report.py
@@ -44,11 +44,31 @@
         lines.append(f"rule {rule}, {RULES[rule]}: {'kept' if not found else f'{len(found)} BREACHES'}")
         for breach in found[:MOST_SHOWN]:
             lines += [f"  {breach.text}"] + [f"    {each}" for each in breach.packets]
-    return "\n".join(lines)
+    return "\n".join(lines + of_contracts(result))
+
+
+def of_contracts(result: dict[str, Any]) -> list[str]:
+    """Each contract's verdict and figures; none where the day had no channels."""
+    lines = []
+    for name, found in result.get("contracts", {}).items():
+        told = result["contract_figures"].get(name, {})
+        lines.append(f"contract {name}: {'kept' if not found else f'{len(found)} BREACHES'}; "
+                     + ", ".join(f"{what} {count}" for what, count in told.items()))
+        for breach in found[:MOST_SHOWN]:
+            lines += [f"  {breach.text}"] + [f"    {each}" for each in breach.packets]
+    if "channels" in result:
+        told = result["channels"]
+        lines.append(f"channels: {told['connections']} connections, {told['unended']} numbers without an end; "
+                     f"that process was at most {told['worst_lag_ms']:.0f} ms late; "
+                     + ", ".join(f"{name} {count}" for name, count in sorted(told["counts"].items())))
+        for name, row in told["latency_ms"].items():
+            lines.append(f"contract {name}: ms from made to settled " + ", ".join(f"p{q} {ms:.0f}" for q, ms in row.items()))
+    return lines
 
 
 def broken(result: dict[str, Any]) -> bool:
     """Whether a rule was broken, wrong bytes read, or something left without an end."""
     held: dict[int, list[Breach]] = result["breaches"]
-    return any(held.values()) or bool(result["counts"].get("reads with wrong bytes")) or bool(
+    held_to: dict[str, list[Breach]] = result.get("contracts", {})
+    return any(held.values()) or any(held_to.values()) or bool(result.get("channels", {}).get("unended")) or bool(result["counts"].get("reads with wrong bytes")) or bool(
         result["unended"]) or bool(result["faults"]) or any(result["exits"])
--- a/milletsill/lab/run.py
+++ b/milletsill/lab/run.py
@@ -7,6 +7,7 @@
 import glob
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -18,16 +19,17 @@
 from google.protobuf import text_format
 
 from milletsill.lab.audit import audit, gather
+from milletsill.lab.audit_contracts import audit_contracts, figures
 from milletsill.lab.processes import LAB, Group, PlannerPart, Processes, free_ports
 from milletsill.lab.relay import inside, outside
 from milletsill.lab.report import broken, report
-from milletsill.lab.troubles import Troubles
+from milletsill.lab.troubles import OF_KILLS, Troubles
 from milletsill.settings.milletsill_pb2 import GatewayFile, Scenario
 
 __all__ = ["Run", "broken", "report"]
 READY_WITHIN, LEAD, ENDS_WITHIN = 60.0, 1.0, 60.0  # seconds
 JOINED_THROUGH = 3  # gateways whose addresses the others' files have
-STALE = ("*.rec", "load.json", "load.ready", "start", "stops.json", "troubles.json", "traces/*.mtrace")
+STALE = ("*.rec", "*.log", "load.json", "channels.json", "*.ready", "start", "stops.json", "troubles.json", "traces/*.mtrace")
 
 
 class Run:
@@ -44,10 +46,13 @@
         self.names = [f"edge-{number}" for number in range(scenario.edges)]
         self.groups = [Group(self, self.names[at:at + per_process]) for at in range(0, len(self.names), per_process)]
         self.troubles = Troubles(self)
-        self.fleet_port = 0
+        self.fleet_port, self.relay = 0, None
         os.makedirs(self.out, exist_ok=True)
         for old in [path for each in STALE for path in glob.glob(f"{self.out}/{each}")]:
             os.unlink(old)
+        if scenario.gateway.HasField("fleet"):  # what an earlier run promised is not promised now
+            for name in self.names:
+                shutil.rmtree(f"{self.out}/{name}.state", ignore_errors=True)
 
     def write_files(self, ports: list[int]) -> None:
         """One operator's file for each edge, and the scenario itself."""
@@ -117,7 +122,7 @@
         stand = spawn(LAB + ["stand", self.out, str(ports[0])], "stand")
         self.wait_for(ports[0], "the stand-ins")
         if self.fleet_port:
-            spawn(LAB + ["relay", self.out, str(self.fleet_port), str(control)], "relay")
+            self.relay = spawn(LAB + ["relay", self.out, str(self.fleet_port), str(control)], "relay")
             self.wait_for(control, "the relay")
         collector = self.start_collector()
         if self.planner is not None:
@@ -127,17 +132,19 @@
         for number, name in enumerate(self.names):
             self.wait_for(ports[1 + number], name)
         doors = ",".join(f"{name}=127.0.0.1:{ports[1 + number]}" for number, name in enumerate(self.names))
-        load = spawn(LAB + ["load", self.out, doors], "load")
-        self.wait_for_file("load.ready", load)
+        clients = [spawn(LAB + [name, self.out, doors], name)
+                   for name in (["load", "channels"] if self.scenario.channels else ["load"])]
+        for name, process in zip(("load", "channels"), clients):
+            self.wait_for_file(f"{name}.ready", process)
         start = self.begin()
         self.say(f"{len(self.names)} edges in {len(self.groups)} processes, {sum(b.count for b in self.scenario.box)} "
                  f"boxes, {self.scenario.seconds:g} s")
         self.troubles.plan(start)
         ends = start + self.scenario.seconds + self.scenario.tail_s + ENDS_WITHIN
-        while load.poll() is None and time.monotonic() < ends:
+        while any(each.poll() is None for each in clients) and time.monotonic() < ends:
             self.troubles.play(time.monotonic())
             time.sleep(0.01)
-        return self.finish(load, stand, collector)
+        return self.finish(clients, stand, collector)
 
     def begin(self) -> float:
         """Tell all that wait for it when the day starts, on the monotonic clock."""
@@ -152,7 +159,7 @@
         address = f"127.0.0.1:{self.flow_port}"
         if self.flows == "on":
             return self.processes.spawn([sys.executable, "-m", "milletsill", "flows", "collect", "--quiet", "--listen", address],
-                              "collector")
+                                        "collector")
         if self.flows == "stuck":
             return self.processes.spawn(LAB + ["deaf", str(self.flow_port)], "collector")
         return None
@@ -170,7 +177,7 @@
                 "missing": told["missing"], "malformed": told["malformed"], "unknown": told["unknown_sets"],
                 "bytes": told["bytes"], "traffic": sum(count for name, count in sums.items() if "ctet" in name)}
 
-    def finish(self, load: Any, stand: Any, collector: Any = None) -> dict[str, Any]:
+    def finish(self, clients: list[Any], stand: Any, collector: Any = None) -> dict[str, Any]:
         """End the edges as an operator would, then the rest; audit."""
         exits = []
         for each in self.groups:
@@ -184,10 +191,13 @@
         if self.planner is not None:
             self.planner.signal(signal.SIGCONT)
             self.planner.signal(signal.SIGTERM)
-        stand.send_signal(signal.SIGTERM)
-        stand.wait(30)
-        if load.poll() != 0:
-            raise RuntimeError(f"the load tool ended with {load.poll()}, see {self.out}/load.log")
+        for each in (stand, self.relay):
+            if each is not None:
+                each.send_signal(signal.SIGTERM)
+                each.wait(30)
+        for name, process in zip(("load", "channels"), clients):
+            if process.poll() != 0:
+                raise RuntimeError(f"the process `{name}` ended with {process.poll()}, see {self.out}/{name}.log")
         with open(f"{self.out}/load.json", encoding="utf-8") as source:
             result = json.load(source)
         with open(f"{self.out}/stops.json", "w", encoding="utf-8") as sink:
@@ -195,10 +205,23 @@
         with open(f"{self.out}/troubles.json", "w", encoding="utf-8") as sink:
             json.dump(self.troubles.told, sink)
         evidence = gather(self.out, len(glob.glob(f"{self.out}/box-*.rec")))
-        breaches = audit(evidence, self.scenario)
         result["flows"] = self.heard(collector, evidence)
-        result.update(exits=exits, faults=[os.path.basename(each) for each in sorted(glob.glob(f"{self.out}/*.log"))
-                                           if b"Traceback" in Path(each).read_bytes()], breaches=breaches, commands=len(evidence.commands),
-                      dispatches=len(evidence.dispatches), module=self.module or "BD-EDF",
-                      planner="on" if self.planned else "")
+        result.update(exits=exits, faults=self.tracebacks(), breaches=audit(evidence, self.scenario),
+                      commands=len(evidence.commands), dispatches=len(evidence.dispatches), module=self.module or "BD-EDF",
+                      planner="on" if self.planned else "", **self.of_fleet(evidence))
         return result
+
+    def tracebacks(self) -> list[str]:
+        """Logs with a fault that nobody caught."""
+        return [os.path.basename(each) for each in sorted(glob.glob(f"{self.out}/*.log"))
+                if b"Traceback" in Path(each).read_bytes()]
+
+    def of_fleet(self, evidence: Any) -> dict[str, Any]:
+        """What the contracts' audit says, and the clients with channels."""
+        if not self.scenario.channels:
+            return {}
+        with open(f"{self.out}/channels.json", encoding="utf-8") as source:
+            told = json.load(source)
+        kills = [at for each in self.troubles.told if each["fault"] in OF_KILLS for at in [each["at"]]]
+        return {"channels": told, "contracts": audit_contracts(evidence, self.scenario),
+                "contract_figures": figures(evidence, self.scenario, kills)}
--- a/milletsill/lab/troubles.py
+++ b/milletsill/lab/troubles.py
@@ -9,6 +9,7 @@
 
 OF_EDGES = ("balancer_crash", "balancer_roll", "balancer_stall", "balancer_leave", "balancer_lost", "balancer_old",
             "balancer_full")
+OF_KILLS = ("balancer_crash", "balancer_lost", "balancer_old")
 OF_PLANNER = ("planner_crash", "planner_stall", "planner_old")
 
 
@@ -20,8 +21,10 @@
         self.actions: list[tuple[float, Callable[[], None]]] = []
         self.stops: list[tuple[str, float, float]] = []  # (edge, from, to): stopped, so not running
         self.told: list[dict[str, Any]] = []
+        self.start = 0.0
 
     def plan(self, start: float) -> None:
+        self.start = start
         for each in self.run.scenario.trouble:
             if each.what in OF_EDGES or each.what in OF_PLANNER and self.run.planner is not None:
                 getattr(self, f"plan_{each.what}")(start + each.at_s, each)
@@ -37,7 +40,7 @@
         found = [groups[each] for each in trouble.on if each < len(groups)]
         if not trouble.on:
             found = self.chance.sample(groups, min(max(round(trouble.part * len(groups)), 1), len(groups)))
-        self.told.append({"fault": trouble.what, "at_s": trouble.at_s, "for_s": trouble.for_s,
+        self.told.append({"fault": trouble.what, "at": self.start + trouble.at_s, "for_s": trouble.for_s,
                           "on": [name for each in found for name in each.names]})
         return found
 
--- a/milletsill/settings/decide.py
+++ b/milletsill/settings/decide.py
@@ -363,6 +363,7 @@
         for place, each in enumerate(held):
             if each.plan and each.plan not in plans:
                 report.add((name, str(place), "plan"), f"plan {each.plan!r} is missing")
+    check_channels(file, report)
     for place, each in enumerate(file.trouble):
         if each.what not in TROUBLES:
             report.add(("trouble", str(place), "what"), f"{each.what!r} is not one of {', '.join(TROUBLES)}")
@@ -373,3 +374,21 @@
         if not 0 <= each.part <= 1 or not 0 <= each.at_s <= MOST_SECONDS or not 0 <= each.for_s <= MOST_SECONDS:
             report.add(("trouble", str(place)), f"part {each.part:g}, at_s {each.at_s:g} or for_s {each.for_s:g} is "
                                                 "out of range")
+
+
+def check_channels(file: Any, report: Report) -> None:
+    """Clients with channels: their contract and volume are there, figures within reason."""
+    contracts = {each.name for each in file.gateway.fleet.channels.contract}
+    volumes = {each.name for each in file.gateway.volume}
+    for place, each in enumerate(file.channels):
+        here = ("channels", str(place))
+        if each.contract not in contracts:
+            report.add(here + ("contract",), f"contract {each.contract!r} is missing from gateway.fleet.channels")
+        if each.volume not in volumes:
+            report.add(here + ("volume",), f"volume {each.volume!r} is missing")
+        for field, least, most in (("channels", 1, 1000), ("per_s", 0.01, 1000), ("window", 1, 1000), ("batch", 1, 1000),
+                                   ("reconnect_s", 0.1, 3600), ("elsewhere", 0, 1), ("extents", 1, 1000),
+                                   ("patience_ms", 10, 600_000)):
+            value = getattr(each, field)
+            if not least <= value <= most:
+                report.add(here + (field,), f"{field} {value:g} is not from {least:g} to {most:g}")
