--- a/milletsill/cli/main.py
+++ b/milletsill/cli/main.py
@@ -73,8 +73,10 @@
               help="Flow export: none, to a collector, to nobody, to one that never reads.")
 @click.option("--trace", "traced", is_flag=True, help="Each edge writes a trace, into OUT/traces.")
 @click.option("--planner", "planned", is_flag=True, help="With a planner; troubles of planners are played only then.")
+@click.option("--plant", default="", type=click.Choice(["", "each-in-order", "newest", "by-extent", "batches"]),
+              help="A fault planted in the gate of one contract: the audit has to find it.")
 def lab_run(scenario: str, out: str, modules: tuple[str, ...], per_process: int, seed: int | None, flows: str,
-            traced: bool, planned: bool) -> None:
+            traced: bool, planned: bool, plant: str) -> None:
     """Play SCENARIO and audit what crossed the sockets. Exit status 1 where a rule was broken by the module."""
     from milletsill.lab.run import Run, broken, report
     day = taken(scenario, Scenario, check_scenario)
@@ -85,7 +87,7 @@
         name = "" if module == "bd-edf" else module
         try:
             result = Run(day, os.path.join(out, module) if len(modules) > 1 else out, name, per_process,
-                         lambda text: click.echo(text, err=True), flows, traced, planned).play()
+                         lambda text: click.echo(text, err=True), flows, traced, planned, plant).play()
         except (RuntimeError, OSError) as error:
             click.echo(f"milletsill: {error}", err=True)
             sys.exit(1)
--- a/milletsill/lab/processes.py
+++ b/milletsill/lab/processes.py
@@ -80,8 +80,8 @@
 
     def command(self) -> list[str]:
         files = [f"{self.run.out}/{name}.textproto" for name in self.names]
-        if self.run.module:
-            return LAB + ["edges", self.run.module, *files]
+        if self.run.module or self.run.plant:
+            return LAB + ["edges", self.run.plant or self.run.module, *files]
         return [sys.executable, "-m", "milletsill", "edge", *files]
 
     def start(self) -> None:
--- a/milletsill/lab/run.py
+++ b/milletsill/lab/run.py
@@ -33,13 +33,13 @@
 
 
 class Run:
-    """One play of a scenario; `module` names a baseline, '' the module itself."""
+    """One play of a scenario; `module` names a baseline, '' the module itself; `plant` a planted fault."""
 
     def __init__(self, scenario: Scenario, out: str, module: str = "", per_process: int = 1,
                  say: Callable[[str], None] = lambda text: None, flows: str = "off",
-                 trace: bool = False, planner: bool = False) -> None:
+                 trace: bool = False, planner: bool = False, plant: str = "") -> None:
         self.planner: PlannerPart | None = None
-        self.planned = planner
+        self.planned, self.plant = planner, plant
         self.flows, self.flow_port, self.trace = flows, 0, trace
         self.scenario, self.out, self.module, self.say = scenario, os.path.abspath(out), module, say
         self.processes = Processes(self.out)
