--- /dev/null
+++ b/milletsill/lab/audit_fleet.py
@@ -0,0 +1,157 @@
+"""How long views, and what gateways call a box, took to agree after each fault, from the gateways' own logs.
+
+Read are their JSON lines: `view` with a digest, `member` with a change. Wall time is turned into the run's monotonic time. A
+moment agrees when all gateways that run and can speak say the same; over a split network each side by itself.
+"""
+from __future__ import annotations
+
+import json
+import os
+from bisect import bisect_right
+from collections import defaultdict
+from dataclasses import dataclass, field
+from datetime import datetime
+from typing import Any, Iterator, Sequence
+
+from milletsill.lab.evidence import entries
+
+Span = tuple[float, float]
+SLOW = 12.0  # seconds after a fault for which a member's being called gone may come of it
+DOWN = ("balancer_crash", "balancer_lost", "balancer_old", "balancer_leave")
+APART = ("split", "isolate")
+
+
+@dataclass
+class Told:
+    """What gateways said in their logs: by gateway (time, value), ordered; and members called gone: (time, by, whom)."""
+
+    views: dict[str, list[tuple[float, str]]] = field(default_factory=lambda: defaultdict(list))
+    gone: list[tuple[float, str, str]] = field(default_factory=list)
+    lines: list[dict[str, Any]] = field(default_factory=list)
+
+
+@dataclass
+class Weather:
+    """What was done: gateways that were down, and faults of the network as (what, gateways, from, to)."""
+
+    down: dict[str, list[Span]]
+    network: list[tuple[str, frozenset[str], float, float]]
+    marks: list[tuple[float, str]]  # every begin and end, ordered
+
+
+def json_lines(path: str) -> Iterator[dict[str, Any]]:
+    """The lines of a log that are JSON; the rest is for people."""
+    with open(path, encoding="utf-8", errors="replace") as source:
+        for line in source:
+            try:
+                made = json.loads(line)
+            except ValueError:
+                continue
+            if isinstance(made, dict) and "event" in made and "timestamp" in made:
+                yield made
+
+
+def read_logs(out: str, names: Sequence[str], offset: float) -> Told:
+    """`offset` is wall time less monotonic time, seconds."""
+    told = Told()
+    for name in names:
+        if not os.path.exists(f"{out}/{name}.log"):
+            continue
+        for line in json_lines(f"{out}/{name}.log"):
+            at = datetime.fromisoformat(line["timestamp"].replace("Z", "+00:00")).timestamp() - offset
+            gateway = line.get("gateway", name)
+            if line["event"] == "view":
+                told.views[gateway].append((at, line["digest"]))
+            elif line["event"] == "member" and line.get("change") == "gone":
+                told.gone.append((at, gateway, line["member"]))
+            else:
+                told.lines.append({**line, "at": at, "gateway": gateway})
+    return told
+
+
+def read_weather(out: str, names: Sequence[str], start: float) -> Weather:
+    """From what the run did to processes, and from the relay's own record."""
+    down: dict[str, list[Span]] = defaultdict(list)
+    marks, network = [(start, "the day's start")], []
+    with open(f"{out}/troubles.json", encoding="utf-8") as source:
+        for each in json.load(source):
+            marks.append((each["at"], f"{each['fault']} of {', '.join(each['on'])}"))
+            until = each["at"] + each["for_s"]
+            if each["fault"] in DOWN:
+                marks.append((until, f"{', '.join(each['on'])} back after {each['fault']}"))
+                for name in each["on"]:
+                    down[name].append((each["at"], until))
+            elif each["fault"] == "balancer_roll":
+                for place, name in enumerate(each["on"]):
+                    at = each["at"] + each["for_s"] * place / len(each["on"])
+                    down[name].append((at, at + each["extra"]))
+                marks.append((max(until, down[each["on"][-1]][-1][1]), "balancer_roll over"))
+    began: dict[tuple[str, float], tuple[float, frozenset[str]]] = {}
+    for at, _, direction, _, data in entries(f"{out}/relay.rec"):
+        note = json.loads(data) if direction == 2 else {}
+        if note.get("what") in ("begin", "end"):
+            on = frozenset(names[each] for each in note["on"])
+            said = f"{note['fault']} of {', '.join(sorted(on)) or 'all'}"
+            marks.append((at, said if note["what"] == "begin" else f"healed: {said}"))
+            key = (note["fault"], note["planned"])
+            if note["what"] == "begin":
+                began[key] = at, on
+            elif key in began:
+                since, on = began.pop(key)
+                network.append((note["fault"], on, since, at))
+    return Weather(down, network, sorted(marks))
+
+
+def groups(weather: Weather, names: Sequence[str], at: float) -> list[list[str]]:
+    """Those that run at a time, by whom they can speak to."""
+    up = [name for name in names if not any(since <= at < to for since, to in weather.down.get(name, ()))]
+    now = [(what, on) for what, on, since, to in weather.network if since <= at < to and what in APART]
+    sides: dict[tuple[Any, ...], list[str]] = defaultdict(list)
+    for name in up:
+        sides[tuple(name if what == "isolate" and name in on else name in on for what, on in now)].append(name)
+    return list(sides.values())
+
+
+def said(told: Told, weather: Weather, name: str, at: float) -> str | None:
+    """What a gateway's last line says at a time; None where it has said nothing since it started again."""
+    rows = told.views.get(name, [])
+    place = bisect_right(rows, (at, "~")) - 1
+    back = max((to for _, to in weather.down.get(name, ()) if to <= at), default=0.0)
+    return rows[place][1] if place >= 0 and rows[place][0] >= back else None
+
+
+def agree(told: Told, weather: Weather, names: Sequence[str], at: float) -> bool:
+    for group in groups(weather, names, at):
+        heard = {said(told, weather, name, at) for name in group}
+        if len(heard) > 1 or None in heard:
+            return False
+    return True
+
+
+def agreements(told: Told, weather: Weather, names: Sequence[str], end: float) -> list[tuple[str, float, float | None]]:
+    """For each mark its name, its time, and after how many seconds all agreed and went on to; None where they did not
+    before the next."""
+    changes = sorted(at for rows in told.views.values() for at, _ in rows)
+    found = []
+    for place, (at, name) in enumerate(weather.marks):
+        until = weather.marks[place + 1][0] if place + 1 < len(weather.marks) else end
+        agreed: float | None = None
+        for when in [at] + [each for each in changes if at < each < until]:
+            if not agree(told, weather, names, when):
+                agreed = None
+            elif agreed is None:
+                agreed = when
+        found.append((name, at, None if agreed is None else agreed - at))
+    return found
+
+
+def false_deaths(told: Told, weather: Weather) -> list[str]:
+    """Members that were called gone while they ran and nothing had lain between in the last seconds."""
+    found = []
+    for at, by, whom in told.gone:
+        was_down = any(since <= at <= to + SLOW for name in (whom, by) for since, to in weather.down.get(name, ()))
+        was_apart = any(since <= at <= to + SLOW for what, _, since, to in weather.network
+                        if what in (*APART, "cut_one_way", "lossy"))
+        if not was_down and not was_apart:
+            found.append(f"{at:.3f} {by} called {whom} gone")
+    return found
--- a/milletsill/lab/report.py
+++ b/milletsill/lab/report.py
@@ -44,7 +44,7 @@
         lines.append(f"rule {rule}, {RULES[rule]}: {'kept' if not found else f'{len(found)} BREACHES'}")
         for breach in found[:MOST_SHOWN]:
             lines += [f"  {breach.text}"] + [f"    {each}" for each in breach.packets]
-    return "\n".join(lines + of_contracts(result))
+    return "\n".join(lines + of_contracts(result) + of_views(result))
 
 
 def of_contracts(result: dict[str, Any]) -> list[str]:
@@ -70,5 +70,17 @@
     """Whether a rule was broken, wrong bytes read, or something left without an end."""
     held: dict[int, list[Breach]] = result["breaches"]
     held_to: dict[str, list[Breach]] = result.get("contracts", {})
-    return any(held.values()) or any(held_to.values()) or bool(result.get("channels", {}).get("unended")) or bool(result["counts"].get("reads with wrong bytes")) or bool(
+    return any(held.values()) or any(held_to.values()) or not result.get("views_agree", True) or bool(result.get("channels", {}).get("unended")) or bool(result["counts"].get("reads with wrong bytes")) or bool(
         result["unended"]) or bool(result["faults"]) or any(result["exits"])
+
+
+def of_views(result: dict[str, Any]) -> list[str]:
+    """How long views took to agree after each fault; none where the day had no fleet."""
+    if "views" not in result:
+        return []
+    lines = ["seconds until all gateways that can speak to each other had the same view, and kept it:"]
+    lines += [f"  {at - result['start']:7.1f} {name}: " + ("not before the next" if took is None else f"{took:.2f}")
+              for name, at, took in result["views"]]
+    lines.append(f"views at the end: {'the same' if result['views_agree'] else 'NOT THE SAME'}; called gone without a cause: "
+                 f"{len(result['false_deaths'])}")
+    return lines + [f"  {each}" for each in result["false_deaths"][:MOST_SHOWN]]
--- a/milletsill/lab/run.py
+++ b/milletsill/lab/run.py
@@ -20,6 +20,7 @@
 
 from milletsill.lab.audit import audit, gather
 from milletsill.lab.audit_contracts import audit_contracts, figures
+from milletsill.lab.audit_fleet import agreements, false_deaths, read_logs, read_weather
 from milletsill.lab.processes import LAB, Group, PlannerPart, Processes, free_ports
 from milletsill.lab.relay import inside, outside
 from milletsill.lab.report import broken, report
@@ -47,6 +48,7 @@
         self.groups = [Group(self, self.names[at:at + per_process]) for at in range(0, len(self.names), per_process)]
         self.troubles = Troubles(self)
         self.fleet_port, self.relay = 0, None
+        self.start = self.ended = 0.0
         os.makedirs(self.out, exist_ok=True)
         for old in [path for each in STALE for path in glob.glob(f"{self.out}/{each}")]:
             os.unlink(old)
@@ -144,11 +146,12 @@
         while any(each.poll() is None for each in clients) and time.monotonic() < ends:
             self.troubles.play(time.monotonic())
             time.sleep(0.01)
+        self.ended = time.monotonic()
         return self.finish(clients, stand, collector)
 
     def begin(self) -> float:
         """Tell all that wait for it when the day starts, on the monotonic clock."""
-        start = time.monotonic() + LEAD
+        start = self.start = time.monotonic() + LEAD
         with open(f"{self.out}/start.new", "w", encoding="ascii") as sink:
             sink.write(repr(start))
         os.replace(f"{self.out}/start.new", f"{self.out}/start")
@@ -217,11 +220,18 @@
                 if b"Traceback" in Path(each).read_bytes()]
 
     def of_fleet(self, evidence: Any) -> dict[str, Any]:
-        """What the contracts' audit says, and the clients with channels."""
-        if not self.scenario.channels:
-            return {}
-        with open(f"{self.out}/channels.json", encoding="utf-8") as source:
-            told = json.load(source)
-        kills = [at for each in self.troubles.told if each["fault"] in OF_KILLS for at in [each["at"]]]
-        return {"channels": told, "contracts": audit_contracts(evidence, self.scenario),
-                "contract_figures": figures(evidence, self.scenario, kills)}
+        """What the gateways' logs say of views, and the audit of contracts with the clients that have channels."""
+        found: dict[str, Any] = {}
+        if self.fleet_port:
+            told = read_logs(self.out, [each.name for each in self.groups], time.time() - time.monotonic())
+            weather = read_weather(self.out, self.names, self.start)
+            rows = agreements(told, weather, self.names, self.ended)
+            found = {"views": rows, "views_agree": rows[-1][2] is not None, "start": self.start,
+                     "false_deaths": false_deaths(told, weather)}
+        if self.scenario.channels:
+            with open(f"{self.out}/channels.json", encoding="utf-8") as source:
+                found["channels"] = json.load(source)
+            kills = [each["at"] for each in self.troubles.told if each["fault"] in OF_KILLS]
+            found["contracts"] = audit_contracts(evidence, self.scenario)
+            found["contract_figures"] = figures(evidence, self.scenario, kills)
+        return found
--- a/milletsill/lab/troubles.py
+++ b/milletsill/lab/troubles.py
@@ -41,7 +41,7 @@
         if not trouble.on:
             found = self.chance.sample(groups, min(max(round(trouble.part * len(groups)), 1), len(groups)))
         self.told.append({"fault": trouble.what, "at": self.start + trouble.at_s, "for_s": trouble.for_s,
-                          "on": [name for each in found for name in each.names]})
+                          "extra": trouble.extra, "on": [name for each in found for name in each.names]})
         return found
 
     def plan_balancer_crash(self, at: float, trouble: Any) -> None:
