--- a/milletsill/edge/identity.py
+++ b/milletsill/edge/identity.py
@@ -19,6 +19,14 @@
     except (OSError, ValueError) as error:
         complaint, held = f"{path}: {error}", int(time.time())
     number = min(max(held, 0) + 1, MOST)
+    failed = keep(path, number)
+    if failed:
+        return min(max(int(time.time()), number), MOST), failed
+    return number, complaint
+
+
+def keep(path: str, number: int) -> str:
+    """Write a run down, so that the next start goes past it; '' or why not."""
     try:
         with open(f"{path}.new", "w", encoding="ascii") as sink:
             sink.write(f"{number}\n")
@@ -26,5 +34,5 @@
             os.fsync(sink.fileno())
         os.replace(f"{path}.new", path)
     except OSError as error:
-        return min(max(int(time.time()), number), MOST), f"{path}: {error.strerror or error}"
-    return number, complaint
+        return f"{path}: {error.strerror or error}"
+    return ""
--- a/milletsill/edge/service.py
+++ b/milletsill/edge/service.py
@@ -14,9 +14,10 @@
                                     canonical, pass_on, taken_since)
 from milletsill.edge.door import Clients, Connection
 from milletsill.edge.host import Ended, Host, Make
-from milletsill.edge.identity import next_incarnation
+from milletsill.edge.identity import keep, next_incarnation
 from milletsill.edge.logs import logger
 from milletsill.edge.metrics import Figures
+from milletsill.errors import Fault
 from milletsill.files.extensions import Order
 from milletsill.interface import Arrival, Listed, News
 from milletsill.links.pool import Pool, Sending
@@ -62,6 +63,7 @@
                          lambda text: self.remark("module", reason=text), self.figures.note)
         self.flows = self.exporter(seed) if file.HasField("flows") else None
         self.parts = self.planned(given, seed) if file.HasField("planner") else None
+        self.fleet = self.among_others(seed) if file.HasField("fleet") else None
         self.ports: list[Any] = []
         self.stopped: list[Callable[[], None]] = []
         self.look_call: Any = None
@@ -86,10 +88,28 @@
         return Parts(self.reactor, self.now, self.file, given, seed + 2, self.incarnation, self.host, self.remark,
                      self.figures.registry)
 
+    def among_others(self, seed: int) -> Any:
+        """The fleet's view; none of its code is loaded where the file does not ask for it."""
+        from milletsill.fleet.service import Fleet
+        return Fleet(self.reactor, self.now, self.file, seed + 3, self.incarnation, self.remark,
+                     lambda event, **values: self.log.info(event, **values),
+                     self.keep_run, self.figures.registry)
+
+    def keep_run(self, run: int) -> None:
+        """The fleet knew a later run than this one; the next start goes past both."""
+        complaint = keep(os.path.join(self.file.state_dir, "incarnation"), run)
+        if complaint:
+            self.remark("incarnation_not_kept", reason=complaint)
+
     # Life.
 
     def start(self) -> None:
         """Read the last list, open the doors."""
+        if self.fleet is not None:
+            try:
+                self.fleet.start()
+            except Fault as error:
+                return self.cannot(error)
         if self.flows is not None:
             self.flows.start()
         if self.traces is not None:
@@ -126,6 +146,8 @@
             self.open()
         elif effect == "drain":
             self.log.info("draining", held=self.host.held)
+            if self.fleet is not None:
+                self.fleet.leave()
             self.close_ports()
             self.overdue_call = self.reactor.callLater(self.file.door.drain_s, self.step, Event.OVERDUE)
             self.emptied()
@@ -140,6 +162,12 @@
             host, _, port = self.file.metrics.rpartition(":")
             self.listen(host, int(port), self.figures.page(), "metrics_listening")
 
+    def cannot(self, error: Fault) -> None:
+        """The start is over before it began."""
+        self.log.error("cannot_listen", **error.said())
+        self.process, self.failed = Process.STOPPED, True
+        self.stop()
+
     def listen(self, host: str, port: int, factory: Any, word: str) -> None:
         def up(got: Any) -> None:
             self.ports.append(got)
@@ -160,8 +188,8 @@
         """Another file for what a running gateway can change: bounds of the door, volumes, routes, logs. What the
         module was told at the start stands until a restart."""
         if facts.facts_of(file) != self.host.facts or file.name != self.file.name or file.listen != self.file.listen or (
-                file.trace != self.file.trace):
-            return self.remark("file_refused", reason="plans, categories, rules, name, address or traces need a restart")
+                file.trace != self.file.trace or file.fleet != self.file.fleet):
+            return self.remark("file_refused", reason="plans, categories, rules, name, address, traces or fleet need a restart")
         self.file, self.atlas, self.margin = file, facts.atlas_of(file), facts.at_least(file.door.answer_margin_ms)
         self.answer_log = AnswerLog(file.logging.answers_per_s)
         self.log = logger(file.logging.level, file.logging.json, gateway=file.name)
@@ -193,6 +221,8 @@
             self.traces.stop()
         if self.parts is not None:
             self.parts.stop()
+        if self.fleet is not None:
+            self.fleet.stop()
         for call in (self.look_call, self.overdue_call, self.beat_call):
             if call is not None and call.active():
                 call.cancel()
--- /dev/null
+++ b/milletsill/fleet/faults.py
@@ -0,0 +1,35 @@
+"""What can go wrong between gateways, by type. Each stands in docs/fleet.md with what to do."""
+from __future__ import annotations
+
+from milletsill.errors import Fault
+
+
+class LostState(Fault):
+    """Others knew a run of this name as late as this gateway's, or later."""
+
+    remedy = ("if state_dir was lost or put back from a copy, nothing: the gateway has gone past that run; if not, see that no "
+              "other gateway bears this name")
+
+
+class TwinName(Fault):
+    """Two live gateways have one name."""
+
+    remedy = "give each gateway's file a name of its own and restart the one that is wrong; until then one of them is in no view"
+
+
+class FleetFull(Fault):
+    """More members than the bound."""
+
+    remedy = "raise fleet.most_members in all files, or see why so many names come up"
+
+
+class Alone(Fault):
+    """No other gateway has answered since the start."""
+
+    remedy = "see that one of fleet.join is up and reached over UDP and TCP, and that fleet.name is the same there"
+
+
+class NoFleetAddress(Fault):
+    """The address for other gateways cannot be had."""
+
+    remedy = "free the address or change fleet.address; UDP and TCP are both needed"
--- /dev/null
+++ b/milletsill/fleet/frames/codec.py
@@ -0,0 +1,164 @@
+"""Octets to words and back. What makes no sense is an error of a type of its own and loses nothing else."""
+from __future__ import annotations
+
+from struct import Struct
+from typing import Any, Iterator
+
+from google.protobuf.message import DecodeError
+
+from milletsill.errors import Fault
+from milletsill.fleet.frames import fleet_pb2
+from milletsill.fleet.frames.words import VERSION, Message, Row, What
+from milletsill.fleet.plane import Kind, Standing
+
+MAGIC = b"mslf"
+LENGTH = Struct(">I")
+MOST_DATAGRAM, MOST_FRAME = 1400, 1 << 20  # octets
+MOST_BODY, ROWS_A_FRAME = MOST_FRAME - 4096, 2000
+MOST_NAME, MOST_ADDRESS, MOST_BY = 64, 80, 3
+KNOWN_WHATS = {each.value: each for each in What}
+KNOWN_KINDS = {each.value: each for each in Kind}
+KNOWN_STANDINGS = {each.value: each for each in Standing}
+
+
+class Unreadable(Fault):
+    """Octets that are no frame of a gateway."""
+
+    remedy = "see what else sends to the fleet's address; a gateway sends nothing of the kind"
+
+
+class TooLong(Unreadable):
+    """A frame over its bound."""
+
+    remedy = "shorten names, or see what else sends to the fleet's address"
+
+
+class OtherFleet(Fault):
+    """A frame of a fleet with another name."""
+
+    remedy = "if both are one fleet, give `fleet.name` the same value in all files; else take the address out of `fleet.join`"
+
+
+class TooNew(Fault):
+    """A frame that a later version says this one cannot make sense of."""
+
+    remedy = "bring this gateway to the version of the others; until then it does not hear those"
+
+
+class Codec:
+    """Frames of one fleet. `version` is another only where a test plays a later one."""
+
+    def __init__(self, fleet: str, version: int = VERSION) -> None:
+        self.fleet, self.version = fleet, version
+
+    def encode(self, message: Message) -> bytes:
+        """Raises TooLong past a MiB; whoever sends datagrams looks at the length."""
+        frame = fleet_pb2.Frame(version=self.version, least=1, fleet=self.fleet, sender=put_row(message.sender))
+        if message.what is not None:
+            frame.what = message.what.value
+        if message.number:
+            frame.number = message.number
+        if message.target:
+            frame.target = message.target
+        if message.address:
+            frame.address = message.address
+        if message.digest:
+            frame.digest = message.digest
+        if message.kind is not None:
+            frame.kind, frame.body = message.kind.value, message.body
+        if message.answer:
+            frame.answer = True
+        frame.row.extend(map(put_row, message.rows))
+        data = MAGIC + frame.SerializeToString()
+        if len(data) > MOST_FRAME:
+            raise TooLong(f"a frame of {len(data)} octets, {MOST_FRAME} at most")
+        return data
+
+    def decode(self, data: bytes) -> Message:
+        """Raises Unreadable, OtherFleet or TooNew."""
+        if len(data) > MOST_FRAME:
+            raise TooLong(f"a frame of {len(data)} octets, {MOST_FRAME} at most")
+        if data[:4] != MAGIC:
+            raise Unreadable("octets that do not begin as a frame does")
+        try:
+            frame = fleet_pb2.Frame.FromString(data[4:])
+        except DecodeError:
+            raise Unreadable("a frame that is no protobuf of ours") from None
+        if frame.fleet != self.fleet:
+            raise OtherFleet(f"a frame of fleet {frame.fleet[:MOST_NAME]!r}", f"fleet {self.fleet!r}")
+        if frame.least > self.version:
+            raise TooNew(f"a frame of version {frame.version} for {frame.least} and later", f"version {self.version}")
+        sender = get_row(frame.sender)
+        if sender is None or not sender.address:
+            raise Unreadable("a frame without a sender")
+        if not named(frame.target or "-") or len(frame.address) > MOST_ADDRESS or (frame.address and not addressed(frame.address)):
+            raise Unreadable("a frame for a name or address that cannot be one")
+        rows = tuple(row for each in frame.row[:ROWS_A_FRAME] if (row := get_row(each)) is not None)
+        return Message(KNOWN_WHATS.get(frame.what), sender, rows, frame.number, frame.target, frame.address, frame.digest,
+                       KNOWN_KINDS.get(frame.kind), frame.body, frame.answer, frame.version)
+
+
+def put_row(row: Row) -> Any:
+    made = fleet_pb2.Row(name=row.name, run=row.run, nonce=row.nonce, standing=row.standing.value, by=row.by)
+    if row.turn:
+        made.turn = row.turn
+    if row.address:
+        made.address = row.address
+    if row.age:
+        made.age = row.age
+    return made
+
+
+def get_row(row: Any) -> Row | None:
+    """None for a row that cannot be one, or with a standing that only a later version has: the rest of the frame stands."""
+    standing = KNOWN_STANDINGS.get(row.standing)
+    if standing is None or not named(row.name) or (row.address and not addressed(row.address)):
+        return None
+    return Row(row.name, row.run, row.nonce, row.turn, standing, row.address, row.age,
+               tuple(each for each in row.by[:MOST_BY] if named(each)))
+
+
+def named(text: str) -> bool:
+    return 0 < len(text) <= MOST_NAME and text.isprintable() and " " not in text
+
+
+def addressed(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    return bool(host) and len(text) <= MOST_ADDRESS and port.isascii() and port.isdecimal() and 0 < int(port) < 65_536
+
+
+def row_room(row: Row) -> int:
+    """Octets that a row takes at most, its head in the frame with it."""
+    return 42 + len(row.name.encode()) + len(row.address) + sum(2 + len(each.encode()) for each in row.by)
+
+
+def head_room(fleet: str, sender: Row) -> int:
+    """Octets of a datagram that are left for rows, with the longest target and address in it."""
+    return MOST_DATAGRAM - (64 + len(fleet.encode()) + row_room(sender) + 4 * MOST_NAME + MOST_ADDRESS)
+
+
+class Frames:
+    """Octets of a connection as frames; never holds more than one frame and what came with it."""
+
+    def __init__(self) -> None:
+        self.held = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """The frames that are whole now; raises TooLong."""
+        self.held += data
+        at = 0
+        while len(self.held) - at >= LENGTH.size:
+            size = LENGTH.unpack_from(self.held, at)[0]
+            if size > MOST_FRAME:
+                raise TooLong(f"a frame of {size} octets, {MOST_FRAME} at most")
+            if len(self.held) - at - LENGTH.size < size:
+                break
+            at += LENGTH.size
+            yield bytes(self.held[at:at + size])
+            at += size
+        del self.held[:at]
+
+
+def framed(data: bytes) -> bytes:
+    """As it goes over TCP."""
+    return LENGTH.pack(len(data)) + data
--- /dev/null
+++ b/milletsill/fleet/frames/words.py
@@ -0,0 +1,43 @@
+"""What a frame says, apart from its octets: the words that decide.py of `members` speaks."""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from milletsill.fleet.plane import Kind, Standing
+
+# PROBE: are you there. ACK: the target is. THROUGH: probe it for me. NEWS: rows alone. DIGEST: is your view mine.
+# ROWS: all I know. BODY: what another part of the program tells. TWIN: there are two with your name.
+What = Enum("What", "PROBE ACK THROUGH NEWS DIGEST ROWS BODY TWIN")
+VERSION = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """What is said of one gateway; `age` in tenths of a millisecond since it was gone or left."""
+
+    name: str
+    run: int
+    nonce: int
+    turn: int
+    standing: Standing
+    address: str = ""
+    age: int = 0
+    by: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class Message:
+    """One frame. `what` is None for a kind that a later version has: its sender and rows still count."""
+
+    what: What | None
+    sender: Row
+    rows: tuple[Row, ...] = ()
+    number: int = 0
+    target: str = ""
+    address: str = ""
+    digest: int = 0
+    kind: Kind | None = None
+    body: bytes = b""
+    answer: bool = False
+    version: int = field(default=VERSION)
--- /dev/null
+++ b/milletsill/fleet/members/rolls.py
@@ -0,0 +1,178 @@
+"""What one gateway holds of the others and of itself, and how words change it: the tables of decide.py, read and acted on."""
+from __future__ import annotations
+
+from milletsill.fleet.frames.codec import MOST_BY
+from milletsill.fleet.frames.words import Message, Row, What
+from milletsill.fleet.members.decide import (CHANGES, HELD, LEAST_SHARE, OWN, TWIN_AFTER, TWIN_EVERY, Own, Order, Terms, Word,
+                                             order_of, word_of)
+from milletsill.fleet.members.effects import Changed, Claimed, Effect, Said, Say, Send
+from milletsill.fleet.members.table import Known, Table
+from milletsill.fleet.plane import PRESENT, Change, Standing
+from milletsill.fleet.spread.decide import Spread
+
+
+class Rolls:
+    """`out` gathers effects. Everything in it is bounded by the most members of the terms."""
+
+    def __init__(self, name: str, address: str, run: int, nonce: int, terms: Terms, now: int) -> None:
+        self.name, self.nonce, self.terms, self.started = name, nonce, terms, now
+        self.own, self.claimed, self.told_twin = Own.UP, None, now - TWIN_EVERY
+        self.me = Known(Row(name, run, nonce, 0, Standing.ALIVE, address), now)
+        self.table, self.spread, self.out = Table(terms.most_members), Spread(), list[Effect]()
+        self.table.add(self.me)
+        self.sender = self.me.row(now)
+        self.spread.add(name)
+
+    # Others.
+
+    def merge(self, now: int, row: Row, news: bool = True) -> str:
+        """Take what is said of one; the action of the table, '' where it changes nothing. `news`: pass it on."""
+        if row.name == self.name and (self.own is not Own.DISPLACED or row.nonce == self.nonce):
+            return self.meant(now, row)
+        held = self.table.get(row.name)
+        if held is None:
+            return self.meet(now, row, news)
+        order = order_of(held.key, (row.run, row.nonce, row.turn))
+        standing, action = HELD.get((held.standing, row.standing, order), (held.standing, ""))
+        if not action or (order is Order.RUN and row.standing in PRESENT and not row.address):
+            return ""
+        if action == "confirm":
+            return self.confirm(held, row.by)
+        if action == "sentence":
+            # One of whom a suspicion was told, and not refuted for the least span, is gone; else I ask it first.
+            told = bool(held.by) and now - held.since >= self.terms.suspicion * LEAST_SHARE
+            standing, action = (Standing.GONE, "gone") if told else (Standing.SUSPECT, "hearsay")
+        before = held.standing
+        held.run, held.nonce, held.turn = row.run, row.nonce, row.turn
+        held.address = row.address or held.address
+        held.by = row.by if action in ("suspect", "restarted", "again") and standing is Standing.SUSPECT else (
+            held.by if action == "hearsay" and before is Standing.SUSPECT else ())
+        self.stand(now, held, standing, action, row.age)
+        if news and action not in ("hearsay", "note"):
+            self.spread.add(row.name)
+        return action
+
+    def meet(self, now: int, row: Row, news: bool) -> str:
+        """One that was not known. One that is away is kept in mind only as long as others do, or it would go round for ever."""
+        if not row.address or (row.standing not in PRESENT and row.age >= self.terms.remember):
+            return ""
+        known = Known(row, now)
+        if not self.table.add(known):
+            self.out.append(Say(Said.FULL, row.name))
+            return ""
+        if row.standing not in PRESENT:
+            return "note"
+        self.out.append(Changed(Change.JOINED, known.member()))
+        if news:
+            self.spread.add(row.name)
+        return "again"
+
+    def confirm(self, held: Known, by: tuple[str, ...]) -> str:
+        """One more who suspects it; a few are enough to know, and to pass on."""
+        found = tuple(dict.fromkeys(held.by + by))[:MOST_BY]
+        if len(found) == len(held.by):
+            return ""
+        held.by = found
+        self.spread.add(held.name)
+        return "confirm"
+
+    def stand(self, now: int, held: Known, standing: Standing, action: str, age: int = 0) -> None:
+        """It stands so from now on."""
+        before, held.standing = held.standing, standing
+        if standing is not before or action == "restarted":
+            held.since = now - age
+        self.table.sort(held, before)
+        change = CHANGES.get(action)
+        if change is Change.SUSPECTED and before is Standing.SUSPECT:
+            change = None
+        if change is not None:
+            self.out.append(Changed(change, held.member()))
+        if held.name == self.name and standing not in PRESENT and self.own is Own.DISPLACED:
+            self.mean(now, Word.FREE, held.row(now))
+
+    def suspect(self, now: int, name: str) -> None:
+        """This gateway's own suspicion."""
+        held = self.table.get(name)
+        if held is None or held.standing not in PRESENT:
+            return
+        if held.standing is Standing.SUSPECT:
+            self.confirm(held, (self.name,))
+        else:
+            held.by = (self.name,)
+            self.stand(now, held, Standing.SUSPECT, "suspect")
+            self.spread.add(name)
+
+    def sentence(self, now: int, name: str) -> None:
+        """It gave this gateway no sign of life for all the spans there are."""
+        held = self.table.get(name)
+        if held is not None and held.standing in PRESENT:
+            held.by = ()
+            self.stand(now, held, Standing.GONE, "gone")
+            self.spread.add(name)
+
+    # This gateway itself.
+
+    def meant(self, now: int, row: Row) -> str:
+        """What is said under this gateway's name."""
+        word = word_of(row, self.me.run, self.nonce, self.me.turn, self.claimed)
+        if word is not Word.OLD:
+            return self.mean(now, word, row)
+        return ""
+
+    def mean(self, now: int, word: Word, row: Row) -> str:
+        """Read the table and act."""
+        own, effect = OWN.get((self.own, word), (self.own, ""))
+        if not effect or (own is Own.DISPLACED and not row.address):
+            return ""
+        self.own = own
+        if effect == "refute":
+            self.me.turn = row.turn + 1
+            self.out.append(Say(Said.REFUTED))
+        if effect == "lost":
+            self.out.append(Say(Said.LOST_STATE, row.address, row.run))
+        if effect.startswith("twin"):
+            self.twin(now, row.address)
+        if effect in ("lost", "past", "twin past"):
+            self.past(now, row.run + 1)
+        if effect == "twin rest":
+            self.table.drop(self.name)
+            self.table.add(Known(row, now))
+            self.out.append(Changed(Change.RESTARTED, self.table.held[self.name].member()))
+        else:
+            self.sender = self.me.row(now)
+            self.spread.add(self.name)
+        return effect
+
+    def past(self, now: int, run: int) -> None:
+        """Another run than that of the start: past all that others have heard under this name."""
+        if self.table.get(self.name) is not self.me:
+            self.table.drop(self.name)
+            self.table.add(self.me)
+        self.me.run, self.me.turn, self.claimed = run, 0, run
+        self.table.sort(self.me, self.me.standing)
+        self.out += [Claimed(run), Changed(Change.RESTARTED, self.me.member())]
+
+    def twin(self, now: int, address: str) -> None:
+        """Say it here and there, now and then."""
+        if now - self.told_twin >= TWIN_EVERY:
+            self.told_twin = now
+            self.out.append(Say(Said.TWIN, address))
+            if address:
+                self.out.append(Send(address, Message(What.TWIN, self.sender)))
+
+    def met_twin(self, now: int, sender: Row) -> None:
+        """A frame straight from one with this name. Guards against a former start's last frames: none is on its way for so
+        long. Harm: two that start together hear of it that much later."""
+        if now - self.started >= TWIN_AFTER:
+            self.twin(now, sender.address)
+
+    def leave(self, now: int) -> None:
+        """This gateway says that it goes."""
+        if self.own is Own.DISPLACED:
+            self.own = Own.LEAVING
+            return
+        self.own, before, self.me.standing, self.me.since = Own.LEAVING, self.me.standing, Standing.LEFT, now
+        self.table.sort(self.me, before)
+        self.sender = self.me.row(now)
+        self.spread.add(self.name)
+        self.out.append(Changed(Change.LEFT, self.me.member()))
--- /dev/null
+++ b/milletsill/fleet/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets between gateways: one UDP port, one TCP door, one stream to a member."""
--- /dev/null
+++ b/milletsill/lab/fleet_clock.py
@@ -0,0 +1,243 @@
+"""A fleet on a simulated clock: many memberships, the very machines of `fleet/members`, and a network between them that has latency,
+loses and is cut. Gateways stand still, are killed, leave and come back. What others tell over the fleet's plane is played too.
+
+Times are tenths of a millisecond. The same seed plays the same run.
+"""
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from random import Random
+from typing import Any, Callable, Iterable, Sequence
+
+from milletsill.fleet.frames.codec import MOST_BODY, Codec, framed
+from milletsill.fleet.frames.words import Message, What
+from milletsill.fleet.members.decide import BEAT, Terms
+from milletsill.fleet.members.effects import Changed, Effect, Say, Send
+from milletsill.fleet.members.membership import Membership
+from milletsill.fleet.plane import Change, Kind, Member, View
+
+MS, SECOND = 10, 10_000
+SOCKET = 400  # datagrams that a socket holds for a gateway that stands still
+RETRY = 2000  # a lost piece of a stream comes that much later
+
+
+class Stand:
+    """One simulated gateway; a `Plane` for what is built on the fleet."""
+
+    def __init__(self, clock: FleetClock, name: str, run: int, join: Sequence[str]) -> None:
+        self.clock, self.name, self.address = clock, name, f"{name}:1"
+        self.chance = Random(clock.chance.getrandbits(64))
+        self.member = Membership(name, self.address, run, self.chance.getrandbits(64), clock.terms, self.chance, join, clock.now)
+        self.up, self.stands_until, self.backlog = True, 0, list[Message]()
+        self.ears: dict[Kind, list[Callable[[str, int, bytes], None]]] = {}
+        self.watchers: list[Callable[[View, Sequence[tuple[Change, Member]]], None]] = []
+        self.changes: list[tuple[Change, Member]] = []
+        self.version, self.made = 0, View(0, ())
+        self.said: Counter[str] = Counter()
+        clock.at(clock.now + self.chance.randrange(BEAT), self.beat)
+
+    # The plane.
+
+    @property
+    def run(self) -> int:
+        return self.member.rolls.me.run
+
+    @property
+    def view(self) -> View:
+        if self.made.version != self.version or not self.version:
+            self.made = View(self.version, (each.member() for each in self.member.rolls.table.held.values()))
+        return self.made
+
+    def tell(self, member: str, kind: Kind, body: bytes) -> bool:
+        known = self.member.rolls.table.get(member)
+        if known is None or not known.mark or member == self.name or len(body) > MOST_BODY:
+            return False
+        self.clock.send(self, Send(known.address, Message(What.BODY, self.member.rolls.sender, kind=kind, body=body), True))
+        return True
+
+    def hear(self, kind: Kind, heard: Callable[[str, int, bytes], None]) -> None:
+        self.ears.setdefault(kind, []).append(heard)
+
+    def watch(self, told: Callable[[View, Sequence[tuple[Change, Member]]], None]) -> None:
+        self.watchers.append(told)
+
+    # Time and frames.
+
+    def beat(self) -> None:
+        if not self.up:
+            return
+        if self.clock.now < self.stands_until:
+            return self.clock.at(self.stands_until, self.beat)
+        self.act(self.member.tick(self.clock.now))
+        backlog, self.backlog = self.backlog, []
+        for message in backlog:
+            self.heard(message)
+        self.clock.at(self.clock.now + BEAT, self.beat)
+
+    def arrive(self, message: Message, stream: bool) -> None:
+        """While it stands its sockets hold what comes, up to a bound; it wakes with its timers, then reads them."""
+        if not self.up:
+            return
+        if self.clock.now < self.stands_until or self.backlog:
+            if stream or len(self.backlog) < SOCKET:
+                self.backlog.append(message)
+            return
+        self.heard(message)
+
+    def heard(self, message: Message) -> None:
+        self.act(self.member.heard(self.clock.now, message))
+        if message.what is What.BODY and message.kind is not None:
+            held = self.member.rolls.table.get(message.sender.name)
+            if held is not None and held.nonce == message.sender.nonce and held.mark:
+                for each in self.ears.get(message.kind, ()):
+                    each(held.name, held.run, message.body)
+
+    def act(self, effects: Iterable[Effect]) -> None:
+        for each in effects:
+            if isinstance(each, Send):
+                self.clock.send(self, each)
+            elif isinstance(each, Changed):
+                self.version += 1
+                self.clock.changed(self, each)
+                if self.watchers:
+                    if not self.changes:
+                        self.clock.at(self.clock.now, self.tell_watchers)
+                    self.changes.append((each.change, each.member))
+            elif isinstance(each, Say):
+                self.said[each.what.name] += 1
+
+    def tell_watchers(self) -> None:
+        changes, self.changes = self.changes, []
+        for each in self.watchers:
+            each(self.view, changes)
+
+
+class FleetClock:
+    """`delay`: from and to, of a datagram one way. With `octets` every frame goes through the codec and is counted."""
+
+    def __init__(self, seed: int, terms: Terms | None = None, delay: tuple[int, int] = (2, 20), loss: float = 0.0,
+                 octets: bool = False) -> None:
+        self.chance, self.terms, self.delay, self.loss = Random(seed), terms or Terms("fleet"), delay, loss
+        self.now, self.events, self.numbers = 0, list[tuple[int, int, Callable[..., None], tuple[Any, ...]]](), 0
+        self.stands: dict[str, Stand] = {}
+        self.walls: list[tuple[frozenset[str], frozenset[str]]] = []
+        self.streams: dict[tuple[str, str], int] = {}
+        self.codec = Codec(self.terms.fleet) if octets else None
+        self.packets: Counter[str] = Counter()
+        self.octets: Counter[str] = Counter()
+        self.false: list[tuple[int, str, str]] = []  # deaths of members that live: when, at whom, of whom
+        self.frames = 0
+
+    def at(self, when: int, call: Callable[..., None], *values: Any) -> None:
+        self.numbers += 1
+        heapq.heappush(self.events, (when, self.numbers, call, values))
+
+    def run(self, until: int, stop: Callable[[], bool] | None = None, look: int = 1000) -> bool:
+        """Up to that time, or until `stop` holds, looked at this often."""
+        next_look = self.now + look
+        while self.events and self.events[0][0] <= until:
+            when, _, call, values = heapq.heappop(self.events)
+            while stop is not None and when >= next_look:
+                self.now, next_look = next_look, next_look + look
+                if stop():
+                    heapq.heappush(self.events, (when, _, call, values))
+                    return True
+            self.now = when
+            call(*values)
+        self.now = until
+        return stop is not None and stop()
+
+    # Gateways.
+
+    def start(self, name: str, run: int = 1, join: Sequence[str] = ()) -> Stand:
+        """A new one, or a new start of one that was killed; `join` names of others."""
+        self.stands[name] = found = Stand(self, name, run, [f"{each}:1" for each in join])
+        return found
+
+    def whole(self, count: int, settle: int = 30 * SECOND) -> None:
+        """A fleet that knows itself: each is told of all, as after a long calm."""
+        names = [f"gateway-{each}" for each in range(count)]
+        for name in names:
+            self.start(name, join=self.chance.sample(names, min(3, count)))
+        rows = [each.member.rolls.sender for each in self.stands.values()]
+        for stand in self.stands.values():
+            for row in rows:
+                stand.member.rolls.merge(self.now, row, False)
+            stand.member.rolls.spread.drop(stand.name)
+            stand.act(stand.member.taken())
+        self.run(self.now + settle)
+
+    def kill(self, name: str) -> None:
+        self.stands[name].up = False
+
+    def leave(self, name: str) -> None:
+        """SIGTERM; the process ends with it."""
+        stand = self.stands[name]
+        stand.act(stand.member.leave(self.now))
+        stand.up = False
+
+    def stall(self, name: str, span: int) -> None:
+        """It stands still from now."""
+        stand = self.stands[name]
+        stand.stands_until = max(stand.stands_until, self.now + span)
+
+    # The network.
+
+    def cut(self, one: Iterable[str], other: Iterable[str], both: bool = True) -> None:
+        """Nothing goes from one to the other any more, nor back if both."""
+        one, other = frozenset(one), frozenset(other)
+        self.walls.append((one, other))
+        if both:
+            self.walls.append((other, one))
+
+    def heal(self) -> None:
+        self.walls.clear()
+
+    def send(self, stand: Stand, sent: Send) -> None:
+        message, to = sent.message, sent.address.rpartition(":")[0]
+        if self.codec is not None:
+            data = self.codec.encode(message)
+            message = self.codec.decode(data)
+            self.packets[stand.name, sent.stream] += 1
+            self.octets[stand.name, sent.stream] += len(framed(data)) if sent.stream else len(data)
+        self.frames += 1
+        if any(stand.name in one and to in other for one, other in self.walls):
+            return
+        low, high = self.delay
+        when = self.now + low + int((high - low) * self.chance.random())
+        if sent.stream:
+            while self.chance.random() < self.loss:
+                when += RETRY
+            when = self.streams[stand.name, to] = max(when + high, self.streams.get((stand.name, to), 0))
+        elif self.chance.random() < self.loss:
+            return
+        self.at(when, self.arrive, to, message, sent.stream)
+
+    def arrive(self, to: str, message: Message, stream: bool) -> None:
+        stand = self.stands.get(to)
+        if stand is not None:
+            stand.arrive(message, stream)
+
+    # What is looked at.
+
+    def changed(self, stand: Stand, changed: Changed) -> None:
+        if changed.change is Change.GONE:
+            about = self.stands.get(changed.member.name)
+            if about is not None and about.up and about.run == changed.member.run:
+                self.false.append((self.now, stand.name, changed.member.name))
+
+    def live(self) -> list[Stand]:
+        return [each for each in self.stands.values() if each.up]
+
+    def truth(self) -> int:
+        """The mark of a view that holds all that live and nobody else."""
+        mark = 0
+        for each in self.live():
+            mark ^= each.member.rolls.me.marked()
+        return mark
+
+    def right(self, among: Sequence[Stand] | None = None) -> float:
+        """The part of the live gateways whose view is the truth."""
+        among, truth = self.live() if among is None else among, self.truth()
+        return sum(each.member.rolls.table.mark == truth for each in among) / len(among)
--- a/milletsill/settings/decide.py
+++ b/milletsill/settings/decide.py
@@ -36,6 +36,8 @@
               ("template_s", 1, 86_400), ("template_messages", 1, 1_000_000), ("path_bytes", 512, 65_000),
               ("cpu_share", 0.001, 1), ("enterprise", 1, (1 << 32) - 1)),
     "planner": (("ask_s", 0.05, 10), ("most_things", 1, 100_000)),
+    "fleet": (("probe_ms", 50, 60_000), ("answer_ms", 10, 30_000), ("through", 0, 16), ("suspicion_ms", 100, 600_000),
+              ("exchange_s", 0.2, 3600), ("most_members", 1024, 100_000), ("remember_s", 10, 30 * 86_400)),
     "trace": (("file_bytes", 65_536, 1 << 40), ("file_s", 1, 30 * 86_400), ("total_bytes", 131_072, 1 << 50),
               ("most_held", 1000, 10_000_000), ("block_s", 0.1, 600)),
 }
@@ -64,6 +66,7 @@
     check_flows(file, report, under)
     check_trace(file, report, under)
     check_planner_link(file, report, under)
+    check_fleet(file, report, under)
     check_plans(file, report, under)
     check_categories(file, report, under)
     check_volumes(file, report, under)
@@ -143,6 +146,52 @@
             report.add(under + (field,), f"{field} {value:g} is not from {least:g} to {most:g}")
 
 
+LONGEST_ADDRESS = 80
+
+
+def check_fleet(file: Any, report: Report, under: tuple[str, ...]) -> None:
+    """A gateway's place among others: addresses that others can use, spans in sane relation. What is shared on top of the view
+    (`health`, `channels`) has checks of its own."""
+    if not file.HasField("fleet"):
+        return
+    fleet, here = file.fleet, under + ("fleet",)
+    if not 0 < len(fleet.name) <= 64 or not fleet.name.isprintable() or " " in fleet.name:
+        report.add(here + ("name",), f"name {fleet.name!r} is not 1 to 64 printable characters without a space")
+    for field in ("address", "advertise"):
+        if fleet.HasField(field):
+            check_reached(getattr(fleet, field), here + (field,), report)
+    if fleet.address.startswith("0.0.0.0:") and not fleet.HasField("advertise"):
+        report.add(here + ("address",), f"others cannot reach {fleet.address}: fleet.advertise is missing")
+    if fleet.advertise.startswith("0.0.0.0:"):
+        report.add(here + ("advertise",), f"others cannot reach {fleet.advertise}")
+    for place, each in enumerate(fleet.join):
+        check_address(each, here + ("join", str(place)), report)
+        if len(each) > LONGEST_ADDRESS or each.endswith(":0"):
+            report.add(here + ("join", str(place)), f"{each!r} is no address of another gateway")
+    for field in ("address", "listen", "metrics"):
+        if field != "address" and file.HasField(field) and getattr(file, field) == fleet.address:
+            report.add(here + ("address",), f"{fleet.address} is that of `{field}` too")
+    if fleet.answer_ms * 2 > fleet.probe_ms:
+        report.add(here + ("answer_ms",), f"an answer within {fleet.answer_ms:g} ms leaves no time for others to probe within "
+                                          f"{fleet.probe_ms:g} ms")
+    if fleet.suspicion_ms < 2 * fleet.probe_ms:
+        report.add(here + ("suspicion_ms",), f"{fleet.suspicion_ms:g} ms to refute a suspicion are not two probes of "
+                                             f"{fleet.probe_ms:g} ms")
+    if fleet.remember_s < 10 * fleet.exchange_s:
+        report.add(here + ("remember_s",), f"members are forgotten after {fleet.remember_s:g} s, not ten whole exchanges of "
+                                           f"{fleet.exchange_s:g} s")
+
+
+def check_reached(text: str, path: tuple[str, ...], report: Report) -> None:
+    """An IPv4 address and a port that others can be told."""
+    check_address(text, path, report)
+    host, _, port = text.rpartition(":")
+    if not is_ip(host) or ":" in host:
+        report.add(path, f"{host!r} is not an IPv4 address")
+    elif port.isdecimal() and not int(port):
+        report.add(path, "port 0 cannot be told to other gateways")
+
+
 SYNCS = ("blocks", "files", "never")
 
 
