--- a/milletsill/fleet/channels/errors.py
+++ b/milletsill/fleet/channels/errors.py
@@ -75,3 +75,27 @@
     """The register's disk does not take writes, or its file is of a later version of the program."""
 
     remedy = "see that state_dir is writable, on a disk in order, and that no later version has written there; then restart"
+
+
+class ContractRefused(ChannelFault):
+    """A client asks for a contract that the operator's file does not offer it."""
+
+    remedy = "see fleet.channels.contract in the gateways' files: volume, chosen_by_client, version"
+
+
+class ContractOlder(ChannelFault):
+    """This gateway's file has an older version of a contract than a channel's record."""
+
+    remedy = "bring this gateway's file up to date and restart it"
+
+
+class ContractsContradict(ChannelFault):
+    """Two declarations of a channel's contract, or two words on one number, that cannot both hold."""
+
+    remedy = "what it names: give a changed contract a higher version at all gateways; one client at a time numbers a channel"
+
+
+class RecordUnread(ChannelFault):
+    """A channel's record cannot be read: it is torn, or a later version of the program wrote it."""
+
+    remedy = "bring this gateway up to date; the channel is kept by a gateway that can read it"
