--- a/milletsill/edge/commands.py
+++ b/milletsill/edge/commands.py
@@ -47,13 +47,14 @@
     ticket: str
     mark: str
     category: str
+    gate: Any = None  # of a channel's transfer: whether it may still leave (fleet/channels)
 
 
 class Running:
     """One command that costs boxes work. Made, then `start`; `answered` is called once, unless it is abandoned."""
 
     def __init__(self, edge: Edge, command: Any, terms: Terms, volume: VolumePlace, path: str, opened: Opened | None,
-                 answered: Answered, came: int) -> None:
+                 answered: Answered, came: int, gate: Any = None) -> None:
         self.edge, self.command, self.terms, self.answered = edge, command, terms, answered
         self.volume, self.path, self.opened = volume, path, opened
         self.operation = OPERATIONS[type(command)]
@@ -63,6 +64,9 @@
         figures = edge.host.facts["categories"][self.category]
         self.ends = ends_at(self.began, figures["patience"], terms.patience * 10, edge.margin)
         self.mark = f"{volume.number}/{terms.mark}" if terms.mark else edge.mark()
+        self.gate, self.repeat = gate, terms.tries > 0
+        if gate is not None:
+            self.mark, self.ends, self.repeat = gate.ticket, min(self.ends, gate.ends), self.repeat or gate.again
         self.course, self.leg = Course.PLAIN, Leg.HOME
         self.spot: Spot | None = None
         self.legs, self.done_before, self.turn = 0, False, 0
@@ -141,7 +145,7 @@
         self.transfer = edge.next_transfer()
         write = self.operation in WRITING or self.leg in DOING
         arrival = Arrival(self.transfer, edge.atlas.extent(name, getattr(command, "offset", 0)), self.volume.number,
-                          self.volume.gateways, self.category, self.volume.plan, self.terms.tries > 0, write, cell,
+                          self.volume.gateways, self.category, self.volume.plan, self.repeat, write, cell,
                           edge.atlas.units(self.operation, self.size), self.ends)
         if edge.parts is not None:
             edge.parts.arrived(arrival)
@@ -149,7 +153,7 @@
             edge.traces.path(name)
         edge.host.take(arrival, self, Cargo(command, f"{self.mark}#{self.leg.name}.{self.turn}",
                                             f"{self.terms.mark}~{self.terms.tries}" if self.terms.mark else "",
-                                            edge.category_name(self.category)))
+                                            edge.category_name(self.category), self.gate))
 
     def abandon(self) -> None:
         """The client has left."""
--- a/milletsill/edge/door.py
+++ b/milletsill/edge/door.py
@@ -27,6 +27,7 @@
         self.deframer = Deframer(edge.file.door.most_packet)
         self.out: dict[int, Running] = {}
         self.handles: dict[bytes, Opened] = {}
+        self.channels: dict[bytes, Any] = {}  # handles of channels, where the gateway keeps any
         self.handle_count, self.unread, self.reading = 0, False, False
         self.octets = 0  # of the packet at hand
         self.full_since: int | None = None
@@ -98,7 +99,7 @@
         if effect == "pause":
             self.full_since = self.edge.now()
         if effect == "version":
-            self.reply(packets.Version(packets.VERSION_SPOKEN, extensions.offered()))
+            self.reply(packets.Version(packets.VERSION_SPOKEN, extensions.offered(*self.edge.extensions)))
         elif effect == "pause":
             self.transport.pauseProducing()
         elif effect == "resume":
@@ -111,6 +112,7 @@
                 each.abandon()
                 self.meter(each, 0)
             self.handles.clear()
+            self.channels.clear()
             if effect == "cut":
                 self.transport.abortConnection()
             elif effect == "close":
@@ -182,7 +184,7 @@
         if isinstance(packet, packets.Realpath):
             return packets.Names(id, (Name(path := edge.canonical(packet.path or "/"), path, Attrs()),))
         if isinstance(packet, packets.Close):
-            gone = self.handles.pop(packet.handle, None)
+            gone = self.handles.pop(packet.handle, None) or self.channels.pop(packet.handle, None)
             return packets.Status(id, packets.OK if gone else packets.FAILURE, "" if gone else "no such handle")
         if isinstance(packet, packets.Extended):
             return self.extended(packet, terms)
@@ -197,6 +199,8 @@
         if packet.name == extensions.LIMITS:
             most = self.edge.atlas.most_bytes
             return extensions.put_limits(packet.id, door.most_packet, most, most, door.most_handles)
+        if packet.name in self.edge.extensions:
+            return self.edge.channels.command(self, packet)
         if packet.name != extensions.FSYNC:
             return packets.Status(packet.id, packets.UNSUPPORTED, f"unknown extension {packet.name[:40]!r}")
         opened = self.handles.get(extensions.read_fsync(packet))
--- a/milletsill/edge/service.py
+++ b/milletsill/edge/service.py
@@ -62,6 +62,8 @@
                          lambda text: self.remark("module", reason=text), self.figures.note)
         self.flows = self.exporter(seed) if file.HasField("flows") else None
         self.parts = self.planned(given, seed) if file.HasField("planner") else None
+        self.extensions: tuple[str, ...] = ()  # of the door, beside those that always stand
+        self.channels = None
         self.ports: list[Any] = []
         self.stopped: list[Callable[[], None]] = []
         self.look_call: Any = None
@@ -127,6 +129,8 @@
         elif effect == "drain":
             self.log.info("draining", held=self.host.held)
             self.close_ports()
+            if self.channels is not None:
+                self.channels.drain()
             self.overdue_call = self.reactor.callLater(self.file.door.drain_s, self.step, Event.OVERDUE)
             self.emptied()
         elif effect == "stop":
@@ -168,7 +172,7 @@
         self.log.info("reloaded", volumes=len(file.volume), routes=len(file.route))
 
     def emptied(self) -> None:
-        if self.process is Process.DRAINING and not self.host.held:
+        if self.process is Process.DRAINING and not self.host.held and not (self.channels is not None and self.channels.held):
             self.reactor.callLater(0, self.step, Event.EMPTY)
 
     def close_ports(self) -> None:
@@ -182,6 +186,8 @@
         self.log.info("stopped", held=self.host.held)
         self.close_ports()
         self.follower.stop()
+        if self.channels is not None:
+            self.channels.stop()
         for client in list(self.clients):
             client.transport.loseConnection()
         self.host.stop()
@@ -242,10 +248,15 @@
         pool = self.pools.get(node)
         if pool is None:
             return None
+        gate = cargo.gate
+        if gate is not None:
+            if not gate.leaves():
+                return None
+            ended = gate.watched(ended)
         left = max((arrival.ends - self.now()) // 10, 1)
         return pool.dispatch(Order(self.file.name, self.incarnation, arrival.id, number, arrival.units, arrival.extent, left,
                                    cargo.ticket, arrival.volume, arrival.gateways, cargo.category, cargo.mark,
-                                   cargo.command), ended)
+                                   cargo.command), ended, gate)
 
     # The clients.
 
--- /dev/null
+++ b/milletsill/fleet/channels/edge.py
@@ -0,0 +1,318 @@
+"""Channels at a gateway: words of its clients and of other gateways to whoever keeps the channel, and its part of the module's
+door. Made only where the file has a `fleet { channels }` block."""
+from __future__ import annotations
+
+from typing import Any, Callable
+
+import xxhash
+from prometheus_client import Counter, Gauge
+
+from milletsill.edge.commands import Opened, Running
+from milletsill.edge.decide import OPERATIONS, WRITING, BadPath, Spot
+from milletsill.files import channels as wire
+from milletsill.files import extensions, packets
+from milletsill.files.extensions import Terms
+from milletsill.files.wire import bytes_of
+from milletsill.fleet.channels.contracts.decide import Book, Contract, Input, Order, Reach, Reaches, Unsure
+from milletsill.fleet.channels.contracts.keeper import Keeper
+from milletsill.fleet.channels.contracts.line import LetGo
+from milletsill.fleet.channels.contracts.ways import Ways
+from milletsill.fleet.channels.contracts.words import Elsewhere, Look, Open, Say, Transfer, Word
+from milletsill.fleet.plane import Kind
+from milletsill.interface import Outcome
+
+NEVER_RAN = (Outcome.TURNED_AWAY, Outcome.UNREACHED)
+LOOK_EVERY = 5.0  # seconds between looks at quiet channels
+HANDLE = b"channel"
+
+
+def book_of(file: Any) -> Book:
+    """The operator's contracts."""
+    found = []
+    for each in file.fleet.channels.contract:
+        contract = Contract(each.name, each.version, Order(each.order), Unsure(each.unsure), round(each.silent_s * 10_000),
+                            each.most_waiting, round(each.hole_ms * 10))
+        found.append((contract, frozenset(each.volume), frozenset(each.operation), each.chosen_by_client))
+    return Book(found)
+
+
+class Channel:
+    """What a client's channel handle stands for."""
+
+    __slots__ = ("volume", "name", "claim", "contract")
+
+    def __init__(self, volume: Any, name: str, claim: int, contract: str) -> None:
+        self.volume, self.name, self.claim, self.contract = volume, name, claim, contract
+
+
+class Standing:
+    """A client's word that is not answered yet, as its connection knows commands."""
+
+    __slots__ = ("command", "volume", "category", "octets", "final", "began", "answered")
+
+    def __init__(self, command: Any, volume: Any, category: int, octets: int, began: int) -> None:
+        self.command, self.volume, self.category, self.octets, self.began = command, volume, category, octets, began
+        self.final = "abandoned"
+        self.answered: Callable[[Any], None] = lambda packet: None
+
+    def abandon(self) -> None:
+        """Its client has left; what was let go goes on, its answer is remembered."""
+        self.answered = lambda packet: None
+
+
+class Gone:
+    """One number that was let go, as the way to the boxes sees it: whether it may still leave, and whether it may have run."""
+
+    __slots__ = ("offices", "term", "ticket", "ends", "again", "sent", "harmless")
+
+    def __init__(self, offices: Any, term: Any, ticket: str, ends: int, again: bool) -> None:
+        self.offices, self.term, self.ticket, self.ends, self.again = offices, term, ticket, ends, again
+        self.sent = self.harmless = 0
+
+    def leaves(self) -> bool:
+        """Guards against a process that stood between the gate and the send: another may keep the channel by now. Asked at the
+        last place, also for what waited for a link. Harm: a lawful dispatch is put off."""
+        return bool(self.offices.holds(self.term))
+
+    def watched(self, ended: Any) -> Any:
+        """Counts dispatches that came back without having run."""
+        self.sent += 1
+
+        def heard(outcome: Outcome, verdict: Any) -> None:
+            self.harmless += outcome in NEVER_RAN
+            ended(outcome, verdict)
+        return heard
+
+
+class Channels:
+    """All of it at one gateway. `offices` is made by who starts this; its other bodies come to `heard`."""
+
+    def __init__(self, edge: Any, plane: Any, offices: Any) -> None:
+        self.edge, self.plane, self.offices = edge, plane, offices
+        keeping = edge.file.fleet.channels
+        registry = edge.figures.registry
+        self.words = Counter("milletsill_channel_words_total", "Final words on channels, and ways taken", ["word"],
+                             registry=registry)
+        self.kept = Gauge("milletsill_channels_kept", "Channels in this gateway's memory as their keeper", registry=registry)
+        self.held = 0
+        self.book = book_of(edge.file)
+        self.keeper = Keeper(plane.name, edge.reactor, edge.now, offices, self.book, edge.host.facts["key_rest"],
+                             keeping.most_channels, self, edge.remark, self.count)
+        self.ways = Ways(edge.reactor, edge.now, plane, round(keeping.call_ms * 10), self.forwarded, self.keeper.word,
+                         self.volume, self.count)
+        self.handles = 0
+        self.look_call: Any = None
+
+    def start(self) -> None:
+        self.look_call = self.edge.reactor.callLater(LOOK_EVERY, self.look)
+
+    def look(self) -> None:
+        self.keeper.look_round()
+        self.kept.set(len(self.keeper.kept))
+        self.look_call = self.edge.reactor.callLater(LOOK_EVERY, self.look)
+
+    def drain(self) -> None:
+        """SIGTERM: offices are given up as soon as nothing is out under them."""
+        self.keeper.drain()
+
+    def stop(self) -> None:
+        if self.look_call is not None and self.look_call.active():
+            self.look_call.cancel()
+        for each in list(self.ways.out.values()):
+            self.ways.drop(each)
+        for held in list(self.keeper.kept.values()):
+            self.keeper.hand_over(held)
+
+    def count(self, word: str) -> None:
+        self.words.labels(word).inc()
+
+    def volume(self, name: str) -> Any:
+        """A volume by name that has channels."""
+        return next((each for each in self.edge.atlas.roots.values() if each.name == name and self.book.covers(name)), None)
+
+    # A client's door.
+
+    def command(self, client: Any, packet: packets.Extended) -> Any:
+        """A channel@ or numbered@ packet: its answer at once, or None where it is on its way."""
+        if packet.name == wire.NUMBERED:
+            return self.numbered(client, packet, wire.read_numbered(packet))
+        said = wire.read_channel(packet)
+        if isinstance(said, wire.Opening):
+            volume = self.edge.atlas.volume(self.edge.canonical(said.path))
+            if volume is None or not self.book.covers(volume.name):
+                return packets.Status(packet.id, packets.UNSUPPORTED, "no contract on order holds for this volume")
+            if len(client.channels) >= self.edge.file.door.most_handles:
+                return client.no_more_handles(packet.id)
+            return self.send(client, packet, volume, said.channel, Open(said.contract, said.version, said.first))
+        channel = client.channels.get(said.handle)
+        if channel is None:
+            return packets.Status(packet.id, packets.FAILURE, "no such handle")
+        what = Look(said.number) if isinstance(said, wire.Asking) else Say(said.number, said.word, channel.claim)
+        return self.send(client, packet, channel.volume, channel.name, what)
+
+    def numbered(self, client: Any, packet: packets.Extended, said: wire.Numbered) -> Any:
+        """One transfer of a channel: its command must write and be one transfer."""
+        channel, command = client.channels.get(said.handle), said.command
+        if channel is None:
+            return packets.Status(packet.id, packets.FAILURE, "no such handle")
+        path, why = self.path(client, command, channel.volume)
+        if not why and not self.book.takes(channel.contract, channel.volume.name, OPERATIONS[type(command)]):
+            why = f"contract {channel.contract} does not cover this operation: send it without a number"
+        if why:
+            return wire.put_sign(packet.id, "contract", why)
+        if hasattr(command, "handle"):
+            command = packets.with_id(command, 0)
+            command = type(command)(0, bytes_of(path), *[getattr(command, name) for name in packets.REST_OF[type(command)][1:]])
+        elif isinstance(command, packets.Extended):
+            command = extensions.put_fsync(0, bytes_of(path))
+        what = Transfer(said.number, channel.claim, said.batch, said.last, said.terms, path, packets.with_id(command, 0))
+        return self.send(client, packet, channel.volume, channel.name, what)
+
+    def path(self, client: Any, command: Any, volume: Any) -> tuple[str, str]:
+        """The object of a numbered command, and why it cannot be one."""
+        edge = self.edge
+        if OPERATIONS.get(type(command)) not in WRITING:
+            return "", "only a command that writes can have a number: send it without"
+        if hasattr(command, "handle") or isinstance(command, packets.Extended):
+            handle = command.handle if hasattr(command, "handle") else extensions.read_fsync(command)
+            opened = client.handles.get(handle)
+            if opened is None or opened.spot is None or opened.volume is not volume:
+                return "", "no such handle of this channel's volume"
+            if isinstance(command, packets.Write) and len(command.data) > edge.atlas.most_bytes:
+                return "", f"a write of {len(command.data)} bytes, {edge.atlas.most_bytes} at most"
+            return opened.path, ""
+        path = edge.canonical(command.path)
+        if edge.atlas.volume(path) is not volume or path == volume.root:
+            return "", "this lies outside the channel's volume"
+        if isinstance(command, packets.Rename):
+            target = edge.canonical(command.target)
+            if edge.atlas.volume(target) is not volume or not edge.renames(volume, path, target):
+                return "", "a numbered rename must stay within its volume and cell"
+        if isinstance(command, packets.Rmdir) and len(volume.cells) > 1:
+            return "", "a directory over several cells is no single transfer: remove it without a number"
+        return path, ""
+
+    def send(self, client: Any, packet: Any, volume: Any, name: str, what: Any) -> Any:
+        """Put a word on its way to whoever keeps the channel."""
+        edge, came = self.edge, client.came()
+        operation = OPERATIONS[type(what.command)] if isinstance(what, Transfer) else "change"
+        size = len(getattr(what.command, "data", b"")) if isinstance(what, Transfer) else 0
+        category = edge.atlas.category(operation, volume, size)
+        patience = edge.host.facts["categories"][category]["patience"]
+        own = what.terms.patience * 10 if isinstance(what, Transfer) else 0
+        ends = came + min(patience, own or patience) - edge.margin
+        why = edge.refusal(ends)
+        if why:
+            return wire.put_sign(packet.id, "declined", f"declined: {why}", None, edge.host.facts["longest_pause"])
+        standing = Standing(packet, volume, category, client.octets, came)
+        client.out[packet.id] = standing
+        self.held += 1
+
+        def told(answer: Any) -> None:
+            self.held -= 1
+            edge.emptied()
+            standing.answered(self.opened(client, volume, name, what, answer))
+
+        def answered(answer: Any) -> None:
+            standing.final = final_of(answer)
+            client.answer(standing, packets.with_id(answer, packet.id))
+
+        standing.answered = answered
+        self.handles += 1
+        token = f"{self.plane.name}.{self.plane.run}.{self.handles}"
+        word = Word(volume, name, ends, what, token, lambda answer: None)
+        word.answered = lambda answer: self.elsewhere(word, answer) if isinstance(answer, Elsewhere) else told(answer)
+        self.place(word)
+        return None
+
+    def opened(self, client: Any, volume: Any, name: str, what: Any, answer: Any) -> Any:
+        """An OPEN that was answered gets a handle of this connection."""
+        if not isinstance(what, Open) or not isinstance(answer, packets.ExtendedReply):
+            return answer
+        told = wire.read_opened(answer)
+        self.handles += 1
+        handle = HANDLE + self.handles.to_bytes(8, "big")
+        client.channels[handle] = Channel(volume, name, told.claim, told.contract)
+        return wire.put_opened(0, wire.Opened(handle, *[getattr(told, each) for each in OPENED_REST]))
+
+    # Where a word goes.
+
+    def place(self, word: Word) -> None:
+        """Here, where this gateway keeps the channel or should; else to the one that the view says."""
+        who = "" if self.keeper.keeps(word.key) else self.offices.keeper_of(word.key)
+        if who in ("", self.plane.name):
+            self.count("kept_here")
+            return self.keeper.word(word)
+        self.ways.forward(word, who)
+
+    def elsewhere(self, word: Word, told: Elsewhere) -> None:
+        """The registers say that another holds the office."""
+        if told.who == self.plane.name or told.who not in self.plane.view.by_name:
+            pause = round(self.edge.file.fleet.channels.office_s * 10_000 / 2)
+            return word.answered(wire.put_sign(0, "declined", f"declined: {told.who} held the channel and is away", None, pause))
+        self.ways.forward(word, told.who, 1)
+
+    def forwarded(self, word: Word, hops: int) -> None:
+        """Another gateway's word: this one is thought to be the keeper."""
+        if self.edge.refusal(word.ends) and not self.keeper.keeps(word.key):
+            return word.answered(wire.put_sign(0, "declined", "declined: its keeper goes down", None,
+                                               self.edge.host.facts["longest_pause"]))
+        self.keeper.word(word)
+
+    def heard(self, member: str, run: int, body: bytes) -> None:
+        """What other gateways say of contracts."""
+        self.ways.heard(member, run, body)
+
+    # What a keeper needs of the edge.
+
+    def reaches(self, what: Transfer) -> Reaches:
+        """What a transfer touches: blocks of an extent's size where it writes there, else the whole object."""
+        command, blocks = what.command, self.edge.atlas.extent_bytes
+        object = xxhash.xxh64_intdigest(bytes_of(what.path))
+        if isinstance(command, packets.Write):
+            return (Reach(object, command.offset // blocks, (command.offset + max(len(command.data), 1) - 1) // blocks),)
+        if isinstance(command, packets.Rename):
+            target = self.edge.canonical(command.target)
+            return Reach(object), Reach(xxhash.xxh64_intdigest(bytes_of(target)))
+        return (Reach(object),)
+
+    def window(self, word: Word) -> int:
+        """For how long boxes remember the ticket of a transfer."""
+        what = word.what
+        assert isinstance(what, Transfer)
+        size = len(getattr(what.command, "data", b""))
+        category = self.edge.atlas.category(OPERATIONS[type(what.command)], word.volume, size)
+        return int(self.edge.host.facts["categories"][category]["repeat_window"])
+
+    def run(self, word: Word, gone: LetGo, term: Any, ends: int, ended: Any) -> None:
+        """To the module, which keeps the seven rules for it as for any other."""
+        what, edge = word.what, self.edge
+        assert isinstance(what, Transfer)
+        spot = Spot(edge.atlas.home(word.volume, what.path), what.path)
+        by_handle = hasattr(what.command, "handle") or isinstance(what.command, packets.Extended)
+        opened = Opened(word.volume, what.path, spot) if by_handle else None
+        gate = Gone(self.offices, term, wire.put_ticket(word.volume.number, word.channel, gone.number, gone.turn), ends, gone.again)
+        terms = Terms(0, what.terms.tries, what.terms.mark)
+
+        def answered(packet: Any) -> None:
+            if running.final == "satisfied":
+                return ended(Input.SETTLED, getattr(packet, "code", 0), 0, packet)
+            input = Input.NEVER_RAN if gate.sent == gate.harmless else Input.LOST
+            ended(input, 0, edge.host.facts["longest_pause"], packet)
+
+        running = Running(edge, what.command, terms, word.volume, what.path, opened, answered, edge.now(), gate)
+        try:
+            running.start()
+        except BadPath:
+            ended(Input.NEVER_RAN, 0, 0, None)
+
+
+def final_of(answer: Any) -> str:
+    """How a word ended, for flow records."""
+    sign = wire.read_sign(answer.language) if isinstance(answer, packets.Status) else None
+    if sign is None:
+        return "satisfied"
+    return "aborted" if sign.word == "aborted" else "declined"
+
+
+OPENED_REST = ("claim", "contract", "version", "order", "next", "batch", "most_waiting", "remembered", "unsure")
--- a/milletsill/links/pool.py
+++ b/milletsill/links/pool.py
@@ -34,10 +34,10 @@
 class Sending:
     """One dispatch at the pool: where it is and whom to tell."""
 
-    __slots__ = ("pool", "order", "ended", "link", "id", "over", "since", "octets")
+    __slots__ = ("pool", "order", "ended", "link", "id", "over", "since", "octets", "gate")
 
-    def __init__(self, pool: Pool, order: Order, ended: Ended, now: int) -> None:
-        self.pool, self.order, self.ended, self.since = pool, order, ended, now
+    def __init__(self, pool: Pool, order: Order, ended: Ended, now: int, gate: Any = None) -> None:
+        self.pool, self.order, self.ended, self.since, self.gate = pool, order, ended, now, gate
         self.link: Link | None = None
         self.id, self.over, self.octets = 0, False, 0
 
@@ -196,9 +196,9 @@
         self.look_call: Any = None
         self.closed = False
 
-    def dispatch(self, order: Order, ended: Ended) -> Sending:
-        """Send a dispatch as the bounds allow; `ended` is told how it went."""
-        sending = Sending(self, order, ended, self.now())
+    def dispatch(self, order: Order, ended: Ended, gate: Any = None) -> Sending:
+        """Send a dispatch as the bounds allow; `ended` is told how it went. A `gate` is asked again where it had to wait."""
+        sending = Sending(self, order, ended, self.now(), gate)
         way, place = route([each.load for each in self.links], len(self.waiting), self.bounds)
         if self.closed:
             way = Way.REFUSE
@@ -257,7 +257,9 @@
             if way is not Way.USE:
                 return
             sending = self.waiting.pop(0)
-            if not sending.over:
+            if sending.gate is not None and not sending.over and not sending.gate.leaves():
+                self.unreach(sending)
+            elif not sending.over:
                 self.links[place].dispatch(sending)
 
     def withdraw(self, sending: Sending, outcome: Outcome = Outcome.CANCELLED) -> None:
