--- a/milletsill/fleet/channels/contracts/keeper.py
+++ b/milletsill/fleet/channels/contracts/keeper.py
@@ -53,7 +53,8 @@
 
     def __init__(self, name: str, reactor: Any, now: Callable[[], int], offices: Any, book: Book, rest: int, most: int, runs: Runs,
                  remark: Callable[..., None], count: Callable[[str], None]) -> None:
-        self.name, self.reactor, self.now, self.offices, self.book, self.rest, self.most = reactor, now, offices, book, rest, most
+        self.name, self.reactor, self.now, self.offices = name, reactor, now, offices
+        self.book, self.rest, self.most = book, rest, most
         self.runs, self.remark, self.count = runs, remark, count
         self.kept: dict[str, Kept] = {}
         self.taking: dict[str, list[Word]] = {}
