--- a/milletsill/settings/decide.py
+++ b/milletsill/settings/decide.py
@@ -8,6 +8,7 @@
 from ipaddress import ip_address
 from typing import Any
 
+from milletsill.settings.channels import check_channels
 from milletsill.settings.load import Report
 
 # (field, least, most) of each message; a fault names the field, the figure and the range.
@@ -69,6 +70,7 @@
     check_volumes(file, report, under)
     check_routes(file, report, under)
     check_against(file, report, under)
+    check_channels(file, report, under)
 
 
 def check_ranges(file: Any, report: Report, under: tuple[str, ...]) -> None:
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -10,6 +10,8 @@
 from milletsill.files import packets
 from milletsill.files.extensions import Terms
 from milletsill.fleet.channels.edge import Channels
+from milletsill.settings.decide import check_gateway
+from milletsill.settings.load import Lines, Report
 from milletsill.settings.milletsill_pb2 import Category, ChannelKeeping, Contract, Route
 from tests.fakes_channels import FakeOffices, FakePlane, Hub
 from tests.rig import Rig, later
@@ -27,7 +29,7 @@
         file.category.append(Category(name="catch", target_ms=300, patience_ms=3000, repeats="ticketed", group="cell",
                                       repeat_window_ms=5000, write=True))
         del file.route[:]
-        file.route.extend([Route(operation=["write", "change"], volume="hashed", category="catch"), Route(category="read")])
+        file.route.extend([Route(operation=["write", "change", "sync"], volume="hashed", category="catch"), Route(category="read")])
         file.fleet.name, file.fleet.address = "f", "127.0.0.1:0"
         file.fleet.channels.CopyFrom(ChannelKeeping(register=["g0", "g1", "g2"], call_ms=100, contract=[
             Contract(name="landing", order=Contract.EACH_IN_ORDER, volume=["hashed"], hole_ms=300),
@@ -198,3 +200,30 @@
         self.assertEqual((sign(answer), wire.read_sign(answer.language).pause > 0), ("declined", True))
         self.assertLess(time.monotonic() - began, 1.0)
         self.assertEqual(rig.traces(), [])
+
+
+class Files(TestCase):
+    def test_what_a_file_may_say(self):
+        rig = Fleet(self)
+        file = rig.file
+        file.rules.key_rest_ms = 200
+
+        def faults(change):
+            made = type(file)()
+            made.CopyFrom(file)
+            change(made.fleet.channels, made)
+            report = Report("f", Lines(""))
+            check_gateway(made, report)
+            return " | ".join(each.reason for each in report.faults)
+        self.assertEqual(faults(lambda keeping, made: None), "")
+        for change, said in (
+                (lambda keeping, made: keeping.register.append("g3"), "4 registers"),
+                (lambda keeping, made: keeping.contract[1].volume.append("free"), "which is FREE"),
+                (lambda keeping, made: keeping.contract[0].ClearField("volume"), "which is FREE"),
+                (lambda keeping, made: keeping.contract[0].volume.append("folder"), "covers category 'read', which is rerunnable"),
+                (lambda keeping, made: keeping.contract[0].operation.append("read"), "operation 'read' has no number"),
+                (lambda keeping, made: setattr(keeping.contract[1], "name", "landing"), "stands twice"),
+                (lambda keeping, made: setattr(keeping, "call_ms", 900), "must hold four"),
+                (lambda keeping, made: setattr(made.category[2], "repeat_window_ms", 100), "never be tried again"),
+                (lambda keeping, made: made.rules.ClearField("key_rest_ms"), "needs rules.key_rest_ms")):
+            self.assertIn(said, faults(change))
