--- /dev/null
+++ b/milletsill/fleet/channels/model.py
@@ -0,0 +1,352 @@
+"""A model of keepers, registers and a network that misbehaves, run on the very functions of registers/decide.py and standing.py.
+
+    python -m milletsill.fleet.channels.model [--walks N --steps N --registers N --keepers N]
+
+`explore` goes through every order of events up to a depth for three registers, two keepers and one channel; `walk` goes by seeded
+chance through larger ones. After each event they look whether two gateways hold the office at one true moment, and at each seat
+and each write that counts whether all that counted before is in it. `MUTANTS` take out one guard each; the tests demand that each
+of them is found.
+"""
+from __future__ import annotations
+
+import argparse
+import time
+from contextlib import contextmanager
+from random import Random
+from typing import Any, Callable, Iterator
+from unittest import mock
+
+from milletsill.fleet.channels.registers import decide, standing
+from milletsill.fleet.channels.registers.decide import Office, Seat, Seated, Span
+from milletsill.fleet.channels.registers.standing import Joining, Page
+from milletsill.fleet.channels.world import SPAN, Heard, Hello, Tell, World
+
+
+# --- Every order of events.
+
+def spend(world: World, what: str) -> None:
+    world.budget[what] -= 1
+
+
+def events(world: World) -> dict[str, Callable[[World], None]]:
+    """What may happen next, message by message."""
+    found: dict[str, Callable[[World], None]] = {}
+    for name, each in world.keepers.items():
+        if each.seat.state in (Seated.OUT, Seated.SEATED):
+            found[f"{name} takes"] = lambda w, n=name: w.take(n)
+        if each.seat.state is Seated.SEATED:
+            found[f"{name} writes"] = lambda w, n=name: w.write(n)
+            found[f"{name} gives up"] = lambda w, n=name: w.give_up(n)
+        if world.budget["keeper"]:
+            found[f"{name} starts anew"] = lambda w, n=name: (spend(w, "keeper"), w.start_keeper(n))
+    for place, message in enumerate(world.flying):
+        found[f"{message.sender}>{message.to} {place}"] = lambda w, p=place: w.arrive(p, False)
+        if world.budget["double"]:
+            found[f"{message.sender}>{message.to} {place} twice"] = lambda w, p=place: (spend(w, "double"), w.arrive(p, True))
+    for name in world.registers:
+        for how in ("restart", "older", "lost"):
+            if world.budget[how]:
+                found[f"{name} {how}"] = lambda w, n=name, h=how: (spend(w, h), w.start_register(n, h))
+    found["time"] = lambda w: w.pass_time(w.span.office // 2)
+    return found
+
+
+def rounds(world: World) -> dict[str, Callable[[World], None]]:
+    """What may happen next, a whole exchange with some registers at a time and the rest lost: deeper, but less fine."""
+    found: dict[str, Callable[[World], None]] = {}
+    names = tuple(world.registers)
+    for name, each in world.keepers.items():
+        for reach in ((names[0], names[1]), (names[1], names[2]), (names[2],), (names[0],)):
+            where = "+".join(reach)
+            found[f"{name} takes at {where}"] = lambda w, n=name, r=reach: (w.take(n), alone(w, n, r))
+            if each.seat.state is Seated.SEATED:
+                found[f"{name} writes at {where}"] = lambda w, n=name, r=reach: (w.write(n), alone(w, n, r))
+                found[f"{name} gives up at {where}"] = lambda w, n=name, r=reach: (w.give_up(n), alone(w, n, r))
+    for name in names:
+        if world.budget["restart"]:
+            found[f"{name} restart"] = lambda w, n=name: (spend(w, "restart"), w.start_register(n, "restart"), settle(w))
+    found["call over"] = lambda w: w.pass_time(w.span.call * 51 // 50)
+    found["time"] = lambda w: w.pass_time(w.span.office * 99 // 100)
+    return found
+
+
+def alone(world: World, name: str, reach: tuple[str, ...]) -> None:
+    """One exchange, and nothing of it later."""
+    world.exchange(name, reach)
+    world.flying = []
+
+
+def settle(world: World) -> None:
+    """All that registers say among themselves arrives."""
+    for _ in range(40):
+        place = next((at for at, each in enumerate(world.flying) if isinstance(each.body, (Hello, Heard, Tell, Page))), None)
+        if place is None:
+            return
+        world.arrive(place, False)
+
+
+def opened(how: str) -> World:
+    """Where an exploration begins: nothing; one keeper that wrote at two of three registers; one whose write reached one."""
+    world = World(3, 2)
+    if how != "nothing":
+        world.take("k0")
+        world.exchange("k0", ("r0", "r1"))
+        world.write("k0")
+        world.exchange("k0", ("r0", "r1") if how == "written" else ("r0",))
+        for name in world.registers:
+            world.beat(name)
+        settle(world)
+        world.flying = []
+    if how == "unsure":
+        world.pass_time(world.span.call * 51 // 50)
+        world.flying = []
+    return world
+
+
+def explore(how: str, depth: int, most: int, moves: Callable[[World], dict[str, Any]] = events) -> tuple[int, int, str | None]:
+    """Every order of events up to a depth, worlds that are alike looked at once, at most so many: worlds looked at, the depth that
+    is whole, and the events that led to what is wrong."""
+    first = opened(how)
+    seen, layer, count = {first.key()}, [(first, ())], 1
+    for level in range(depth):
+        following: list[tuple[World, tuple[str, ...]]] = []
+        for world, path in layer:
+            for name, event in moves(world).items():
+                made = world.copy()
+                event(made)
+                if made.wrong:
+                    return count, level, f"{', '.join((*path, name))}: {made.wrong}"
+                key = made.key()
+                if key in seen:
+                    continue
+                seen.add(key)
+                count += 1
+                if count >= most:
+                    return count, level, None
+                following.append((made, (*path, name)))
+        layer = following
+    return count, depth, None
+
+
+# --- Chance.
+
+def near(world: World, chance: Random, name: str) -> None:
+    """What one keeper has under way reaches some registers at once, and most of what they say comes back."""
+    reach = tuple(each for each in world.registers if chance.random() < 0.75)
+    world.exchange(name, reach, chance.random() < 0.85)
+
+
+def doubtful(world: World) -> bool:
+    """Whether a register may lose something now: so many as a majority can do without, and one in three as the model has it."""
+    return all(each.whole() for each in world.registers.values())
+
+
+def walk(registers: int, keepers: int, steps: int, seed: int) -> tuple[int, str | None, int]:
+    """Chance through a world whose clocks drift: the steps made, what went wrong, and the writes that counted."""
+    chance = Random(seed)
+    drift = SPAN.drift
+    world = World(registers, keepers, SPAN, tuple(chance.choice((-drift, drift)) for _ in range(registers + keepers)))
+    world.silent = chance.choice((0, 6 * SPAN.office))
+    names, places = tuple(world.keepers), tuple(world.registers)
+    for step in range(steps):
+        keeper, register, dice = chance.choice(names), chance.choice(places), chance.random()
+        if dice < 0.13:
+            world.take(keeper)
+            near(world, chance, keeper)
+        elif dice < 0.33:
+            if world.keepers[keeper].seat.state in (Seated.SEATED, Seated.WRITING):
+                world.write(keeper)
+                near(world, chance, keeper)
+        elif dice < 0.60 and world.flying:
+            world.arrive(chance.randrange(len(world.flying)), chance.random() < 0.25)
+        elif dice < 0.64:
+            world.again(keeper)
+        elif dice < 0.67:
+            world.give_up(keeper)
+            near(world, chance, keeper)
+        elif dice < 0.86:
+            world.pass_time(chance.choice((20, 200, 1_000, 1_000, 2_600, 5_000, 9_500, 10_300)))
+        elif dice < 0.90:
+            for each in places:
+                world.beat(each)
+            settle(world)
+        elif dice < 0.92:
+            world.start_keeper(keeper)
+        elif dice < 0.94:
+            world.start_register(register, "restart")
+            settle(world)
+        elif dice < 0.965:
+            if doubtful(world):
+                world.start_register(register, chance.choice(("older", "lost")))
+        elif dice < 0.98:
+            catch_up(world, register)
+        elif world.silent:
+            world.forget(register)
+        if world.wrong:
+            return step, f"seed {seed}, step {step}: {world.wrong}", world.written
+    return steps, None, world.written
+
+
+def catch_up(world: World, name: str) -> None:
+    """A register asks on, as the service does again and again."""
+    joining = world.registers[name].joining
+    if joining is None:
+        return
+    if joining.state is standing.Standing.GATHERING:
+        for other in joining.others:
+            world.fly(other, name, Tell())
+    else:
+        world.hello(name)
+    settle(world)
+
+
+def wrong(walks: int, steps: int = 600) -> str | None:
+    """What goes wrong first, if anything, by chance through small worlds."""
+    return next((found for seed in range(walks) if (found := walk(3, 3, steps, seed)[1])), None)
+
+
+# --- One guard out at a time.
+
+def _any_ballot(record: Any, floor: int, call: Any) -> Any:
+    """A register takes each ballot as higher than what it promised."""
+    return decide.Rank.HIGHER if record is None or call.ballot != record.promised else decide.Rank.SAME
+
+
+def _no_office(record: Any, office: Any, call: Any, now: int) -> Any:
+    """A register refuses nobody for an office."""
+    return decide.Hold.FREE
+
+
+def _shorter(self: Span) -> int:
+    """A register lets others in after a plain office: no drift allowed for."""
+    return self.office
+
+
+def _longer(self: Span) -> int:
+    """A keeper counts on a plain office: no drift allowed for."""
+    return self.office
+
+
+def _from_answer(poll: Any, now: int, span: Span) -> int:
+    """A term counts from when the answers came."""
+    return now + span.kept()
+
+
+def _half(registers: int) -> int:
+    """Half of the registers do."""
+    return max(registers // 2, 1)
+
+
+def _always_even(answers: Any, best: Any, registers: int) -> bool:
+    """What was read is acted on without being written again."""
+    return True
+
+
+def _first_told(answers: Any) -> Any:
+    """The first answer's record is taken, not the latest."""
+    return answers[0]
+
+
+def _none_loaded(born: int, span: Span) -> Office:
+    """A register that has started again knows of no office."""
+    return Office(born)
+
+
+def _each_answer(poll: Any, now: int, span: Span) -> bool:
+    """Answers count however late."""
+    return True
+
+
+def _one_holder(self: Any, other: Any) -> bool:
+    """A gateway's new start passes for its old one."""
+    return self.name == other.name
+
+
+def _no_floor(floor: int, record: Any) -> int:
+    """What was forgotten refuses nothing."""
+    return floor
+
+
+def _never_later(known: Any, own: Any) -> bool:
+    """Nobody's word of later things is believed."""
+    return False
+
+
+def _anybody(self: Joining, now: int) -> bool:
+    """A register answers from its start, whoever has said anything."""
+    return True
+
+
+def _one_tells(registers: int) -> int:
+    """One other register's word is enough to catch up from."""
+    return 1
+
+
+def _no_rest(self: Span) -> int:
+    """A register that lacks something catches up at once."""
+    return 0
+
+
+def _nothing_merged(records: Any, told: Any, up: int) -> None:
+    """A register that lacks something goes on with what it has."""
+
+
+def _promise_left(records: dict[str, Any], told: Any, up: int) -> None:
+    """It takes what was written, and not what was promised."""
+    for channel, new in told:
+        old = records.get(channel)
+        if old is None or old.stamp < new.stamp:
+            records[channel] = new._replace(promised=new.stamp.ballot, touched=up)
+
+
+MUTANTS: dict[str, tuple[Any, str, Any]] = {
+    "lower ballots are refused": (decide, "rank", _any_ballot),
+    "an office refuses others": (decide, "hold", _no_office),
+    "drift at the register": (Span, "refused", _shorter),
+    "drift at the keeper": (Span, "kept", _longer),
+    "terms from the send": (decide, "term_end", _from_answer),
+    "a majority": (decide, "majority", _half),
+    "written again": (decide, "even", _always_even),
+    "the latest write is read": (decide, "newest", _first_told),
+    "offices of a former self": (decide, "loaded", _none_loaded),
+    "a call's end": (decide, "open_still", _each_answer),
+    "starts differ": (decide.Ballot, "same_holder", _one_holder),
+    "the floor of what is forgotten": (decide, "raised", _no_floor),
+    "others' word of later things": (standing, "later", _never_later),
+    "others are asked first": (Joining, "enough", _anybody),
+    "enough others tell": (standing, "needed", _one_tells),
+    "the rest before catching up": (Span, "rest", _no_rest),
+    "what others tell is taken": (standing, "merged", _nothing_merged),
+    "promises are told too": (standing, "merged", _promise_left),
+}
+
+
+@contextmanager
+def without(guard: str) -> Iterator[None]:
+    """The decisions with one guard out."""
+    owner, name, made = MUTANTS[guard]
+    with mock.patch.object(owner, name, made):
+        yield
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    for name, default in (("walks", 20), ("steps", 5000), ("registers", 5), ("keepers", 7), ("worlds", 100_000)):
+        parser.add_argument(f"--{name}", type=int, default=default)
+    given = parser.parse_args()
+    for moves in (events, rounds):
+        for how in ("nothing", "written", "unsure"):
+            began = time.perf_counter()
+            count, depth, found = explore(how, 12, given.worlds, moves)
+            print(f"{moves.__name__} from {how}: every order of {depth}, {count} worlds, {time.perf_counter() - began:.1f} s, "
+                  f"{found or 'kept'}")
+    for seed in range(given.walks):
+        steps, found, written = walk(given.registers, given.keepers, given.steps, seed)
+        print(f"seed {seed}: {steps} steps, {written} writes, {found or 'kept'}")
+    for guard in MUTANTS:
+        with without(guard):
+            print(f"without {guard}: {wrong(400) or 'NOT FOUND by chance'}")
+
+
+if __name__ == "__main__":
+    main()
