--- a/milletsill/settings/decide.py
+++ b/milletsill/settings/decide.py
@@ -414,7 +414,7 @@
         for place, each in enumerate(held):
             if each.plan and each.plan not in plans:
                 report.add((name, str(place), "plan"), f"plan {each.plan!r} is missing")
-    check_channels(file, report)
+    check_channel_traffic(file, report)
     for place, each in enumerate(file.trouble):
         if each.what not in TROUBLES:
             report.add(("trouble", str(place), "what"), f"{each.what!r} is not one of {', '.join(TROUBLES)}")
@@ -427,7 +427,7 @@
                                                 "out of range")
 
 
-def check_channels(file: Any, report: Report) -> None:
+def check_channel_traffic(file: Any, report: Report) -> None:
     """Clients with channels: their contract and volume are there, figures within reason."""
     contracts = {each.name for each in file.gateway.fleet.channels.contract}
     volumes = {each.name for each in file.gateway.volume}
