--- a/milletsill/lab/report.py
+++ b/milletsill/lab/report.py
@@ -34,6 +34,9 @@
                  f"dispatches, {result['unended']} without an end; the lab itself was at most "
                  f"{result['worst_lag_ms']:.0f} ms late{LATE if result['worst_lag_ms'] > MOST_LATE else ''}")
     lines += [line(result["late"])] if result["late"] else []
+    if result["starved"]:
+        lines.append(f"the machine gave edges no core for {result['starved']:.1f} s in all, in spans from 20 ms: there they are "
+                     "audited as if stopped")
     lines.append("counts: " + ", ".join(f"{name} {count}" for name, count in sorted(result["counts"].items())))
     if result["planner"]:
         lines.append("parts were planned")
--- a/milletsill/lab/run.py
+++ b/milletsill/lab/run.py
@@ -24,6 +24,7 @@
 from milletsill.lab.processes import LAB, Group, PlannerPart, Processes, free_ports
 from milletsill.lab.relay import inside, outside
 from milletsill.lab.report import broken, report
+from milletsill.lab.starved import Starved
 from milletsill.lab.troubles import OF_KILLS, Troubles
 from milletsill.settings.milletsill_pb2 import GatewayFile, Scenario
 
@@ -47,6 +48,7 @@
         self.names = [f"edge-{number}" for number in range(scenario.edges)]
         self.groups = [Group(self, self.names[at:at + per_process]) for at in range(0, len(self.names), per_process)]
         self.troubles = Troubles(self)
+        self.starved = Starved()
         self.fleet_port, self.relay = 0, None
         self.start = self.ended = 0.0
         os.makedirs(self.out, exist_ok=True)
@@ -144,7 +146,9 @@
         self.troubles.plan(start)
         ends = start + self.scenario.seconds + self.scenario.tail_s + ENDS_WITHIN
         while any(each.poll() is None for each in clients) and time.monotonic() < ends:
-            self.troubles.play(time.monotonic())
+            now = time.monotonic()
+            self.troubles.play(now)
+            self.troubles.stops += self.starved.look(now, self.groups)
             time.sleep(0.01)
         self.ended = time.monotonic()
         return self.finish(clients, stand, collector)
@@ -211,7 +215,7 @@
         result["flows"] = self.heard(collector, evidence)
         result.update(exits=exits, faults=self.tracebacks(), breaches=audit(evidence, self.scenario),
                       commands=len(evidence.commands), dispatches=len(evidence.dispatches), module=self.module or "BD-EDF",
-                      planner="on" if self.planned else "", **self.of_fleet(evidence))
+                      planner="on" if self.planned else "", starved=self.starved.total, **self.of_fleet(evidence))
         return result
 
     def tracebacks(self) -> list[str]:
