--- a/milletsill/platform/decide.py
+++ b/milletsill/platform/decide.py
@@ -110,10 +110,22 @@
 
 # --- Discovery.
 
-QUIET = 60_000  # a watch without a byte for this long is broken: an empty line comes every 2 s
+# An empty line comes every 2 s; what a silent watch misses counts as told 6 s after it fell silent, which may be as soon
+# as its last octet came. Within these a second call can be made after a first that was swallowed, and the list be acted on.
+QUIET = 60_000  # a watch without an octet for this long is over
+OVERDUE = (26_000, 32_000)  # drawn: so long without one, and another is opened beside it; spread, where many fall silent at once
 DIAL = 10_000
+FIRST_WORD = 22_000  # the first call made beside a silent watch has this long for its first line: a beat, and a little
+CAUGHT_UP, RETRY_PART = 55_000, 1 / 3  # the next is made by chance within this part of what is left of the silence
 MOST_LINE = 4 << 20  # octets of one list
 
+
+def retry_within(quiet: int) -> int:
+    """How long the second call may be put off where the first one made beside a silent watch failed. Guards a service with
+    too many callers against all of them coming again at once. Harm: the list is that much later, never past its time."""
+    return int(max(CAUGHT_UP - quiet, 0) * RETRY_PART)
+
+
 # --- The process.
 
 Process = Enum("Process", "STARTING SERVING LEAVING DRAINING STOPPED")
--- a/milletsill/platform/discovery.py
+++ b/milletsill/platform/discovery.py
@@ -10,7 +10,7 @@
 from milletsill.http1.reader import Malformed
 from milletsill.http1.writer import request
 from milletsill.interface import News as Kind
-from milletsill.platform.decide import DIAL, MOST_LINE, QUIET
+from milletsill.platform.decide import DIAL, FIRST_WORD, MOST_LINE, OVERDUE, QUIET, retry_within
 from milletsill.platform.nodes import BadEntry, News, news_of
 
 PATH = b"/registry/instances?watch=1&from=%d"
@@ -19,10 +19,12 @@
 class Watch(Protocol):
     """One open watch."""
 
-    def __init__(self, follower: Follower, host: str, version: int) -> None:
-        self.follower, self.host, self.version = follower, host, version
+    def __init__(self, follower: Follower, host: str, version: int, first_word: int, overdue: int) -> None:
+        self.follower, self.host, self.version = follower, host, version  # the version is -1 once it has spoken
+        self.first_word, self.overdue = first_word, overdue
         self.answer = AnswerLines(MOST_LINE)
         self.heard, self.over = follower.now(), False
+        self.spare = False  # one that was to take its place has failed
 
     def connectionMade(self) -> None:
         if self.over:
@@ -46,6 +48,10 @@
     def connectionLost(self, reason: Any = None) -> None:
         self.end("the connection ended")
 
+    def quiet(self) -> int:
+        """How long nothing has come."""
+        return self.follower.now() - self.heard
+
     def end(self, reason: str) -> None:
         """Over, for whatever reason; told once."""
         if not self.over:
@@ -82,12 +88,14 @@
 
 
 class Follower:
-    """Keeps at most two watches: the one that stands, and the one that takes its place at a new address."""
+    """Keeps at most two watches: the one that stands, and the one that takes its place, at a new address or because it is
+    silent. `uniform` draws within two bounds."""
 
     def __init__(self, reactor: Any, now: Callable[[], int], address: tuple[str, int], zones: Sequence[str], clock: int,
-                 told: Callable[[Kind, Sequence[Any]], None], remark: Callable[[str], None]) -> None:
+                 told: Callable[[Kind, Sequence[Any]], None], remark: Callable[[str], None],
+                 uniform: Callable[[float, float], float]) -> None:
         self.reactor, self.now, self.address, self.zones, self.clock = reactor, now, address, zones, clock
-        self.told, self.remark = told, remark
+        self.told, self.remark, self.uniform = told, remark, uniform
         self.version = 0
         self.watch: Watch | None = None
         self.old: Watch | None = None
@@ -117,22 +125,27 @@
         if self.stopped or self.watch is not None:
             return
         host, port = self.address
-        watch = self.watch = Watch(self, f"{host}:{port}", self.version)
+        old = self.old
+        if old is not None and old.host == f"{host}:{port}" and old.quiet() <= old.overdue:
+            self.watch, self.old, old.spare = old, None, False  # it speaks again
+            return
+        watch = self.watch = Watch(self, f"{host}:{port}", self.version, QUIET if old is None or old.spare else FIRST_WORD,
+                                   int(self.uniform(*OVERDUE)))
         self.reactor.connectTCP(host, port, Dial(watch, lambda: watch.end("not reached")), timeout=DIAL / 10_000)
 
     def line(self, watch: Watch, line: bytes) -> None:
         """One line of the watch; an empty one says that nothing changed."""
         first = watch is self.watch and watch.version >= 0
         if line:
-            self.news(news_of(json.loads(line), self.zones, self.clock, self.remark))
+            self.news(news_of(json.loads(line), self.zones, self.clock, self.remark), watch is self.old)
         elif first:
             self.told(Kind.CHANGES, ())
         if first:
             watch.version = -1  # has spoken
             self.drop()
 
-    def news(self, news: News) -> None:
-        if news.whole or news.version >= self.version:
+    def news(self, news: News, old: bool) -> None:
+        if news.whole and not old or news.version >= self.version:
             self.version = news.version
             self.told(Kind.WHOLE if news.whole else Kind.CHANGES, news.places)
 
@@ -142,20 +155,31 @@
             self.old = None
 
     def ended(self, watch: Watch, reason: str) -> None:
-        """A watch is over: the module hears of it at once, and says when to ask again."""
+        """A watch is over: the module hears of it, and says when to ask again."""
         if watch is self.old:
             self.old = None
         elif watch is self.watch:
             self.watch = None
             self.remark(f"the watch at {watch.host} is over: {reason}")
-            if not self.stopped:
-                self.told(Kind.FAILED, ())
+            if self.old is None:
+                self.failed()
+            else:
+                self.old.spare = True
+                self.reactor.callLater(self.uniform(0, retry_within(self.old.quiet())) / 10_000, self.failed)
+
+    def failed(self) -> None:
+        if not self.stopped:
+            self.told(Kind.FAILED, ())
 
     def look(self) -> None:
-        """Whether a watch has gone quiet."""
+        """Whether a watch has gone quiet: another is opened in time to be in its place, and at last it is over."""
         for watch in (self.watch, self.old):
-            if watch is not None and self.now() - watch.heard > QUIET:
+            if watch is not None and watch.quiet() > (QUIET if watch.version < 0 else watch.first_word):
                 watch.end("nothing came")
+        watch = self.watch
+        if watch is not None and watch.version < 0 and self.old is None and watch.quiet() > watch.overdue:
+            self.old, self.watch = watch, None
+            self.ask()  # in the next turn: what came while this process stood still is read before
 
     def stop(self) -> None:
         self.stopped = True
--- a/milletsill/platform/gateway.py
+++ b/milletsill/platform/gateway.py
@@ -3,6 +3,7 @@
 
 import resource
 from collections import Counter
+from random import Random
 from typing import Any, Callable, Sequence
 
 from milletsill.edge.host import Ended, Host, Make
@@ -42,7 +43,7 @@
         self.fleet = Fleet(reactor, now, shares.links, self.octets, facts["dial"] or UNTOLD_DIAL,
                            facts["link_idle"] or UNTOLD_IDLE, self.note)
         self.follower = Follower(reactor, now, deployment.discovery, facts["zones"], clock, self.listed,
-                                 lambda text: self.remark("list", reason=text))
+                                 lambda text: self.remark("list", reason=text), Random(f"{deployment.seed} list").uniform)
         self.host = Host(reactor, now, facts, deployment.seed, make, self.carry, self.follower.ask,
                          lambda text: self.remark("module", reason=text), self.note)
         self.port: Any = None
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,6 +15,7 @@
 import unittest
 import weakref
 from contextlib import contextmanager, suppress
+from random import Random
 from types import SimpleNamespace
 
 from twisted.internet.error import ConnectionDone, ConnectionLost
