--- a/milletsill/edge/service.py
+++ b/milletsill/edge/service.py
@@ -54,7 +54,7 @@
         seed = file.seed if file.HasField("seed") else random.SystemRandom().getrandbits(63)
         self.follower = Follower(reactor, now, file.registry, given["warm_after"],
                                  os.path.join(file.state_dir, "boxes.json"), self.listed, self.moved,
-                                 lambda text: self.remark("list", reason=text), file.name)
+                                 lambda text: self.remark("list", reason=text), file.name, random.Random(f"{seed} list").uniform)
         self.traces = self.tracer(given, seed) if file.HasField("trace") else None
         if self.traces is not None:
             make = self.traces.around(make)
--- a/milletsill/lab/registry.py
+++ b/milletsill/lab/registry.py
@@ -108,21 +108,24 @@
         if request.path == b"/v3/kv/range":
             registry.calls += 1
             wait = stand.call_ms / 1000 * max(registry.calls / stand.at_once, 1)
-            registry.reactor.callLater(wait, self.range, request)
+            registry.reactor.callLater(wait, self.range, request, bool(body.get("keys_only")))
             return NOT_DONE_YET
         if request.path == b"/v3/watch":
             return self.watch(request, int(body.get("create_request", {}).get("start_revision", 0)))
         request.setResponseCode(404)
         return b'{"error":"no such call"}'
 
-    def range(self, request: Any) -> None:
+    def range(self, request: Any, newest: bool) -> None:
+        """The whole list, or only the key that was changed last."""
         registry = self.registry
         registry.calls -= 1
         if request._disconnected or registry.away:
             return
         kvs = [registry.pair(key, value, revision) for key, (value, revision) in sorted(registry.held.items())]
-        data = json.dumps({"header": registry.header(), "kvs": kvs, "count": str(len(kvs))}).encode()
-        registry.recorded(request, data)
+        told = sorted(kvs, key=lambda kv: -int(kv["mod_revision"]))[:1] if newest else kvs
+        data = json.dumps({"header": registry.header(), "kvs": told, "count": str(len(kvs))}).encode()
+        if not newest:  # that is no list
+            registry.recorded(request, data)
         request.write(data)
         request.finish()
 
--- a/milletsill/registry/decide.py
+++ b/milletsill/registry/decide.py
@@ -30,6 +30,28 @@
     # What was compacted away cannot be made up by events: the whole list says what is gone.
     **{(stage, Cue.COMPACTED): (Stage.RANGING, "range") for stage in (Stage.JOINING, Stage.WATCHING)},
 }
+
+# A watch says nothing while nothing changes, so that a dead one looks like one with nothing to say. Where it is quiet the
+# registry is asked, now and then (drawn), for its newest change alone; after a call that failed less often.
+LOOK, MOST_PUT_OFF = (15_000, 25_000), 3  # tenths of a millisecond; doublings
+SETTLED = 10_000  # news may be this much later by the watch than by a call
+
+
+@dataclass(frozen=True, slots=True)
+class Newest:
+    """What the registry says of its newest change and how many keys it holds, beside what the watch had brought by then."""
+
+    revision: int
+    count: int
+    brought: int
+
+
+def missed(before: Newest, there: Newest, brought: int) -> bool:
+    """Whether the watch has missed something. Guards rule 3 against a watch whose other end is gone without a word. Harm: one
+    list more where the watch is only late. A key that went right after the watch's last word is found with the next change."""
+    return there.revision > brought or there.count != before.count and brought == before.brought
+
+
 STATES = {"ready": Readiness.READY, "draining": Readiness.DRAINING}
 
 
--- a/milletsill/registry/follower.py
+++ b/milletsill/registry/follower.py
@@ -14,7 +14,7 @@
 
 from milletsill.interface import Listed, News
 from milletsill.registry import cache, jsons
-from milletsill.registry.decide import NEWS, Box, Cue, Stage, View, step
+from milletsill.registry.decide import LOOK, MOST_PUT_OFF, NEWS, SETTLED, Box, Cue, Newest, Stage, View, missed, step
 
 SAVE_WITHIN = 0.5  # seconds
 Hear = Callable[[News, "list[Listed]"], None]
@@ -79,12 +79,12 @@
 class Follower:
     """Keeps the view of the boxes, tells the module, writes the cache.
 
-    `hear` gets what the module is told; `moved` the boxes whose links change; `remark` one line for the log.
+    `hear` gets what the module is told; `moved` the boxes whose links change; `remark` one line for the log; `uniform` draws.
     """
 
     def __init__(self, reactor: Any, now: Callable[[], int], link: Any, warm_after: int, cache_path: str,
                  hear: Hear, moved: Callable[[list[Box]], None], remark: Callable[[str], None],
-                 gateway: str, wall: Callable[[], float] = time.time) -> None:
+                 gateway: str, uniform: Callable[[float, float], float], wall: Callable[[], float] = time.time) -> None:
         self.reactor, self.now, self.wall, self.link = reactor, now, wall, link
         self.view, self.cache_path = View(link.most_boxes, warm_after), cache_path
         self.hear, self.moved, self.remark = hear, moved, remark
@@ -92,9 +92,13 @@
         self.headers = Headers({b"Content-Type": [b"application/json"], b"User-Agent": [f"milletsill/{gateway}".encode()]})
         self.agent = Agent(reactor, connectTimeout=link.connect_ms / 1000, pool=HTTPConnectionPool(reactor, False))
         self.stream: Gather | None = None
+        self.body: Gather | None = None
         self.complaints: dict[str, None] = {}
         self.cache_failing = self.stopped = False
         self.save_call: Any = None
+        self.uniform, self.brought, self.put_off = uniform, 0, 0
+        self.before = Newest(0, 0, 0)  # as the last look had it
+        self.look_call: Any = None
 
     def start(self) -> None:
         """Tell the module the last list, or an empty one."""
@@ -151,6 +155,8 @@
             gather = Gather(self.link.most_line, line if got.code == 200 else None, once)
             if line is not None:
                 self.stream = gather
+            else:
+                self.body = gather
             got.deliverBody(gather)
 
         answered.addCallback(response)
@@ -170,10 +176,12 @@
                 if data is None:
                     raise jsons.BadAnswer("the list did not come")
                 boxes, revision = jsons.read_range(data, self.complain)
+                count = jsons.read_newest(data)[1]
             except jsons.BadAnswer as error:
                 self.remark(f"registry: {error}")
                 return self.cue(Cue.FAIL)
             self.view.replace(boxes, revision)
+            self.brought, self.before, self.put_off = revision, Newest(0, count, revision), 0
             self.cue(Cue.RANGE_OK)
 
         self.call("/v3/kv/range", jsons.range_body(self.link.prefix), None, done)
@@ -197,7 +205,7 @@
     def watched(self, data: bytes) -> None:
         """One message of the watch."""
         try:
-            changes, _, opened, compacted = jsons.read_watch(data, self.complain)
+            changes, newest, opened, compacted = jsons.read_watch(data, self.complain)
         except jsons.BadAnswer as error:
             self.remark(f"registry: {error}")
             return self.cue(Cue.FAIL)
@@ -207,16 +215,71 @@
             return self.cue(Cue.COMPACTED)
         if opened:
             self.cue(Cue.JOIN_OK)
+        if self.look_call is None:
+            self.look_later()
+        self.brought = max(self.brought, newest)
         if changes and (boxes := self.view.apply(changes)):
             self.cue(Cue.EVENTS, boxes)
 
+    def look_later(self) -> None:
+        """Ask, a while from now, whether the watch has missed anything."""
+        self.no_look()
+        self.look_call = self.reactor.callLater(self.uniform(*LOOK) * 2 ** self.put_off / 10_000, self.look)
+
+    def look(self) -> None:
+        """One small call; where it fails the watch stands, and the next comes later."""
+        number, over = self.number, [False]
+
+        def done(data: bytes | None) -> None:
+            if over[0] or number != self.number or self.stopped:
+                return
+            over[0] = True
+            self.no_look()
+            try:
+                if data is None:
+                    raise jsons.BadAnswer("no answer")
+                there = Newest(*jsons.read_newest(data), self.brought)
+            except jsons.BadAnswer:
+                self.put_off = min(self.put_off + 1, MOST_PUT_OFF)
+                return self.look_later()
+            self.put_off = 0
+            before, self.before = self.before, there
+            if not missed(before, there, self.brought):
+                return self.look_later()
+            self.look_call = self.reactor.callLater(SETTLED / 10_000, self.settled, before, there)
+
+        def late() -> None:
+            self.give_up()
+            done(None)
+
+        self.look_call = self.reactor.callLater(self.link.call_ms / 1000, late)
+        self.call("/v3/kv/range", jsons.newest_body(self.link.prefix), None, done)
+
+    def settled(self, before: Newest, there: Newest) -> None:
+        """What a look found missing has come by now, or does not come by this watch."""
+        if not missed(before, there, self.brought):
+            return self.look_later()
+        self.remark("registry: the watch is silent, and the list has changed")
+        self.cue(Cue.FAIL)
+
+    def no_look(self) -> None:
+        if self.look_call is not None and self.look_call.active():
+            self.look_call.cancel()
+        self.look_call = None
+
     def overdue(self, number: int) -> None:
         self.late = None
         if number == self.number and self.stage in (Stage.RANGING, Stage.JOINING):
             self.number += 1
-            self.pending.cancel()
+            self.give_up()
             self.cue(Cue.FAIL)
 
+    def give_up(self) -> None:
+        """The call under way is no longer waited for, whether or not its answer has begun."""
+        self.pending.cancel()
+        if self.body is not None:
+            self.body.stop()
+
     def no_longer_late(self) -> None:
         if self.late is not None:
             self.late.cancel()
@@ -226,6 +289,7 @@
         """The watch that stood is not heard any more."""
         self.number += 1
         self.no_longer_late()
+        self.no_look()
         stream, self.stream = self.stream, None
         if stream is not None:
             stream.stop()
--- a/milletsill/registry/jsons.py
+++ b/milletsill/registry/jsons.py
@@ -45,6 +45,12 @@
     return json.dumps({"key": encoded(prefix), "range_end": encoded(after(prefix))}).encode()
 
 
+def newest_body(prefix: str) -> bytes:
+    """Asks only for the key that was changed last, without its value; the answer counts all."""
+    return json.dumps({"key": encoded(prefix), "range_end": encoded(after(prefix)), "limit": "1", "keys_only": True,
+                       "sort_order": "DESCEND", "sort_target": "MOD"}).encode()
+
+
 def watch_body(prefix: str, revision: int) -> bytes:
     return json.dumps({"create_request": {"key": encoded(prefix), "range_end": encoded(after(prefix)),
                                           "start_revision": str(revision), "progress_notify": True}}).encode()
@@ -87,27 +93,37 @@
     return boxes, number(header.get("revision"), "a revision")
 
 
+def read_newest(data: bytes) -> tuple[int, int]:
+    """The newest change of a key that is there, and how many are."""
+    body = parsed(data, "the list")
+    kvs = body.get("kvs") or []
+    if not isinstance(kvs, list):
+        raise BadAnswer("the list has no pairs")
+    return max((pair(kv)[2] for kv in kvs), default=0), number(body.get("count"), "a count")
+
+
 def read_watch(line: bytes, complain: Callable[[str], None]) -> tuple[list[Told], int, bool, bool]:
-    """One message of a watch: changes, the revision it is at, whether it opened, whether the past was compacted."""
+    """One message of a watch: changes, its newest revision (also of what is left out), whether it opened, whether the past
+    was compacted."""
     body = parsed(line, "a watch message")
     result = body.get("result")
     if not isinstance(result, dict):
         raise BadAnswer(f"the watch says {json.dumps(body.get('error'))[:200]}")
-    header = result.get("header") if isinstance(result.get("header"), dict) else {}
     if result.get("canceled"):
         if number(result.get("compact_revision"), "a revision"):
             return [], 0, False, True
         raise BadAnswer(f"the watch was ended: {str(result.get('cancel_reason', ''))[:200]}")
-    changes = []
+    changes, newest = [], 0
     for event in result.get("events") or []:
         if not isinstance(event, dict):
             raise BadAnswer("an event is not a JSON object")
         key, value, revision = pair(event.get("kv"))
+        newest = max(newest, revision)
         gone = event.get("type") == "DELETE"
         box = None if gone else read_box(key, value, complain)
         if gone or box is not None:
             changes.append(Told(key, box, revision))
-    return changes, number(header.get("revision"), "a revision"), bool(result.get("created")), False
+    return changes, newest, bool(result.get("created")), False
 
 
 class Lines:
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -3,10 +3,15 @@
 import os
 import tempfile
 import unittest
+from types import SimpleNamespace
 
-from milletsill.interface import Readiness
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from milletsill.interface import News, Readiness
 from milletsill.registry import cache, jsons
 from milletsill.registry.decide import BadBox, Box, Cue, Stage, Told, View, box_of, step
+from milletsill.registry.follower import Follower
 
 VALUE = {"id": 7, "address": "127.0.0.1:9", "state": "ready", "size": 2, "cell": 3, "started": 0}
 
@@ -109,6 +114,62 @@
             lines.feed(b"x" * 200)
 
 
+class HalfOpen(unittest.TestCase):
+    """A watch whose other end is gone without a word, against a registry of the test's own, on its clock."""
+
+    def setUp(self):
+        self.clock, self.told, self.ways, self.calls, self.keys, self.revision = Clock(), [], [], 0, {"k/7": (VALUE, 4)}, 4
+        link = SimpleNamespace(address="127.0.0.1:1", prefix="k/", call_ms=2000, connect_ms=500, most_line=1 << 20, most_boxes=99)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.follower = Follower(self.clock, lambda: int(self.clock.seconds() * 10_000), link, 0, f"{folder.name}/boxes",
+                                 lambda news, boxes: self.told.append((news, [each.readiness.name for each in boxes])),
+                                 lambda boxes: None, lambda text: None, "g", lambda least, most: most)
+        self.follower.call, self.follower.save = self.call, lambda: None
+        self.follower.ask()
+
+    def call(self, path, body, line, done):
+        self.follower.pending = Deferred().addErrback(lambda failure: None)
+        self.calls += 1
+        way = self.ways.pop(0) if self.ways else "good"
+        if way != "good":
+            return done(None) if way == "fails" else None
+        if line is not None:
+            self.line = line
+            return line(json.dumps({"result": {"created": True}}).encode())
+        kvs = [Json.kv(self, key, *each) for key, each in sorted(self.keys.items(), key=lambda each: -each[1][1])]
+        newest = b"keys_only" in body
+        done(json.dumps({"header": {"revision": self.revision}, "kvs": kvs[:1] if newest else kvs, "count": str(len(kvs))}).encode())
+
+    def passing(self, seconds):
+        for _ in range(int(seconds * 10)):
+            self.clock.advance(0.1)
+
+    def test_what_it_misses_is_found(self):
+        for change, ways, within in ((VALUE | {"state": "draining"}, [], 4), (None, [], 4), (VALUE | {"state": "draining"}, ["fails"], 8),
+                                     (VALUE | {"state": "draining"}, ["no word"], 10)):
+            self.setUp()
+            self.passing(7.1)
+            self.assertEqual(self.told, [(News.WHOLE, ["READY"])])
+            self.revision, self.ways = 5, ways
+            self.keys = {"k/7": (change, 5)} if change else {}
+            self.passing(within)
+            self.assertEqual(self.told[1:], [(News.FAILED, [])])
+            self.follower.ask()  # as the module does
+            self.assertEqual(self.told[2], (News.WHOLE, ["DRAINING"] if change else []))
+
+    def test_a_watch_that_is_late_or_has_nothing_to_say_stands(self):
+        self.passing(7.1)
+        self.keys, self.revision = {}, 5
+        self.passing(1.5)  # looked at in between
+        gone = {"type": "DELETE", "kv": {"key": jsons.encoded("k/7"), "mod_revision": "5"}}
+        self.line(json.dumps({"result": {"events": [gone]}}).encode())
+        self.ways = ["fails"] * 4 + ["no word"]
+        self.passing(60)
+        self.assertEqual([news for news, _ in self.told], [News.WHOLE, News.CHANGES])
+        self.assertLess(self.calls, 20, "a registry that fails is asked less often")
+
+
 class Cache(unittest.TestCase):
     def setUp(self):
         self.folder = tempfile.TemporaryDirectory()
