--- a/milletsill/edge/host.py
+++ b/milletsill/edge/host.py
@@ -116,6 +116,11 @@
             self.tell(self.module.abandoned, transfer)
             self.settle_soon()
 
+    def end_all(self) -> None:
+        """The process is about to end: what has no final answer by now gets one."""
+        for live in list(self.live.values()):
+            self.overdue(live)
+
     def listed(self, news: News, entries: Sequence[Listed]) -> None:
         """News of the list."""
         self.tell(self.module.listed, news, entries)
--- a/milletsill/platform/gateway.py
+++ b/milletsill/platform/gateway.py
@@ -80,6 +80,7 @@
             self.port.stopListening()
             for client in list(self.clients.open):
                 client.close_idle()
+            self.host.end_all()  # taken before SIGTERM by a client that would wait until after the earliest kill
             self.emptied()
         elif effect == "stop":
             self.stop()
