--- a/milletsill/cli/main.py
+++ b/milletsill/cli/main.py
@@ -123,14 +123,17 @@
     import glob
 
     from milletsill.lab.audit import RULES, audit, gather
+    from milletsill.lab.audit_contracts import audit_contracts
     terms = taken(os.path.join(out, "scenario.textproto"), Scenario, check_scenario)
     try:
-        found = audit(gather(out, len(glob.glob(os.path.join(out, "box-*.rec")))), terms)
+        evidence = gather(out, len(glob.glob(os.path.join(out, "box-*.rec"))))
     except (OSError, ValueError) as error:
         click.echo(f"milletsill: {error}", err=True)
         sys.exit(2)
-    for rule, breaches in found.items():
-        click.echo(f"rule {rule}, {RULES[rule]}: {'kept' if not breaches else f'{len(breaches)} breaches'}")
+    found = {f"rule {rule}, {RULES[rule]}": held for rule, held in audit(evidence, terms).items()}
+    found.update((f"contract {name}", held) for name, held in audit_contracts(evidence, terms).items())
+    for name, breaches in found.items():
+        click.echo(f"{name}: {'kept' if not breaches else f'{len(breaches)} breaches'}")
         for each in breaches[:20]:
             click.echo("  " + "\n    ".join([each.text, *each.packets]))
     sys.exit(1 if any(found.values()) else 0)
