--- a/milletsill/lab/run.py
+++ b/milletsill/lab/run.py
@@ -20,7 +20,7 @@
 
 from milletsill.lab.audit import audit, gather
 from milletsill.lab.audit_contracts import audit_contracts, figures
-from milletsill.lab.audit_fleet import agreements, false_deaths, read_logs, read_weather
+from milletsill.lab.audit_fleet import agreements, false_deaths, read_logs, read_weather, traffic
 from milletsill.lab.processes import LAB, Group, PlannerPart, Processes, free_ports
 from milletsill.lab.relay import inside, outside
 from milletsill.lab.report import broken, report
@@ -228,9 +228,9 @@
         found: dict[str, Any] = {}
         if self.fleet_port:
             told = read_logs(self.out, [each.name for each in self.groups], time.time() - time.monotonic())
-            weather = read_weather(self.out, self.names, self.start)
+            weather = read_weather(self.out, self.names, self.start, told)
             rows = agreements(told, weather, self.names, self.ended)
-            found = {"views": rows, "views_agree": rows[-1][2] is not None, "start": self.start,
+            found = {"views": rows, "views_agree": rows[-1][2] is not None, "start": self.start, "traffic": traffic(self.out),
                      "false_deaths": false_deaths(told, weather)}
         if self.scenario.channels:
             with open(f"{self.out}/channels.json", encoding="utf-8") as source:
