--- a/milletsill/lab/load.py
+++ b/milletsill/lab/load.py
@@ -292,7 +292,8 @@
                      for name, each in self.histograms.items() if each.total_count}
         result = {"rows": [{"category": c, "plan": p, **row} for (c, p), row in sorted(self.rows.items())],
                   "latency_ms": quantiles, "counted": self.counted(), "counts": self.counts, "operations": self.operations,
-                  "unended": self.live, "worst_lag_ms": self.lateness.worst * 1000, "late": self.lateness.told(), "seconds": self.worst}
+                  "unended": self.live, "worst_lag_ms": self.lateness.worst * 1000, "late": self.lateness.told(),
+                  "seconds": self.worst}
         self.write_trace()
         with open(f"{self.out}/load.json", "w", encoding="utf-8") as sink:
             json.dump(result, sink, indent=1)
--- a/milletsill/lab/report.py
+++ b/milletsill/lab/report.py
@@ -3,7 +3,7 @@
 
 from typing import Any
 
-from milletsill.lab.audit import RULES, Breach
+from milletsill.lab.audit import RULES
 from milletsill.lab.lateness import line
 
 MOST_SHOWN, MOST_LATE = 3, 60.0  # milliseconds
@@ -70,11 +70,11 @@
 
 
 def broken(result: dict[str, Any]) -> bool:
-    """Whether a rule was broken, wrong bytes read, or something left without an end."""
-    held: dict[int, list[Breach]] = result["breaches"]
-    held_to: dict[str, list[Breach]] = result.get("contracts", {})
-    return any(held.values()) or any(held_to.values()) or not result.get("views_agree", True) or bool(result.get("channels", {}).get("unended")) or bool(result["counts"].get("reads with wrong bytes")) or bool(
-        result["unended"]) or bool(result["faults"]) or any(result["exits"])
+    """Whether a rule or contract was broken, wrong bytes read, something left without an end, or views differed at the end."""
+    breaches = [*result["breaches"].values(), *result.get("contracts", {}).values()]
+    unended = result["unended"] + result.get("channels", {}).get("unended", 0)
+    wrong = result["counts"].get("reads with wrong bytes", 0)
+    return any(breaches) or not result.get("views_agree", True) or any((unended, wrong, result["faults"], *result["exits"]))
 
 
 def of_views(result: dict[str, Any]) -> list[str]:
