--- a/benchmarks/fuzz.py
+++ b/benchmarks/fuzz.py
@@ -19,9 +19,9 @@
 import zstandard
 
 from milletsill.trace import format, tools
-from milletsill.trace.format import BLOCK_HEAD, Malformed
+from milletsill.trace.format import Malformed
 from milletsill.trace.reader import verify
-from milletsill.trace.records import FLOAT, KINDS, TEXT
+from milletsill.trace.records import BLOCK_HEAD, FLOAT, KINDS, TEXT
 
 
 def base(chance: Random) -> bytes:
--- /dev/null
+++ b/milletsill/cli/files.py
@@ -0,0 +1,19 @@
+"""Files that commands are given: checked, or said what is wrong with them."""
+from __future__ import annotations
+
+import sys
+from typing import Any, Callable
+
+import click
+
+from milletsill.settings.load import Refused, load
+
+
+def taken(file: str, made: Any, check: Callable[..., None]) -> Any:
+    """A checked file, or its faults on standard error and exit status 2."""
+    try:
+        return load(file, made, check)
+    except Refused as error:
+        for each in error.faults:
+            click.echo(str(each), err=True)
+        sys.exit(2)
--- a/milletsill/cli/main.py
+++ b/milletsill/cli/main.py
@@ -4,28 +4,19 @@
 import json
 import os
 import sys
-from typing import Any, Callable
+from typing import Any
 
 import click
 from google.protobuf import text_format
 
+from milletsill.cli.files import taken
 from milletsill.cli.planner import ctl, plan
 from milletsill.cli.traces import trace
 from milletsill.settings.decide import check_gateway, check_scenario
-from milletsill.settings.load import Refused, load, text_from
+from milletsill.settings.load import Refused, text_from
 from milletsill.settings.milletsill_pb2 import GatewayFile, Scenario
 
 
-def taken(file: str, made: Any, check: Callable[..., None]) -> Any:
-    """A checked file, or its faults on standard error and exit status 2."""
-    try:
-        return load(file, made, check)
-    except Refused as error:
-        for each in error.faults:
-            click.echo(str(each), err=True)
-        sys.exit(2)
-
-
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 def main() -> None:
     """A storage gateway: schedules a host's reads and writes over storage nodes."""
--- a/milletsill/cli/planner.py
+++ b/milletsill/cli/planner.py
@@ -16,7 +16,7 @@
 @click.option("--check", is_flag=True, help="Check FILE and start nothing.")
 def plan(file: str, check: bool) -> None:
     """Run the planner of FILE until SIGTERM. Exit status 1 where another planner took over or it could not start."""
-    from milletsill.cli.main import taken
+    from milletsill.cli.files import taken
     from milletsill.settings.decide import check_planner
     from milletsill.settings.milletsill_pb2 import PlannerFile
     loaded = taken(file, PlannerFile, check_planner)
--- a/milletsill/edge/commands.py
+++ b/milletsill/edge/commands.py
@@ -2,17 +2,15 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING, Any, Callable
+from typing import Any, Callable
 
 from milletsill.edge.decide import (DOING, FREE, OPERATIONS, WRITING, Course, Leg, Locations, Reply, Spot, VolumePlace,
                                     advance, course_of, ends_at, first_leg, page, reply_of, spot_of, spot_text, told)
+from milletsill.edge.seam import Around
 from milletsill.files import extensions, packets
 from milletsill.files.extensions import ELSEWHERE, Terms, Verdict
 from milletsill.interface import Arrival
 
-if TYPE_CHECKING:
-    from milletsill.edge.service import Edge
-
 Answered = Callable[[Any], None]
 MOST_SEEN = 10_000  # names of directories that a listing remembers, to tell each once
 
@@ -52,7 +50,7 @@
 class Running:
     """One command that costs boxes work. Made, then `start`; `answered` is called once, unless it is abandoned."""
 
-    def __init__(self, edge: Edge, command: Any, terms: Terms, volume: VolumePlace, path: str, opened: Opened | None,
+    def __init__(self, edge: Around, command: Any, terms: Terms, volume: VolumePlace, path: str, opened: Opened | None,
                  answered: Answered, came: int) -> None:
         self.edge, self.command, self.terms, self.answered = edge, command, terms, answered
         self.volume, self.path, self.opened = volume, path, opened
--- a/milletsill/edge/door.py
+++ b/milletsill/edge/door.py
@@ -1,20 +1,18 @@
 """The clients' door: SFTP version 3 packets straight over TCP, bounded on every side."""
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from twisted.internet.protocol import Factory, Protocol
 
 from milletsill.edge.commands import Opened, Running
 from milletsill.edge.decide import BadPath, Door, Knock, Spot, fullness, knock
+from milletsill.edge.seam import Around
 from milletsill.files import extensions, packets
 from milletsill.files.extensions import Terms
 from milletsill.files.framing import Broken, Deframer
 from milletsill.files.wire import Attrs, Malformed, Name
 
-if TYPE_CHECKING:
-    from milletsill.edge.service import Edge
-
 DIRECTORY = Attrs(mode=0o040755)
 BY_HANDLE = (packets.Read, packets.Write, packets.Fstat, packets.Fsetstat, packets.Readdir)
 
@@ -22,7 +20,7 @@
 class Connection(Protocol):
     """One client."""
 
-    def __init__(self, edge: Edge) -> None:
+    def __init__(self, edge: Around) -> None:
         self.edge, self.door = edge, Door.FRESH
         self.deframer = Deframer(edge.file.door.most_packet)
         self.out: dict[int, Running] = {}
@@ -294,7 +292,7 @@
 
     noisy = False
 
-    def __init__(self, edge: Edge) -> None:
+    def __init__(self, edge: Around) -> None:
         self.edge = edge
 
     def buildProtocol(self, addr: Any) -> Connection:
--- a/milletsill/edge/host.py
+++ b/milletsill/edge/host.py
@@ -10,8 +10,8 @@
 from typing import Any, Callable, Mapping, Protocol, Sequence
 
 from milletsill.edge.stalls import io_first
+from milletsill.errors import whereabouts
 from milletsill.interface import Answer, Arrival, Decisions, Facts, Listed, News, Outcome, Port
-from milletsill.wirehost.host import whereabouts
 
 NEVER = 1 << 60
 LONGEST_SLEEP = 60.0  # seconds; a timer for later is set again then
--- /dev/null
+++ b/milletsill/edge/seam.py
@@ -0,0 +1,54 @@
+"""What the door's connections and commands may ask of the gateway around them. `service.Edge` is it; arrows run to here."""
+from __future__ import annotations
+
+from typing import Any, Callable, Protocol
+
+from milletsill.edge.decide import Locations, VolumePlace
+
+
+class Around(Protocol):
+    """The gateway as its clients' connections and commands see it. Times are tenths of a millisecond."""
+
+    file: Any
+    atlas: Any
+    host: Any
+    margin: int
+    locations: Locations
+    traces: Any  # None where the file asks for none, like `flows` and `parts`
+    flows: Any
+    parts: Any
+    stood_since: int | None
+    now: Callable[[], int]
+
+    def connected(self, client: Any) -> bool:
+        """Whether one more client is taken."""
+
+    def disconnected(self, client: Any) -> None: ...
+
+    def refusal(self, ends: int) -> str:
+        """Why a command cannot be taken now; '' for none."""
+
+    def told(self, running: Any, final: str, why: str) -> None:
+        """A command has its answer."""
+
+    def remark(self, event: str, **values: Any) -> None:
+        """A line of the log."""
+
+    def after_round(self, call: Callable[[], None]) -> None:
+        """Once the sockets have been read."""
+
+    def canonical(self, path: str) -> str: ...
+
+    def renames(self, volume: VolumePlace, path: str, target: str) -> bool:
+        """Whether a rename can be done."""
+
+    def plan_name(self, volume: VolumePlace) -> str: ...
+
+    def category_name(self, place: int) -> str: ...
+
+    def next_transfer(self) -> int: ...
+
+    def object_name(self) -> str:
+        """A name on a box that no other gateway or run gives."""
+
+    def mark(self) -> str: ...
--- a/milletsill/edge/service.py
+++ b/milletsill/edge/service.py
@@ -15,7 +15,7 @@
 from milletsill.edge.door import Clients, Connection
 from milletsill.edge.host import Ended, Host, Make
 from milletsill.edge.identity import keep, next_incarnation
-from milletsill.edge.logs import logger
+from milletsill.logs import logger
 from milletsill.edge.metrics import Figures
 from milletsill.errors import Fault
 from milletsill.files.extensions import Order
--- a/milletsill/lab/load.py
+++ b/milletsill/lab/load.py
@@ -24,7 +24,7 @@
 from milletsill.files.framing import Deframer
 from milletsill.files.wire import Attrs
 from milletsill.lab.record import IN, OUT, Recorder
-from milletsill.lab.service import Claim, Done
+from milletsill.trace.reckoning import Claim, Done
 from milletsill.trace.records import BY_NAME
 from milletsill.trace.service import SECOND, ServiceTerms, put_terms, reckoned
 from milletsill.trace.tools import Sink
--- a/milletsill/planner/service.py
+++ b/milletsill/planner/service.py
@@ -15,7 +15,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import Site
 
-from milletsill.edge.logs import logger
+from milletsill.logs import logger
 from milletsill.planner import codec
 from milletsill.planner.codec import Frames, Malformed, encoded, get_ask, put_grant
 from milletsill.planner.decide import SECOND, Planner, Span
--- a/milletsill/platform/door.py
+++ b/milletsill/platform/door.py
@@ -1,26 +1,41 @@
 """The clients' door: one request at a time on a connection, one answer to each, bounds on all that is held."""
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+import typing
+from typing import Any, Callable
 
 from twisted.internet.protocol import Factory, Protocol
 
 from milletsill.http1 import writer
 from milletsill.http1.decide import Bounds
-from milletsill.http1.reader import Malformed, RequestReader
-from milletsill.platform.decide import LOOK_SHORT, MOST_AHEAD, MOST_DISCARDED, OVER, Cue, Stage, due, next_stage
-
-if TYPE_CHECKING:
-    from milletsill.platform.gateway import Gateway
-    from milletsill.platform.links import Verdict
+from milletsill.http1.reader import Malformed, Message, RequestReader
+from milletsill.platform.decide import LOOK_SHORT, MOST_AHEAD, MOST_DISCARDED, OVER, Cue, Octets, Stage, due, next_stage
+from milletsill.platform.links import Verdict
 
 BOUNDS = Bounds()
 
 
+class Around(typing.Protocol):
+    """The gateway as its clients see it; `gateway.Gateway` is it. Times are tenths of a millisecond."""
+
+    reactor: Any
+    octets: Octets
+    keeps: bool  # whether connections stay open behind an answer
+    now: Callable[[], int]
+    note: Callable[..., None]
+
+    def asked(self, client: Client, message: Message) -> None:
+        """A request of a client, whole."""
+
+    def abandoned(self, transfer: int) -> None: ...
+
+    def left(self, client: Client) -> None: ...
+
+
 class Client(Protocol):
     """One connection of a client. It is the asker of its open transfer."""
 
-    def __init__(self, gateway: Gateway) -> None:
+    def __init__(self, gateway: Around) -> None:
         self.gateway, self.reader, self.stage = gateway, RequestReader(BOUNDS), Stage.FRESH
         self.since = gateway.now()  # of the stage, or of a request's first octet
         self.transfer: int | None = None
@@ -164,7 +179,7 @@
 
     noisy = False
 
-    def __init__(self, gateway: Gateway, most: int) -> None:
+    def __init__(self, gateway: Around, most: int) -> None:
         self.gateway, self.most = gateway, most
         self.open = dict[Client, None]()  # in the order of their coming
         self.port: Any = None
--- a/milletsill/policy/limits.py
+++ b/milletsill/policy/limits.py
@@ -70,7 +70,7 @@
         return max((node.sends[0][0] if node.sends else now - span) + span - now, 1)
 
     def bears(self, age: int) -> float:
-        """Units a cold node bears in any window of those who know its start; one usual transfer if not told."""
+        """Units a cold node bears in any window of those who know its start; untold: one usual transfer."""
         facts, units = self.facts, self.facts["cold_units"] or self.facts["unit_mean"]
         grown = (1 / (facts["cold_from"] or 1.0) - 1) * max(age, 0) / max(facts["warm_after"], 1)
         return units * (1 - 1 / max(facts["cold_multiple"], 1)) * (1 + grown)
--- a/milletsill/trace/decide.py
+++ b/milletsill/trace/decide.py
@@ -7,12 +7,9 @@
 from datetime import datetime, timezone
 from enum import Enum
 from statistics import median
-from typing import TYPE_CHECKING, Any, Callable, Iterable, Iterator, Mapping, Sequence
+from typing import Any, Callable, Iterable, Iterator, Mapping, Sequence
 
-from milletsill.trace.records import BY_TRANSFER, CATEGORY_PLACE, STORE_PLACE, Kind
-
-if TYPE_CHECKING:
-    from milletsill.trace.format import BlockHead, Row
+from milletsill.trace.records import BY_TRANSFER, CATEGORY_PLACE, STORE_PLACE, BlockHead, Kind, Row
 
 SECOND = 10_000
 
--- a/milletsill/trace/format.py
+++ b/milletsill/trace/format.py
@@ -14,7 +14,6 @@
 
 import json
 import zlib
-from dataclasses import dataclass
 from functools import lru_cache
 from struct import Struct
 from struct import error as StructError
@@ -26,11 +25,11 @@
 
 from milletsill.trace import columns
 from milletsill.trace.decide import MOST_INDEXED, Stores
-from milletsill.trace.records import BY_NUMBER, PLAIN, STEP, Kind
+from milletsill.trace.records import BLOCK_HEAD, BY_NUMBER, PLAIN, STEP, BlockHead, Kind, Row
 
 MAGIC, BLOCK, FOOTER, STORES, END = b"MTRACE\r\n", b"MBLK", b"MFTR", b"MSTO", b"MEND"
 MAJOR, MINOR = 1, 1
-HEAD, BLOCK_HEAD, FOOTER_HEAD, TRAILER = Struct("<8sHHII"), Struct("<4sIIIqqI32sI"), Struct("<4sII"), Struct("<Q4s")
+HEAD, FOOTER_HEAD, TRAILER = Struct("<8sHHII"), Struct("<4sII"), Struct("<Q4s")
 ENTRY = Struct("<QIqq32s")
 FIELD, NAME_SIZE, NUMBER = Struct("<BB"), Struct("<H"), Struct("<I")
 LEVEL, FILTER_BITS, FILTER_HASHES = 6, 256, 3
@@ -41,27 +40,6 @@
     """Bytes that are no trace, or no longer one; one line."""
 
 
-Row = tuple[int, Kind, tuple[Any, ...]]  # time, kind, values of its fields
-
-
-@dataclass(frozen=True, slots=True)
-class BlockHead:
-    """What stands before a block's body. `offset` is of the head, `size` of the body."""
-
-    offset: int
-    size: int
-    raw: int
-    records: int
-    first: int
-    last: int
-    crc: int
-    stores: bytes
-
-    @property
-    def end(self) -> int:
-        return self.offset + BLOCK_HEAD.size + self.size
-
-
 def store_bits(store: str) -> list[int]:
     """The bits that a store sets in a filter."""
     data = store.encode("utf-8", "surrogateescape")
--- a/milletsill/trace/reader.py
+++ b/milletsill/trace/reader.py
@@ -8,7 +8,8 @@
 
 from milletsill.trace import format
 from milletsill.trace.decide import Stores, Verdict, chosen, judge
-from milletsill.trace.format import BLOCK_HEAD, BlockHead, Malformed, Row
+from milletsill.trace.format import Malformed
+from milletsill.trace.records import BLOCK_HEAD, BlockHead, Row
 
 Heard = Optional[Callable[[int], None]]  # told how many bytes were read, for those who show progress
 SCAN = 1 << 20  # bytes looked through at a time for the next block after a break
--- a/milletsill/trace/records.py
+++ b/milletsill/trace/records.py
@@ -6,8 +6,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from struct import Struct
+from typing import Any
 
 STEP, PLAIN, FLOAT, TEXT = 1, 2, 3, 4
+BLOCK_HEAD = Struct("<4sIIIqqI32sI")
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,6 +22,27 @@
     fields: tuple[tuple[str, int], ...]
 
 
+Row = tuple[int, Kind, tuple[Any, ...]]  # time, kind, values of its fields
+
+
+@dataclass(frozen=True, slots=True)
+class BlockHead:
+    """What stands before a block's body. `offset` is of the head, `size` of the body."""
+
+    offset: int
+    size: int
+    raw: int
+    records: int
+    first: int
+    last: int
+    crc: int
+    stores: bytes
+
+    @property
+    def end(self) -> int:
+        return self.offset + BLOCK_HEAD.size + self.size
+
+
 def _kind(number: int, name: str, fields: str) -> Kind:
     codes = {"s": STEP, "p": PLAIN, "f": FLOAT, "t": TEXT}
     return Kind(number, name, tuple((each[:-2], codes[each[-1]]) for each in fields.split()))
--- a/milletsill/trace/service.py
+++ b/milletsill/trace/service.py
@@ -11,7 +11,7 @@
 
 import numpy as np
 
-from milletsill.lab.service import Claim, Done, reckon
+from milletsill.trace.reckoning import Claim, Done, reckon
 from milletsill.trace.format import Malformed
 from milletsill.trace.reader import Heard, Trace
 from milletsill.trace.records import BY_NAME
--- a/milletsill/trace/tools.py
+++ b/milletsill/trace/tools.py
@@ -13,9 +13,9 @@
 
 from milletsill.trace import format
 from milletsill.trace.decide import MOST_AGE, MOST_ROWS, Stores, Wanted, align, block_ends, of_transfers
-from milletsill.trace.format import LEVEL, BlockHead, Malformed, Row
+from milletsill.trace.format import LEVEL, Malformed
 from milletsill.trace.reader import Heard, Trace
-from milletsill.trace.records import BY_NAME, FLOAT, KINDS, TEXT, Kind
+from milletsill.trace.records import BY_NAME, FLOAT, KINDS, TEXT, BlockHead, Kind, Row
 
 ALIKE = ("facts", "volumes", "plans", "terms")  # of many headers, mostly the same: they stand once in a merge
 MOST_STORES, MOST_NEWS, MOST_OPEN, MOST_GROUP, DIGEST = 100_000, 10_000, 200, 100_000, 12
--- a/milletsill/trace/writer.py
+++ b/milletsill/trace/writer.py
@@ -14,8 +14,7 @@
 from milletsill.trace import format
 from milletsill.trace.decide import (MOST_AGE, MOST_ROWS, SECOND, Shed, Stores, Tracing, Word, block_ends, file_ends,
                                      retry_after, step, room, to_delete)
-from milletsill.trace.format import BlockHead, Row
-from milletsill.trace.records import BY_NAME
+from milletsill.trace.records import BY_NAME, BlockHead, Row
 
 LOOK, SUFFIX = 0.1, ".mtrace"
 
--- a/milletsill/wirehost/host.py
+++ b/milletsill/wirehost/host.py
@@ -1,9 +1,9 @@
 """Hosts instances of the decision module: turns events into calls and calls into actions."""
 from __future__ import annotations
 
-import traceback
 from typing import Any, BinaryIO, Callable
 
+from milletsill.errors import whereabouts
 from milletsill.interface import Answer, Arrival, Listed, News
 from milletsill.policy import Scheduler
 from milletsill.wirehost import codec
@@ -91,13 +91,6 @@
         # NoteFrom answer what the module never asks for.
 
 
-def whereabouts(error: BaseException) -> str:
-    """The error and where it came from, on one line."""
-    frames = traceback.extract_tb(error.__traceback__)[-3:]
-    places = " < ".join(f"{frame.name}:{frame.lineno}" for frame in reversed(frames))
-    return f"{type(error).__name__}: {error} at {places}"
-
-
 class Host:
     """All instances of this process; they share nothing but the wire's numbered lists. `make` gives a new one."""
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -10,7 +10,7 @@
 from twisted.internet import defer, protocol, reactor
 from twisted.internet.task import deferLater
 
-from milletsill.edge.logs import logger
+from milletsill.logs import logger
 from milletsill.edge.service import Edge
 from milletsill.files import extensions, packets
 from milletsill.files.framing import Deframer
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -14,7 +14,7 @@
 from milletsill.lab.engine import Engine, Speed
 from milletsill.lab.files import Files
 from milletsill.lab.run import Run, broken, report
-from milletsill.lab.service import Claim, Done, parted, reckon
+from milletsill.trace.reckoning import Claim, Done, parted, reckon
 from milletsill.settings.milletsill_pb2 import BoxKind, NodeRules, Scenario
 
 SHORT = """
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -17,7 +17,7 @@
 
 from milletsill.cli.main import main
 from milletsill.edge.facts import facts_of
-from milletsill.edge.logs import logger
+from milletsill.logs import logger
 from milletsill.files import packets
 from milletsill.interface import Listed, Readiness
 from milletsill.planner import codec, store
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -12,9 +12,9 @@
 from milletsill.trace import columns, format, tools
 from milletsill.trace.decide import (FEW_ROWS, LONGER, MOST_AGE, MOST_ROWS, Tracing, Verdict, Word, block_ends, file_ends, judge, retry_after,
                                      room, step, to_delete)
-from milletsill.trace.format import BLOCK_HEAD, Malformed
+from milletsill.trace.format import Malformed
 from milletsill.trace.reader import Trace, repair, verify
-from milletsill.trace.records import BY_NAME, FLOAT, KINDS, TEXT
+from milletsill.trace.records import BLOCK_HEAD, BY_NAME, FLOAT, KINDS, TEXT
 from milletsill.trace.writer import Writer
 
 INTS = st.integers(-(1 << 63), (1 << 63) - 1)
--- a/tests/test_trace_tools.py
+++ b/tests/test_trace_tools.py
@@ -15,7 +15,7 @@
 from hypothesis import strategies as st
 
 from milletsill.cli.main import main
-from milletsill.lab.service import Claim, Done, reckon
+from milletsill.trace.reckoning import Claim, Done, reckon
 from milletsill.lab.wire import Kept, Recorded
 from milletsill.trace import format, tools
 from milletsill.trace.decide import MOST_FOLLOWED, MOST_INDEXED, TOLERATED, Stores, Unclear, Verdict, align, moment
