--- a/milletsill/fleet/channels/model.py
+++ b/milletsill/fleet/channels/model.py
@@ -136,70 +136,139 @@
     world.exchange(name, reach, chance.random() < 0.85)
 
 
-def doubtful(world: World) -> bool:
-    """Whether a register may lose something now: so many as a majority can do without, and one in three as the model has it."""
-    return all(each.whole() for each in world.registers.values())
+def catch_up(world: World, name: str) -> None:
+    """A register asks on, as the service does again and again."""
+    joining = world.registers[name].joining
+    if joining is None:
+        return
+    if joining.state is standing.Standing.GATHERING:
+        for other in joining.others:
+            world.fly(other, name, Tell())
+    else:
+        world.hello(name)
+    settle(world)
+
+
+def lose(world: World, chance: Random, name: str) -> None:
+    """A register loses something, and with chance is back at once. One at a time: that is what is promised of three."""
+    if not all(each.whole() for each in world.registers.values()):
+        return
+    world.start_register(name, chance.choice(("older", "lost", "lost")))
+    if chance.random() < 0.7:
+        catch_up(world, name)
+        world.pass_time(world.span.rest() * 1000 // (1000 + world.rates[name]) + 1)
+        catch_up(world, name)
+
+
+def lapse(world: World, chance: Random, keeper: str, register: str) -> None:
+    """To the very moment at which a register lets others in, and somebody is there."""
+    world.pass_time(world.office_over(register) + chance.choice((0, 1)))
+    world.take(keeper)
+    near(world, chance, keeper)
+
+
+def silence(world: World, chance: Random) -> None:
+    """Nothing for so long that registers forget; some do."""
+    world.pass_time(world.silent * 1100 // 1000)
+    for name in world.registers:
+        if chance.random() < 0.8:
+            world.forget(name)
+
+
+def slow(world: World, chance: Random, keeper: str) -> None:
+    """A keeper's call whose answers take nearly all of its span."""
+    reach = tuple(each for each in world.registers if chance.random() < 0.75)
+    world.take(keeper)
+    world.exchange(keeper, reach, False)
+    world.pass_time(SPAN.call * 9 // 10)
+    world.exchange(keeper, reach)
+
+
+def anew(world: World, chance: Random, keeper: str, other: str) -> None:
+    """A register starts again right after it let a keeper in, with its state kept or older, and another keeper comes."""
+    places = tuple(world.registers)
+    [world.beat(each) for each in places]
+    settle(world)
+    reach = chance.sample(places, decide.majority(len(places)))
+    for _ in range(2):
+        world.take(keeper)
+        world.exchange(keeper, tuple(reach))
+    world.write(keeper)
+    world.exchange(keeper, tuple(reach))
+    if all(each.whole() for each in world.registers.values()):
+        [world.beat(each) for each in places]
+        settle(world)
+        world.start_register(reach[0], chance.choice(("restart", "older")))
+        settle(world)
+    world.take(other)
+    near(world, chance, other)
+
+
+def usurp(world: World, chance: Random, old: str, new: str) -> None:
+    """One keeper is followed by another that reaches two registers, some of whom lose it or forget; the old one writes on."""
+    places = tuple(world.registers)
+    for _ in range(2):
+        world.take(old)
+        world.exchange(old, places)
+    world.write(old)
+    world.exchange(old, places)
+    world.pass_time(SPAN.office * 12 // 10)
+    if chance.random() < 0.5:
+        world.start_keeper(new)
+    [world.beat(each) for each in places]
+    settle(world)
+    if world.silent and chance.random() < 0.4:
+        silence(world, chance)
+    reach = chance.sample(places, decide.majority(len(places)))
+    world.take(new)
+    world.exchange(new, tuple(reach), chance.random() < 0.5)
+    if chance.random() < 0.6:
+        [world.beat(each) for each in places]
+        settle(world)
+        lose(world, chance, reach[0])
+    for each in (old, new) if chance.random() < 0.7 else (new, old):
+        world.write(each)
+        near(world, chance, each)
 
 
 def walk(registers: int, keepers: int, steps: int, seed: int) -> tuple[int, str | None, int]:
-    """Chance through a world whose clocks drift: the steps made, what went wrong, and the writes that counted."""
+    """Chance through a world whose clocks drift: the steps made, what went wrong, and the writes that were begun."""
     chance = Random(seed)
     drift = SPAN.drift
     world = World(registers, keepers, SPAN, tuple(chance.choice((-drift, drift)) for _ in range(registers + keepers)))
     world.silent = chance.choice((0, 6 * SPAN.office))
     names, places = tuple(world.keepers), tuple(world.registers)
+    if chance.random() < 0.3:  # two gateways have one name
+        world.keepers[names[1]].seat.name = world.keepers[names[0]].seat.name
+    spans = (20, 200, 1_000, 1_000, 2_400, 2_600, 5_000, 9_500)
     for step in range(steps):
-        keeper, register, dice = chance.choice(names), chance.choice(places), chance.random()
-        if dice < 0.13:
-            world.take(keeper)
-            near(world, chance, keeper)
-        elif dice < 0.33:
-            if world.keepers[keeper].seat.state in (Seated.SEATED, Seated.WRITING):
-                world.write(keeper)
-                near(world, chance, keeper)
-        elif dice < 0.60 and world.flying:
-            world.arrive(chance.randrange(len(world.flying)), chance.random() < 0.25)
-        elif dice < 0.64:
-            world.again(keeper)
-        elif dice < 0.67:
-            world.give_up(keeper)
-            near(world, chance, keeper)
-        elif dice < 0.86:
-            world.pass_time(chance.choice((20, 200, 1_000, 1_000, 2_600, 5_000, 9_500, 10_300)))
-        elif dice < 0.90:
-            for each in places:
-                world.beat(each)
-            settle(world)
-        elif dice < 0.92:
-            world.start_keeper(keeper)
-        elif dice < 0.94:
-            world.start_register(register, "restart")
-            settle(world)
-        elif dice < 0.965:
-            if doubtful(world):
-                world.start_register(register, chance.choice(("older", "lost")))
-        elif dice < 0.98:
-            catch_up(world, register)
-        elif world.silent:
-            world.forget(register)
+        keeper, register = chance.choice(names), chance.choice(places)
+        turns: list[tuple[float, Callable[[], None]]] = [
+            (0.08, lambda: world.take(keeper)),
+            (0.08, lambda: (world.take(keeper), near(world, chance, keeper))),
+            (0.06, lambda: world.write(keeper) if world.keepers[keeper].seat.state is Seated.SEATED else None),
+            (0.14, lambda: (world.write(keeper), near(world, chance, keeper))
+             if world.keepers[keeper].seat.state in (Seated.SEATED, Seated.WRITING) else None),
+            (0.30, lambda: world.arrive(chance.randrange(len(world.flying)), chance.random() < 0.25) if world.flying else None),
+            (0.03, lambda: world.again(keeper)),
+            (0.03, lambda: (world.give_up(keeper), near(world, chance, keeper))),
+            (0.12, lambda: world.pass_time(chance.choice(spans))),
+            (0.04, lambda: lapse(world, chance, keeper, register)),
+            (0.03, lambda: ([world.beat(each) for each in places], settle(world))),
+            (0.02, lambda: world.start_keeper(keeper)),
+            (0.02, lambda: (world.start_register(register, "restart"), settle(world))),
+            (0.02, lambda: lose(world, chance, register)),
+            (0.02, lambda: catch_up(world, register)),
+            (0.02, lambda: slow(world, chance, keeper)),
+            (0.015, lambda: anew(world, chance, *chance.sample(names, 2))),
+            (0.015, lambda: usurp(world, chance, *chance.sample(names, 2))),
+            (0.01, lambda: silence(world, chance) if world.silent else None)]
+        chance.choices([each for _, each in turns], [part for part, _ in turns])[0]()
         if world.wrong:
             return step, f"seed {seed}, step {step}: {world.wrong}", world.written
     return steps, None, world.written
 
 
-def catch_up(world: World, name: str) -> None:
-    """A register asks on, as the service does again and again."""
-    joining = world.registers[name].joining
-    if joining is None:
-        return
-    if joining.state is standing.Standing.GATHERING:
-        for other in joining.others:
-            world.fly(other, name, Tell())
-    else:
-        world.hello(name)
-    settle(world)
-
-
 def wrong(walks: int, steps: int = 600) -> str | None:
     """What goes wrong first, if anything, by chance through small worlds."""
     return next((found for seed in range(walks) if (found := walk(3, 3, steps, seed)[1])), None)
@@ -257,6 +326,11 @@
     return True
 
 
+def _any_renewal(poll: Any, answer: Any) -> bool:
+    """An answer to an older renewal counts for a newer one."""
+    return answer.ask is poll.call.ask and answer.ballot == poll.call.ballot
+
+
 def _one_holder(self: Any, other: Any) -> bool:
     """A gateway's new start passes for its old one."""
     return self.name == other.name
@@ -310,6 +384,7 @@
     "the latest write is read": (decide, "newest", _first_told),
     "offices of a former self": (decide, "loaded", _none_loaded),
     "a call's end": (decide, "open_still", _each_answer),
+    "one renewal's answers": (decide, "fits", _any_renewal),
     "starts differ": (decide.Ballot, "same_holder", _one_holder),
     "the floor of what is forgotten": (decide, "raised", _no_floor),
     "others' word of later things": (standing, "later", _never_later),
--- a/milletsill/fleet/channels/registers/decide.py
+++ b/milletsill/fleet/channels/registers/decide.py
@@ -47,7 +47,8 @@
 
 
 class Call(NamedTuple):
-    """To each register. `index` and `value` are of an ACCEPT. A PREPARE of a ballot that stands is a renewal."""
+    """To each register. `value` is of an ACCEPT, `index` its number under the ballot. A PREPARE of a ballot that stands is a
+    renewal, and `index` its number."""
 
     ask: Ask
     channel: str
@@ -243,9 +244,13 @@
         self.yes: dict[str, Answer] = {}
         self.no: dict[str, Answer] = {}
 
-    def fits(self, answer: Answer) -> bool:
-        call = self.call
-        return (answer.ask is call.ask and answer.ballot == call.ballot and answer.index == call.index)
+
+
+def fits(poll: Poll, answer: Answer) -> bool:
+    """Whether an answer is to this very call. Guards, with the index, against a late one to an older renewal of the ballot, which
+    would pass for a new grant."""
+    call = poll.call
+    return answer.ask is call.ask and answer.ballot == call.ballot and answer.index == call.index
 
 
 def open_still(poll: Poll, now: int, span: Span) -> bool:
@@ -275,14 +280,14 @@
     that send have put their call into `poll`; `gone` is the call that gives up, if any."""
 
     __slots__ = ("channel", "name", "nonce", "span", "registers", "state", "ballot", "index", "value", "ends", "poll", "queued",
-                 "tries", "round", "gone", "refusal")
+                 "tries", "round", "renewals", "gone", "refusal")
 
     def __init__(self, channel: str, name: str, nonce: int, span: Span, registers: int) -> None:
         self.channel, self.name, self.nonce, self.span, self.registers = channel, name, nonce, span, registers
         self.state, self.ballot, self.index, self.value, self.ends = Seated.OUT, NOBODY, 0, b"", 0
         self.poll: Poll | None = None
         self.queued: bytes | None = None
-        self.tries = self.round = 0
+        self.tries = self.round = self.renewals = 0
         self.gone: Call | None = None
         self.refusal: Answer | None = None  # what to tell of a loss
 
@@ -312,7 +317,7 @@
         """What a register says; what belongs to no open call is left."""
         poll = self.poll
         self.round = max(self.round, answer.round)
-        if poll is None or not poll.fits(answer) or not open_still(poll, now, self.span) or who in poll.yes:
+        if poll is None or not fits(poll, answer) or not open_still(poll, now, self.span) or who in poll.yes:
             return []
         (poll.yes if answer.say is Say.YES else poll.no)[who] = answer
         if answer.say is Say.YES:
@@ -345,10 +350,11 @@
         poll = self.poll
         if effect in (Effect.ASK, Effect.ASK_HIGHER):
             self.tries, self.round, self.refusal = self.tries + 1, self.round + 1, None
-            self.ballot, self.index, self.ends = Ballot(self.round, self.name, self.nonce), 0, 0
+            self.ballot, self.index, self.ends, self.renewals = Ballot(self.round, self.name, self.nonce), 0, 0, 0
             self.poll = Poll(Call(Ask.PREPARE, self.channel, self.ballot), now)
         elif effect is Effect.RENEW:
-            self.poll = Poll(Call(Ask.PREPARE, self.channel, self.ballot), now)
+            self.renewals += 1
+            self.poll = Poll(Call(Ask.PREPARE, self.channel, self.ballot, self.renewals), now)
         elif effect is Effect.MEND:
             assert poll is not None
             self.send(newest(tuple(poll.yes.values())).value, now)
--- a/milletsill/fleet/channels/world.py
+++ b/milletsill/fleet/channels/world.py
@@ -11,7 +11,7 @@
 from milletsill.fleet.channels.registers.standing import Identity, Joining, Page, Standing, Turn
 
 C, MOST_FLYING = "c", 14
-SPAN = Span(10_000, 2_500, 20)  # clocks that are wrong by 2%, so that it shows
+SPAN = Span(10_000, 2_500, 50)  # clocks that are wrong by 5%, so that it shows past the guard of a send
 
 
 class Hello(NamedTuple):
@@ -75,15 +75,16 @@
 
 
 class Keeper:
-    """One keeper's seat of the channel, and what it heard of registers."""
+    """One keeper's seat of the channel, and what it heard of registers. `called`: the name that it has, which may be another's
+    too."""
 
-    def __init__(self, name: str, nonce: int, span: Span, registers: int) -> None:
-        self.name, self.seat = name, Seat(C, name, nonce, span, registers)
+    def __init__(self, called: str, nonce: int, span: Span, registers: int) -> None:
+        self.seat = Seat(C, called, nonce, span, registers)
         self.known: dict[str, Identity] = {}
 
     def copy(self) -> Keeper:
         made = Keeper.__new__(Keeper)
-        made.name, made.known = self.name, dict(self.known)
+        made.known = dict(self.known)
         seat = made.seat = copy.copy(self.seat)
         if seat.poll is not None:
             poll = seat.poll = Poll(seat.poll.call, seat.poll.sent)
@@ -180,7 +181,7 @@
 
     def start_keeper(self, name: str) -> None:
         self.nonce += 1
-        self.keepers[name] = Keeper(name, self.nonce, self.span, len(self.registers))
+        self.keepers[name] = Keeper(self.keepers[name].seat.name, self.nonce, self.span, len(self.registers))
 
     # Events of registers.
 
@@ -309,6 +310,12 @@
                 break
             self.arrive(place, False)
 
+    def office_over(self, name: str) -> int:
+        """How long until a register lets others in."""
+        register = self.registers[name]
+        until = 0 if register.office is None else register.office.until
+        return max(-(-until * 1000 // (1000 + self.rates[name])) - self.now, 0)
+
     def pass_time(self, span: int) -> None:
         self.now += span
         self.look()
