--- a/milletsill/fleet/channels/model.py
+++ b/milletsill/fleet/channels/model.py
@@ -16,8 +16,9 @@
 from typing import Any, Callable, Iterator
 from unittest import mock
 
-from milletsill.fleet.channels.registers import decide, standing
-from milletsill.fleet.channels.registers.decide import Office, Seat, Seated, Span
+from milletsill.fleet.channels.registers import decide, seat, standing
+from milletsill.fleet.channels.registers.decide import Office, Span
+from milletsill.fleet.channels.registers.seat import Seated
 from milletsill.fleet.channels.registers.standing import Joining, Page
 from milletsill.fleet.channels.world import SPAN, Heard, Hello, Tell, World
 
@@ -373,18 +374,30 @@
             records[channel] = new._replace(promised=new.stamp.ballot, touched=up)
 
 
+def _copies_vote(answers: Any, best: Any, registers: int) -> bool:
+    """A copy that a register was told of counts as a vote."""
+    return best.stamp == decide.UNWRITTEN or sum(each.stamp == best.stamp for each in answers) >= seat.majority(registers)
+
+
+def _young_again(self: Any, value: bytes, now: int, aged: int = 0) -> None:
+    """What is written again is as young as if it were new."""
+    _send(self, value, now, 0)
+
+
+_send = seat.Seat.send
 MUTANTS: dict[str, tuple[Any, str, Any]] = {
     "lower ballots are refused": (decide, "rank", _any_ballot),
     "an office refuses others": (decide, "hold", _no_office),
     "drift at the register": (Span, "refused", _shorter),
     "drift at the keeper": (Span, "kept", _longer),
-    "terms from the send": (decide, "term_end", _from_answer),
-    "a majority": (decide, "majority", _half),
-    "written again": (decide, "even", _always_even),
-    "the latest write is read": (decide, "newest", _first_told),
+    "terms from the send": (seat, "term_end", _from_answer),
+    "a majority": (seat, "majority", _half),
+    "written again": (seat, "even", _always_even),
+    "copies are no votes": (seat, "even", _copies_vote),
+    "the latest write is read": (seat, "newest", _first_told),
     "offices of a former self": (decide, "loaded", _none_loaded),
-    "a call's end": (decide, "open_still", _each_answer),
-    "one renewal's answers": (decide, "fits", _any_renewal),
+    "a call's end": (seat, "open_still", _each_answer),
+    "one renewal's answers": (seat, "fits", _any_renewal),
     "starts differ": (decide.Ballot, "same_holder", _one_holder),
     "the floor of what is forgotten": (decide, "raised", _no_floor),
     "others' word of later things": (standing, "later", _never_later),
@@ -392,6 +405,7 @@
     "enough others tell": (standing, "needed", _one_tells),
     "the rest before catching up": (Span, "rest", _no_rest),
     "what others tell is taken": (standing, "merged", _nothing_merged),
+    "ages are carried on": (seat.Seat, "send", _young_again),
     "promises are told too": (standing, "merged", _promise_left),
 }
 
--- /dev/null
+++ b/milletsill/fleet/channels/registers/codec.py
@@ -0,0 +1,152 @@
+"""Bodies between keepers and registers: the byte "R" and one protobuf Frame; to and from what the deciding files speak of."""
+from __future__ import annotations
+
+from typing import Any, Iterable
+
+from google.protobuf.message import DecodeError
+
+from milletsill.errors import Fault
+from milletsill.fleet.channels.registers import registers_pb2 as wire
+from milletsill.fleet.channels.registers.decide import (MOST_NAME, MOST_VALUE, Answer, Ask, Ballot, Call, Record, Say, Stamp, UNKNOWN,
+                                                        UNWRITTEN)
+from milletsill.fleet.channels.registers.standing import Identity, Page
+
+MARK, VERSION, MOST_FRAME, PER_FRAME = b"R", 1, 1 << 19, 2000
+FRAME_BYTES = 200_000  # calls or answers are parted into frames of about so many
+MOST = 1 << 60  # of any number
+ASKS, SAYS = {each.value: each for each in Ask}, {each.value: each for each in Say}
+
+
+class Unreadable(Fault):
+    """A body that is no frame of ours."""
+
+    remedy = "see that all gateways run versions of the program that know each other's frames"
+
+
+def encoded(**what: Any) -> bytes:
+    """One body: `encoded(beat=Beat(...))`."""
+    return MARK + wire.Frame(version=VERSION, **what).SerializeToString()
+
+
+def decoded(body: bytes) -> Any:
+    """The Frame of a body that begins with the mark; `WhichOneof` is None for what a later version says. Raises Unreadable."""
+    if len(body) > MOST_FRAME:
+        raise Unreadable(f"a body of {len(body)} bytes, {MOST_FRAME} at most")
+    try:
+        return wire.Frame.FromString(body[1:])
+    except DecodeError:
+        raise Unreadable("a body that is no protobuf of ours") from None
+
+
+def number(value: int) -> int:
+    if value > MOST:
+        raise Unreadable(f"a number of {value}, {MOST} at most")
+    return value
+
+
+def name(text: str) -> str:
+    if not 0 < len(text.encode("utf-8", "surrogateescape")) <= MOST_NAME:
+        raise Unreadable(f"a name of {len(text)} characters, {MOST_NAME} bytes at most")
+    return text
+
+
+def content(value: bytes) -> bytes:
+    if len(value) > MOST_VALUE:
+        raise Unreadable(f"a record of {len(value)} bytes, {MOST_VALUE} at most")
+    return value
+
+
+def put_identity(own: Identity) -> wire.Identity:
+    return wire.Identity(age=own.age, chance=own.chance, generation=own.generation)
+
+
+def get_identity(own: Any) -> Identity:
+    return Identity(number(own.age), own.chance, number(own.generation))
+
+
+def put_ballot(ballot: Ballot) -> wire.Ballot:
+    return wire.Ballot(round=ballot.round, name=ballot.name, nonce=ballot.nonce)
+
+
+def get_ballot(ballot: Any) -> Ballot:
+    return Ballot(number(ballot.round), ballot.name, ballot.nonce)
+
+
+def put_call(call: Call) -> wire.Call:
+    made = wire.Call(ask=call.ask.value, channel=call.channel, round=call.ballot.round, nonce=call.ballot.nonce, index=call.index)
+    if call.ask is Ask.ACCEPT:
+        made.value = call.value
+        if call.aged != UNKNOWN:
+            made.aged = call.aged
+    return made
+
+
+def get_call(sender: str, call: Any) -> Call | None:
+    """None where it asks for what a later version may know."""
+    ask = ASKS.get(call.ask)
+    return None if ask is None else Call(ask, name(call.channel), Ballot(number(call.round), sender, call.nonce), number(call.index),
+                                         content(call.value), number(call.aged) if call.HasField("aged") else UNKNOWN)
+
+
+def put_answer(answer: Answer) -> wire.Answer:
+    made = wire.Answer(ask=answer.ask.value, channel=answer.channel, round=answer.ballot.round, nonce=answer.ballot.nonce,
+                       index=answer.index, say=answer.say.value)
+    if answer.stamp != UNWRITTEN:
+        made.stamp.CopyFrom(put_ballot(answer.stamp.ballot))
+        made.stamp_index, made.value = answer.stamp.index, answer.value
+    if answer.told:
+        made.told = True
+    if answer.aged != UNKNOWN:
+        made.aged = answer.aged
+    if answer.say is not Say.YES:
+        made.known, made.pause, made.who = answer.round, answer.pause, answer.who
+    return made
+
+
+def get_answer(receiver: str, answer: Any) -> Answer | None:
+    ask, say = ASKS.get(answer.ask), SAYS.get(answer.say)
+    if ask is None or say is None:
+        return None
+    stamp = Stamp(get_ballot(answer.stamp), number(answer.stamp_index)) if answer.HasField("stamp") else UNWRITTEN
+    return Answer(ask, answer.channel, Ballot(answer.round, receiver, answer.nonce), answer.index, say, stamp, content(answer.value),
+                  number(answer.aged) if answer.HasField("aged") else UNKNOWN, number(answer.known), number(answer.pause), answer.who,
+                  answer.told)
+
+
+def put_record(record: Record, channel: str = "") -> wire.Kept:
+    made = wire.Kept(promised=put_ballot(record.promised))
+    if channel:
+        made.channel = channel
+    if record.stamp != UNWRITTEN:
+        made.stamp.CopyFrom(put_ballot(record.stamp.ballot))
+        made.index, made.value, made.told = record.stamp.index, record.value, record.told
+    return made
+
+
+def get_record(kept: Any, touched: int = 0) -> Record:
+    stamp = Stamp(get_ballot(kept.stamp), number(kept.index)) if kept.HasField("stamp") else UNWRITTEN
+    return Record(get_ballot(kept.promised), stamp, content(kept.value), touched, kept.told)
+
+
+def put_page(after: str, page: Page) -> wire.Page:
+    return wire.Page(after=after, kept=[put_record(record, channel) for channel, record in page.records], floor=page.floor,
+                     last=page.last)
+
+
+def get_page(page: Any) -> Page:
+    return Page(tuple((name(each.channel), get_record(each)) for each in page.kept), number(page.floor), page.last)
+
+
+def parted(pieces: Iterable[Any]) -> Iterable[list[Any]]:
+    """Calls or answers in lists that each fit a frame."""
+    found: list[Any] = []
+    size = 0
+    for each in pieces:
+        length = each.ByteSize()
+        if found and (size + length > FRAME_BYTES or len(found) >= PER_FRAME):
+            yield found
+            found, size = [], 0
+        found.append(each)
+        size += length
+    if found:
+        yield found
--- /dev/null
+++ b/milletsill/fleet/channels/registers/seat.py
@@ -0,0 +1,199 @@
+"""One channel's seat at one gateway: taking the office, renewing it, writing under it, losing it. Pure; decide.py has the words.
+
+A poll is one call to all registers. A term counts from when the poll was sent, and only answers to this very poll count.
+"""
+from __future__ import annotations
+
+from enum import Enum
+from typing import Sequence
+
+from milletsill.fleet.channels.registers.decide import (Answer, Ask, Ballot, Call, NOBODY, Say, Span, TRIES, UNKNOWN, UNWRITTEN,
+                                                        majority)
+
+Seated = Enum("Seated", "OUT ASKING MENDING SEATED RENEWING WRITING")
+Input = Enum("Input", "TAKE WRITE GIVE_UP EVEN UNEVEN REFUSED LOWER LATE")
+Effect = Enum("Effect", "NONE ASK ASK_HIGHER MEND SEAT EXTEND RENEW WRITE WROTE QUEUE RELEASE LOSE KEEP NOT_HELD")
+KEEPER: dict[tuple[Seated, Input], tuple[Seated, Effect]] = {
+    **{(state, Input.WRITE): (state, Effect.NOT_HELD) for state in (Seated.OUT, Seated.ASKING, Seated.MENDING)},
+    **{(state, Input.REFUSED): (Seated.OUT, Effect.LOSE) for state in Seated},
+    **{(state, Input.LOWER): (Seated.OUT, Effect.LOSE) for state in Seated},
+    **{(state, Input.LATE): (Seated.OUT, Effect.LOSE) for state in Seated},
+    **{(state, Input.GIVE_UP): (Seated.OUT, Effect.RELEASE) for state in Seated},
+    **{(state, Input.TAKE): (state, Effect.NONE) for state in Seated},  # it is told when that comes out
+    (Seated.OUT, Input.TAKE): (Seated.ASKING, Effect.ASK),
+    (Seated.OUT, Input.GIVE_UP): (Seated.OUT, Effect.NONE),
+    (Seated.ASKING, Input.EVEN): (Seated.SEATED, Effect.SEAT),
+    (Seated.ASKING, Input.UNEVEN): (Seated.MENDING, Effect.MEND),
+    (Seated.ASKING, Input.LOWER): (Seated.ASKING, Effect.ASK_HIGHER),
+    (Seated.MENDING, Input.EVEN): (Seated.SEATED, Effect.SEAT),
+    (Seated.SEATED, Input.TAKE): (Seated.RENEWING, Effect.RENEW),
+    (Seated.SEATED, Input.WRITE): (Seated.WRITING, Effect.WRITE),
+    (Seated.RENEWING, Input.EVEN): (Seated.SEATED, Effect.EXTEND),
+    (Seated.RENEWING, Input.UNEVEN): (Seated.SEATED, Effect.EXTEND),
+    (Seated.RENEWING, Input.LATE): (Seated.SEATED, Effect.KEEP),  # the term stands until its end
+    (Seated.RENEWING, Input.WRITE): (Seated.RENEWING, Effect.QUEUE),
+    (Seated.WRITING, Input.WRITE): (Seated.WRITING, Effect.QUEUE),
+    (Seated.WRITING, Input.EVEN): (Seated.SEATED, Effect.WROTE),
+}
+
+
+class Poll:
+    """One call to all registers, and what they said."""
+
+    __slots__ = ("call", "sent", "yes", "no")
+
+    def __init__(self, call: Call, sent: int) -> None:
+        self.call, self.sent = call, sent
+        self.yes: dict[str, Answer] = {}
+        self.no: dict[str, Answer] = {}
+
+
+
+def fits(poll: Poll, answer: Answer) -> bool:
+    """Whether an answer is to this very call. Guards, with the index, against a late one to an older renewal of the ballot, which
+    would pass for a new grant."""
+    call = poll.call
+    return answer.ask is call.ask and answer.ballot == call.ballot and answer.index == call.index
+
+
+def open_still(poll: Poll, now: int, span: Span) -> bool:
+    """Whether an answer may count. Guards against one of a register that has since lost its state: it catches up only after
+    all calls are over that it may have answered."""
+    return now < poll.sent + span.call
+
+
+def newest(answers: Sequence[Answer]) -> Answer:
+    """The answer with the latest write."""
+    return max(answers, key=lambda each: each.stamp)
+
+
+def even(answers: Sequence[Answer], best: Answer, registers: int) -> bool:
+    """Whether a majority has accepted the latest write already, or there is none. Where not, it may be nowhere else, and is
+    written again before anybody acts on it. What a register was only told of is no vote of its own: a later ballot that it had
+    promised may be past it."""
+    return best.stamp == UNWRITTEN or sum(each.stamp == best.stamp and not each.told for each in answers) >= majority(registers)
+
+
+def term_end(poll: Poll, now: int, span: Span) -> int:
+    """From the send, not from the answers: registers counted from when it came."""
+    return poll.sent + span.kept()
+
+
+class Seat:
+    """One channel at one gateway. `name` and `nonce` make its ballots; `ends` is the term's end on this gateway's clock, `since` when the
+    value was surely there at the earliest; none for unknown. Effects that send have put their call into `poll`; `gone` is the call that gives up, if any."""
+
+    __slots__ = ("channel", "name", "nonce", "span", "registers", "state", "ballot", "index", "value", "ends", "poll", "queued",
+                 "since", "tries", "round", "renewals", "gone", "refusal")
+
+    def __init__(self, channel: str, name: str, nonce: int, span: Span, registers: int) -> None:
+        self.channel, self.name, self.nonce, self.span, self.registers = channel, name, nonce, span, registers
+        self.state, self.ballot, self.index, self.value, self.ends = Seated.OUT, NOBODY, 0, b"", 0
+        self.since: int | None = 0
+        self.poll: Poll | None = None
+        self.queued: bytes | None = None
+        self.tries = self.round = self.renewals = 0
+        self.gone: Call | None = None
+        self.refusal: Answer | None = None  # what to tell of a loss
+
+    def holds(self, now: int) -> bool:
+        """Whether nobody else can be keeper now."""
+        return self.state in (Seated.SEATED, Seated.RENEWING, Seated.WRITING) and now < self.ends
+
+    def take(self, now: int) -> list[Effect]:
+        """Become keeper, or renew."""
+        self.tries = 0 if self.state is Seated.OUT else self.tries
+        return self.step(Input.TAKE, now)
+
+    def write(self, value: bytes, now: int) -> list[Effect]:
+        """The whole record; one under way is awaited, later ones take each other's place."""
+        return self.step(Input.WRITE, now, value)
+
+    def give_up(self, now: int) -> list[Effect]:
+        return self.step(Input.GIVE_UP, now)
+
+    def late(self, now: int) -> list[Effect]:
+        """To be called when a call's span is over; anything else is no harm."""
+        if self.poll is None or open_still(self.poll, now, self.span):
+            return []
+        self.refusal = self.worst(self.poll)
+        return self.step(Input.LATE, now)
+
+    def hear(self, who: str, answer: Answer, now: int) -> list[Effect]:
+        """What a register says; what belongs to no open call is left."""
+        poll = self.poll
+        self.round = max(self.round, answer.round)
+        if poll is None or not fits(poll, answer) or not open_still(poll, now, self.span) or who in poll.yes:
+            return []
+        (poll.yes if answer.say is Say.YES else poll.no)[who] = answer
+        if answer.say is Say.YES:
+            poll.no.pop(who, None)
+        found = self.counted(poll)
+        return [] if found is None else self.step(found, now)
+
+    def counted(self, poll: Poll) -> Input | None:
+        """What the answers so far come to."""
+        if len(poll.yes) >= majority(self.registers):
+            answers = tuple(poll.yes.values())
+            return Input.EVEN if poll.call.ask is Ask.ACCEPT or even(answers, newest(answers), self.registers) else Input.UNEVEN
+        if len(poll.no) <= self.registers - majority(self.registers):
+            return None
+        says = {each.say for each in poll.no.values()}
+        self.refusal = self.worst(poll)
+        return Input.LOWER if says == {Say.LOWER} and self.tries < TRIES else Input.REFUSED
+
+    def worst(self, poll: Poll) -> Answer | None:
+        """What tells most of why a poll came to nothing."""
+        return next((each for say in (Say.HELD, Say.LOWER, Say.AWAY) for each in poll.no.values() if each.say is say), None)
+
+    def step(self, found: Input, now: int, value: bytes = b"") -> list[Effect]:
+        """The short loop around the table: the effect, and what follows from it by itself."""
+        self.state, effect = KEEPER.get((self.state, found), (self.state, Effect.NONE))
+        self.act(effect, now, value)
+        effects = [effect] if effect is not Effect.NONE else []
+        if self.state is Seated.SEATED and self.queued is not None:
+            following, self.queued = self.queued, None
+            effects += self.step(Input.WRITE, now, following)
+        return effects
+
+    def act(self, effect: Effect, now: int, value: bytes) -> None:
+        poll = self.poll
+        if effect in (Effect.ASK, Effect.ASK_HIGHER):
+            self.tries, self.round, self.refusal = self.tries + 1, self.round + 1, None
+            self.ballot, self.index, self.ends, self.renewals = Ballot(self.round, self.name, self.nonce), 0, 0, 0
+            self.poll = Poll(Call(Ask.PREPARE, self.channel, self.ballot), now)
+        elif effect is Effect.RENEW:
+            self.renewals += 1
+            self.poll = Poll(Call(Ask.PREPARE, self.channel, self.ballot, self.renewals), now)
+        elif effect is Effect.MEND:
+            assert poll is not None
+            self.read(poll, now)
+            self.send(self.value, now, UNKNOWN if self.since is None else now - self.since)
+        elif effect is Effect.WRITE:
+            self.send(value, now)
+        elif effect is Effect.QUEUE:
+            self.queued = value
+        elif effect in (Effect.SEAT, Effect.EXTEND, Effect.WROTE):
+            assert poll is not None
+            if effect is Effect.SEAT and poll.call.ask is Ask.PREPARE:
+                self.read(poll, now)
+            elif effect is Effect.WROTE:
+                self.value, self.since = poll.call.value, poll.sent
+            self.ends, self.poll = max(self.ends, term_end(poll, now, self.span)), None
+        elif effect is Effect.KEEP:
+            self.poll = None
+        elif effect in (Effect.LOSE, Effect.RELEASE):
+            # An office that was held runs to its end where it is lost: something may be out under it.
+            self.gone = Call(Ask.RELEASE, self.channel, self.ballot) if effect is Effect.RELEASE or not self.ends else None
+            self.poll, self.queued, self.ends = None, None, 0
+
+    def read(self, poll: Poll, now: int) -> None:
+        """What a majority has. The register of it that took the value before anybody acted on it has the greatest age."""
+        best = newest(tuple(poll.yes.values()))
+        ages = [each.aged for each in poll.yes.values() if each.stamp == best.stamp]
+        self.value = best.value
+        self.since = None if UNKNOWN in ages else now - self.span.elsewhere(max(ages)) - (now - poll.sent)
+
+    def send(self, value: bytes, now: int, aged: int = 0) -> None:
+        self.index += 1
+        self.poll = Poll(Call(Ask.ACCEPT, self.channel, self.ballot, self.index, value, aged), now)
--- a/milletsill/fleet/channels/registers/standing.py
+++ b/milletsill/fleet/channels/registers/standing.py
@@ -34,7 +34,7 @@
 
 
 Standing = Enum("Standing", "JOINING WHOLE WAITING GATHERING")
-Word = Enum("Word", "CLEAN LATER ENOUGH WAITED GATHERED ORDERED")
+Word = Enum("Word", "LATER ENOUGH WAITED GATHERED ORDERED UNWRITTEN")
 Turn = Enum("Turn", "NONE BEGIN DOUBT GATHER ANEW")
 STANDINGS: dict[tuple[Standing, Word], tuple[Standing, Turn]] = {
     (Standing.JOINING, Word.ENOUGH): (Standing.WHOLE, Turn.BEGIN),
@@ -42,6 +42,7 @@
     (Standing.WHOLE, Word.LATER): (Standing.WAITING, Turn.DOUBT),
     (Standing.WAITING, Word.WAITED): (Standing.GATHERING, Turn.GATHER),
     (Standing.GATHERING, Word.GATHERED): (Standing.WHOLE, Turn.ANEW),
+    (Standing.WHOLE, Word.UNWRITTEN): (Standing.WAITING, Turn.NONE),
     **{(each, Word.ORDERED): (Standing.WHOLE, Turn.ANEW) for each in Standing},
 }
 
@@ -63,10 +64,10 @@
     for channel, new in told:
         old = records.get(channel)
         if old is None:
-            records[channel] = new._replace(touched=up)
+            records[channel] = new._replace(touched=up, told=True)
             continue
-        stamp, value = max((old.stamp, old.value), (new.stamp, new.value), key=lambda each: each[0])
-        records[channel] = Record(max(old.promised, new.promised), stamp, value, up)
+        later = new if new.stamp > old.stamp else old
+        records[channel] = Record(max(old.promised, new.promised), later.stamp, later.value, up, old.told or later is new)
 
 
 class Joining:
@@ -128,6 +129,14 @@
         self.told.add(who)
         return self.word(Word.GATHERED) if len(self.told) >= needed(len(self.others) + 1) else Turn.NONE
 
+    def ordered(self) -> Turn:
+        """An operator's order to go on with what there is."""
+        return self.word(Word.ORDERED)
+
+    def back(self) -> None:
+        """What was told could not be written down."""
+        self.word(Word.UNWRITTEN)
+
     def pause(self, now: int) -> int:
         """When to come back to a register that may not answer."""
         return max(self.waits - now, HELLO) if self.state in (Standing.WAITING, Standing.GATHERING) else HELLO
--- a/milletsill/fleet/channels/world.py
+++ b/milletsill/fleet/channels/world.py
@@ -7,7 +7,8 @@
 from typing import Any, NamedTuple
 
 from milletsill.fleet.channels.registers import decide, standing
-from milletsill.fleet.channels.registers.decide import Answer, Call, Effect, Office, Poll, Record, Seat, Seated, Span
+from milletsill.fleet.channels.registers.decide import Answer, Call, Office, Record, Span
+from milletsill.fleet.channels.registers.seat import Effect, Poll, Seat, Seated
 from milletsill.fleet.channels.registers.standing import Identity, Joining, Page, Standing, Turn
 
 C, MOST_FLYING = "c", 14
@@ -107,6 +108,7 @@
         # Registers fast and keepers slow is the worst that drift allows.
         self.rates = dict(zip([*self.registers, *self.keepers], rates or [span.drift] * registers + [-span.drift] * keepers))
         self.flying: list[Message] = []
+        self.firsts: dict[bytes, int] = {}  # when each value counted first
         self.settled, self.settled_at, self.silent = b"", 0, 0  # silent: a register forgets a channel after it; 0 for never
         self.wrong: str | None = None
         self.budget = {"double": 1, "restart": 1, "older": 1, "lost": 1, "keeper": 1}
@@ -116,7 +118,7 @@
         made.__dict__.update(self.__dict__)
         made.registers = {name: each.copy() for name, each in self.registers.items()}
         made.keepers = {name: each.copy() for name, each in self.keepers.items()}
-        made.flying, made.budget = list(self.flying), dict(self.budget)
+        made.flying, made.budget, made.firsts = list(self.flying), dict(self.budget), dict(self.firsts)
         return made
 
     def key(self) -> Any:
@@ -142,6 +144,9 @@
                 self.settled, self.settled_at = value, self.now  # forgotten as it was allowed to be
                 return
             self.wrong = self.wrong or f"{name} has {value!r}, {self.settled!r} counted"
+        first = self.firsts.setdefault(value, self.now) * (1000 + self.rates[name]) // 1000
+        if seated and value and seat.since is not None and seat.since > first:
+            self.wrong = self.wrong or f"{name} takes {value!r} for younger than it is"
         if len(value) >= len(self.settled):
             self.settled, self.settled_at = value, self.now
 
