--- a/milletsill/lab/load.py
+++ b/milletsill/lab/load.py
@@ -18,7 +18,7 @@
 from milletsill.lab.clients import EdgeDoor, Operation
 from milletsill.lab.lateness import Lateness
 from milletsill.lab.record import Recorder
-from milletsill.lab.service import Claim, Done
+from milletsill.trace.reckoning import Claim, Done
 from milletsill.trace.records import BY_NAME
 from milletsill.trace.service import SECOND, ServiceTerms, put_terms, reckoned
 from milletsill.trace.tools import Sink
