--- a/milletsill/fleet/channels/contracts/keeper.py
+++ b/milletsill/fleet/channels/contracts/keeper.py
@@ -94,8 +94,8 @@
             for each in words:
                 self.fault(each, got)
             return
-        if held is not None and got.value == held.written and not held.lost:
-            held.term = got  # nobody else was in between: all that is known here stands
+        if held is not None and self.same(held, got):
+            held.term = got
         else:
             if held is not None:
                 self.lose(held, PAUSE)
@@ -220,12 +220,21 @@
     def let_go(self, held: Kept, gone: LetGo) -> None:
         """To the module, unless the office or its client's patience ended while the record was written."""
         word, now = gone.coming.asker, self.now()
-        ends = min(gone.ends, held.term.ends)  # nothing that is let go outlives the office under which it was
+        ends = self.ends_of(gone, held.term)
         if not self.offices.holds(held.term) or now >= ends:
             return self.ended(held, gone.number, Input.NEVER_RAN, 0, PAUSE, None)
         self.runs.run(word, gone, held.term, ends,
                       lambda input, code, pause, packet: self.ended(held, gone.number, input, code, pause, packet))
 
+    def ends_of(self, gone: LetGo, term: Any) -> int:
+        """Guards against a dispatch of an earlier keeper that is still lawfully at a box when the next one has rested: nothing
+        that is let go outlives the office under which it was. Harm: a patience longer than an office is cut to it."""
+        return min(gone.ends, term.ends)
+
+    def same(self, held: Kept, got: Any) -> bool:
+        """Guards against what was known here while another kept the channel. Harm: none, the record says all."""
+        return got.value == held.written and not held.lost
+
     def ended(self, held: Kept, number: int, input: Input, code: int, pause: int, packet: Any) -> None:
         """What was let go has come to its end."""
         if held.lost:
--- a/milletsill/fleet/channels/contracts/line.py
+++ b/milletsill/fleet/channels/contracts/line.py
@@ -109,9 +109,12 @@
     def took_over(self, now: int) -> None:
         """A new keeper's first look at what the record says is out: its end is unsure, and its client has not heard so."""
         for entry in self.entries.values():
-            # Guards against a dispatch of the keeper before, which may run until the rest is over. Its office is over, and so
-            # is what it let go, which never outlives an office. Harm: what stands behind waits.
-            entry.phase, entry.rests = Phase.UNSURE, now + max(self.rest, self.contract.hole)
+            entry.phase, entry.rests = Phase.UNSURE, self.rested(now, max(self.rest, self.contract.hole))
+
+    def rested(self, now: int, rest: int) -> int:
+        """Until when an unsure number stands in the way. Guards against its dispatch, which may run until rule 5's rest is over;
+        of a keeper before, its office is over, and what it let go never outlives an office. Harm: what stands behind waits."""
+        return now + rest
 
     # What comes.
 
@@ -151,9 +154,16 @@
         return claim == self.claim
 
     def in_window(self, now: int, entry: Entry, coming: Coming) -> bool:
+        return now < self.window_end(entry, coming)
+
+    def window_end(self, entry: Entry, coming: Coming) -> int:
         """Guards against a second effect: a ticket is remembered no longer than its window from its first dispatch. Harm: an
         unsure end stays unsure."""
-        return now < entry.since + coming.window
+        return entry.since + coming.window
+
+    def tried_before(self, entry: Entry) -> bool:
+        """Guards against a decline after an earlier try of the number that may have run. Harm: none."""
+        return entry.rests > 0
 
     def not_gone(self, entry: Entry, asker: Any) -> Tell:
         """The word for a transfer that is given up at the gate: a decline promises that nothing was done of its number."""
@@ -271,8 +281,7 @@
             self.batch_last = number
         if self.contract.order is Order.BY_EXTENT:
             self.pin(number)
-        # Guards against a second effect: a ticket is remembered from its first dispatch on, no longer than its window.
-        ends = min(coming.ends, entry.since + coming.window) if again else coming.ends
+        ends = min(coming.ends, self.window_end(entry, coming)) if again else coming.ends
         self.dirty = True
         self.after.append(LetGo(number, coming, self.turns.get(number, 0), again, ends))
 
@@ -297,8 +306,8 @@
         """What was let go has ended: SETTLED with a status code, NEVER_RAN with a pause, or LOST."""
         entry = self.entries[number]
         askers, entry.askers = entry.askers, []
-        again = input is Input.NEVER_RAN and entry.rests > 0
-        _, effect = step(entry.phase, Input.LOST if again else input)  # an earlier try of it may have run
+        again = input is Input.NEVER_RAN and self.tried_before(entry)
+        _, effect = step(entry.phase, Input.LOST if again else input)
         if effect == "settle":
             self.close(number, Closed(SETTLED, code, entry.digest))
             self.after.extend(Tell(each, "answer", number, code=code) for each in askers)
@@ -307,7 +316,7 @@
             self.dirty = True
             self.at_once.extend(Tell(each, "declined", self.floor, pause) for each in askers)
         elif effect == "abort":
-            entry.phase, entry.rests = Phase.UNSURE, now + self.rest
+            entry.phase, entry.rests = Phase.UNSURE, self.rested(now, self.rest)
             self.at_once.extend(Tell(each, "aborted", number) for each in askers)
         self.go_on(now)
 
@@ -353,7 +362,7 @@
             del self.remembered[next(iter(self.remembered))]
         self.dirty = True
         if self.contract.order is Order.NEWEST:
-            for each in [each for each in self.entries if each < number]:
+            for each in sorted((each for each in self.entries if each < number)):
                 self.after.append(Tell(self.input(each, Input.PASSED), "superseded", number))
             self.floor = max(self.floor, number + 1)
             return
--- a/milletsill/fleet/channels/edge.py
+++ b/milletsill/fleet/channels/edge.py
@@ -14,14 +14,13 @@
 from milletsill.files.extensions import Terms
 from milletsill.files.wire import bytes_of
 from milletsill.fleet.channels.contracts.decide import Book, Contract, Input, Order, Reach, Reaches, Unsure
+from milletsill.fleet.channels.contracts.gone import Gone
 from milletsill.fleet.channels.contracts.keeper import Keeper
 from milletsill.fleet.channels.contracts.line import LetGo
 from milletsill.fleet.channels.contracts.ways import Ways
 from milletsill.fleet.channels.contracts.words import Elsewhere, Look, Open, Say, Transfer, Word
 from milletsill.fleet.plane import Kind
-from milletsill.interface import Outcome
 
-NEVER_RAN = (Outcome.TURNED_AWAY, Outcome.UNREACHED)
 LOOK_EVERY = 5.0  # seconds between looks at quiet channels
 HANDLE = b"channel"
 
@@ -60,30 +59,6 @@
         self.answered = lambda packet: None
 
 
-class Gone:
-    """One number that was let go, as the way to the boxes sees it: whether it may still leave, and whether it may have run."""
-
-    __slots__ = ("offices", "term", "ticket", "ends", "again", "sent", "harmless")
-
-    def __init__(self, offices: Any, term: Any, ticket: str, ends: int, again: bool) -> None:
-        self.offices, self.term, self.ticket, self.ends, self.again = offices, term, ticket, ends, again
-        self.sent = self.harmless = 0
-
-    def leaves(self) -> bool:
-        """Guards against a process that stood between the gate and the send: another may keep the channel by now. Asked at the
-        last place, also for what waited for a link. Harm: a lawful dispatch is put off."""
-        return bool(self.offices.holds(self.term))
-
-    def watched(self, ended: Any) -> Any:
-        """Counts dispatches that came back without having run."""
-        self.sent += 1
-
-        def heard(outcome: Outcome, verdict: Any) -> None:
-            self.harmless += outcome in NEVER_RAN
-            ended(outcome, verdict)
-        return heard
-
-
 class Channels:
     """All of it at one gateway. `offices` is made by who starts this; its other bodies come to `heard`."""
 
@@ -297,8 +272,7 @@
         def answered(packet: Any) -> None:
             if running.final == "satisfied":
                 return ended(Input.SETTLED, getattr(packet, "code", 0), 0, packet)
-            input = Input.NEVER_RAN if gate.sent == gate.harmless else Input.LOST
-            ended(input, 0, edge.host.facts["longest_pause"], packet)
+            ended(gate.input(), 0, edge.host.facts["longest_pause"], packet)
 
         running = Running(edge, what.command, terms, word.volume, what.path, opened, answered, edge.now(), gate)
         try:
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -3,7 +3,7 @@
 
 import unittest
 
-from milletsill.fleet.channels.contracts import codec
+from milletsill.fleet.channels.contracts import codec, model
 from milletsill.fleet.channels.contracts.decide import (REMEMBERED, Contract, Declared, Input, Order, Reach, Unsure)
 from milletsill.fleet.channels.contracts.line import Claimed, Coming, LetGo, Line, Tell
 from milletsill.fleet.channels.errors import ContractOlder, ContractsContradict, RecordUnread
@@ -201,3 +201,20 @@
         for torn in (b"", data[:9], b"\xff" * 40):
             with self.assertRaises(RecordUnread):
                 codec.read_record(torn, REST, 0, 0)
+
+
+class Model(unittest.TestCase):
+    """The very keeper under losses, doubles, late runs, stalls and kills; sizes for a few seconds, more by the module's own command."""
+
+    def test_every_order_of_events_at_small_sizes(self):
+        for order, unsure in model.CASES:
+            for start in model.STARTS:
+                self.assertIsNone(model.explore(order, unsure, start, 4, 120)[2], (order, unsure, start))
+
+    def test_scripts_and_chance(self):
+        self.assertIsNone(model.wrong(8))
+
+    def test_each_guard_is_needed(self):
+        for guard in model.MUTANTS:
+            with model.without(guard):
+                self.assertIsNotNone(model.wrong(14), guard)
