--- a/milletsill/fleet/channels/registers/codec.py
+++ b/milletsill/fleet/channels/registers/codec.py
@@ -75,9 +75,7 @@
 def put_call(call: Call) -> wire.Call:
     made = wire.Call(ask=call.ask.value, channel=call.channel, round=call.ballot.round, nonce=call.ballot.nonce, index=call.index)
     if call.ask is Ask.ACCEPT:
-        made.value = call.value
-        if call.aged != UNKNOWN:
-            made.aged = call.aged
+        made.value, made.fresh = call.value, call.fresh
     return made
 
 
@@ -85,7 +83,7 @@
     """None where it asks for what a later version may know."""
     ask = ASKS.get(call.ask)
     return None if ask is None else Call(ask, name(call.channel), Ballot(number(call.round), sender, call.nonce), number(call.index),
-                                         content(call.value), number(call.aged) if call.HasField("aged") else UNKNOWN)
+                                         content(call.value), call.fresh)
 
 
 def put_answer(answer: Answer) -> wire.Answer:
--- a/milletsill/fleet/channels/registers/decide.py
+++ b/milletsill/fleet/channels/registers/decide.py
@@ -48,15 +48,15 @@
 
 
 class Call(NamedTuple):
-    """To each register. `value` is of an ACCEPT, `index` its number under the ballot, `aged` how long ago exactly that value was
-    accepted first. A PREPARE of a ballot that stands is a renewal, and `index` its number."""
+    """To each register. `value` is of an ACCEPT, `index` its number under the ballot, `fresh` for one that is new and not only
+    written again. A PREPARE of a ballot that stands is a renewal, and `index` its number."""
 
     ask: Ask
     channel: str
     ballot: Ballot
     index: int = 0
     value: bytes = b""
-    aged: int = UNKNOWN
+    fresh: bool = False
 
 
 class Answer(NamedTuple):
@@ -194,7 +194,9 @@
     if deed is Deed.ACCEPT:
         stamp = Stamp(call.ballot, call.index)
         if record is None or record.stamp != stamp or record.told:
-            record, since = Record(call.ballot, stamp, call.value, up), now - call.aged if call.aged != UNKNOWN else None
+            if record is None or record.told or record.value != call.value:  # what was there already is no younger for it
+                since = now if call.fresh else None
+            record = Record(call.ballot, stamp, call.value, up)
         return Done(record, Office(now + span.refused(), False, since), Answer(*head, Say.YES))
     if deed is Deed.PROMISE:
         record = Record(call.ballot, UNWRITTEN, b"", up) if record is None else record._replace(promised=call.ballot, touched=up)
--- a/milletsill/fleet/channels/registers/seat.py
+++ b/milletsill/fleet/channels/registers/seat.py
@@ -74,6 +74,14 @@
     return best.stamp == UNWRITTEN or sum(each.stamp == best.stamp and not each.told for each in answers) >= majority(registers)
 
 
+def aged(answers: Sequence[Answer], value: bytes) -> int | None:
+    """For how long the value has surely stood at the most. Only where all of the majority have it and know since when: one of
+    them took it before anybody acted on it, and the others may have taken it much later."""
+    if any(each.aged == UNKNOWN or each.value != value for each in answers):
+        return None
+    return max(each.aged for each in answers)
+
+
 def term_end(poll: Poll, now: int, span: Span) -> int:
     """From the send, not from the answers: registers counted from when it came."""
     return poll.sent + span.kept()
@@ -168,7 +176,7 @@
         elif effect is Effect.MEND:
             assert poll is not None
             self.read(poll, now)
-            self.send(self.value, now, UNKNOWN if self.since is None else now - self.since)
+            self.send(self.value, now, False)
         elif effect is Effect.WRITE:
             self.send(value, now)
         elif effect is Effect.QUEUE:
@@ -188,12 +196,12 @@
             self.poll, self.queued, self.ends = None, None, 0
 
     def read(self, poll: Poll, now: int) -> None:
-        """What a majority has. The register of it that took the value before anybody acted on it has the greatest age."""
-        best = newest(tuple(poll.yes.values()))
-        ages = [each.aged for each in poll.yes.values() if each.stamp == best.stamp]
-        self.value = best.value
-        self.since = None if UNKNOWN in ages else now - self.span.elsewhere(max(ages)) - (now - poll.sent)
+        """What a majority has."""
+        answers = tuple(poll.yes.values())
+        self.value = newest(answers).value
+        known = aged(answers, self.value)
+        self.since = None if known is None else poll.sent - self.span.elsewhere(known + 1) - 1  # clocks are read in whole ticks
 
-    def send(self, value: bytes, now: int, aged: int = 0) -> None:
+    def send(self, value: bytes, now: int, fresh: bool = True) -> None:
         self.index += 1
-        self.poll = Poll(Call(Ask.ACCEPT, self.channel, self.ballot, self.index, value, aged), now)
+        self.poll = Poll(Call(Ask.ACCEPT, self.channel, self.ballot, self.index, value, fresh), now)
