--- a/milletsill/fleet/channels/registers/desk.py
+++ b/milletsill/fleet/channels/registers/desk.py
@@ -165,7 +165,7 @@
             self.busy = False
             if isinstance(result, Fault):
                 self.say(result)
-                joining.back()  # gathered once more
+                joining.back(self.now() + AGAIN)  # gathered once more
                 return self.note()
             self.offices, self.base, joining.own, joining.records = {}, self.now(), own, {}
             self.remark("register_caught_up", channels=store.count, age=own.age)
@@ -300,9 +300,10 @@
         """In the thread: some records are looked at, and let go where they were silent for so long and nobody has the office."""
         store, now, up = self.store, self.now(), self.up()
         assert store is not None
-        before = store.count
-        self.cursor = store.forget(self.cursor, LOOK, up, self.silent, lambda channel: now >= self.office_end(channel))
-        return before - store.count
+        self.cursor, gone = store.forget(self.cursor, LOOK, up, self.silent, lambda channel: now >= self.office_end(channel))
+        for channel in gone:
+            self.offices.pop(channel, None)
+        return len(gone)
 
     def office_end(self, channel: str) -> int:
         office = self.offices.get(channel) or loaded(self.base, self.span)
--- /dev/null
+++ b/milletsill/fleet/channels/registers/service.py
@@ -0,0 +1,396 @@
+"""Offices of channels at one gateway: taken, renewed, written under and given up by calls to the registers, over the fleet's plane.
+
+`Offices` is what the rest of channels builds on. Callbacks are called by the reactor, never from within. What decides is seat.py;
+where this gateway is a register itself, its desk is spoken to without a socket.
+"""
+from __future__ import annotations
+
+from collections import deque
+from random import Random, SystemRandom
+from typing import Any, Callable, Iterable, Sequence
+
+from milletsill.errors import Fault
+from milletsill.fleet.channels.errors import ChannelFault, NoMajority, NotHeld, NotKeeper, Outvoted, TooMany
+from milletsill.fleet.channels.registers import codec, registers_pb2 as wire
+from milletsill.fleet.channels.registers.decide import AGAIN, MOST_NAME, MOST_VALUE, PAUSE, RENEW, Answer, Ask, Ballot, Call, Say, Span
+from milletsill.fleet.channels.registers.desk import Desk
+from milletsill.fleet.channels.registers.metrics import Figures
+from milletsill.fleet.channels.registers.seat import Effect, Poll, Seat, Seated
+from milletsill.fleet.channels.registers.standing import BEAT, HELLO, Identity, later
+from milletsill.fleet.channels.registers.thread import Worker
+from milletsill.fleet.plane import Kind, Plane
+
+Took = Callable[["Term | Fault"], None]
+Wrote = Callable[["Fault | None"], None]
+TICK = 200  # between looks at calls whose span is over
+MOST_OPEN, MOST_CALLBACKS, MOST_REGISTERS = 20_000, 256, 31  # calls under way; of one channel; registers whose identity is kept
+FORGET = 600_000  # a seat that lapsed so long ago goes
+SENDS = (Effect.ASK, Effect.ASK_HIGHER, Effect.MEND, Effect.RENEW, Effect.WRITE)
+
+
+class Term:
+    """An office of one channel: `value` is what was accepted last, `ends` on this gateway's clock; `age` is for how long the value
+    has stood at the most when the office was taken, None where nobody can tell. `busy` is for the holder to set: the office is
+    renewed by itself while it is."""
+
+    __slots__ = ("channel", "ballot", "ends", "value", "age", "busy", "over", "seat")
+
+    def __init__(self, channel: str, seat: Seat, age: int | None) -> None:
+        self.channel, self.seat, self.age = channel, seat, age
+        self.ballot, self.ends, self.value = seat.ballot, seat.ends, seat.value
+        self.busy = self.over = False
+
+
+class Place:
+    """One channel here: its seat, and who waits for what."""
+
+    __slots__ = ("seat", "term", "takers", "writing", "queued")
+
+    def __init__(self, seat: Seat) -> None:
+        self.seat = seat
+        self.term: Term | None = None
+        self.takers: list[Took] = []
+        self.writing: list[Wrote] = []
+        self.queued: list[Wrote] = []
+
+
+class Offices:
+    """Times in tenths of a millisecond, `drift` in parts of a thousand. `most` channels here and at a register each; a register
+    forgets a channel that was `silent` for so long. `others` is called with what arrives for Kind.CHANNEL and is not for here."""
+
+    def __init__(self, reactor: Any, now: Callable[[], int], plane: Plane, register_names: Sequence[str], office: int, drift: int,
+                 call: int, most: int, store_path: str, seed: int, remark: Callable[..., None], registry_of_metrics: Any, *,
+                 silent: int, most_value: int = MOST_VALUE, worker: Any = None, most_pages: int = 0) -> None:
+        self.reactor, self.now, self.plane, self.names = reactor, now, plane, tuple(dict.fromkeys(register_names))
+        self.span, self.most, self.most_value, self.remark = Span(office, call, drift), most, min(most_value, MOST_VALUE), remark
+        self.nonce, self.chance = SystemRandom().getrandbits(64), Random(seed)
+        self.figures = Figures(registry_of_metrics)
+        self.places: dict[str, Place] = {}
+        self.open: deque[tuple[int, Poll, Seat]] = deque()  # by when their span is over
+        self.halves: deque[tuple[int, Poll, Seat]] = deque()
+        self.outbox: dict[str, list[Call]] = {}
+        self.heard_of: dict[str, Identity] = {}
+        self.warned: dict[str, int] = {}
+        self.timers: dict[str, Any] = {}
+        self.stopped, self.beaten = False, Identity(0, 0, 0)
+        self.others: Callable[[str, int, bytes], None] = lambda member, run, body: None
+        self.worker = worker or Worker(reactor)
+        self.desk: Desk | None = None
+        if plane.name in self.names:
+            self.desk = Desk(now, plane.name, [each for each in self.names if each != plane.name], self.span, most, silent, store_path,
+                             SystemRandom().getrandbits(64), self.worker.run, remark, registry_of_metrics, most_pages)
+            self.desk.send, self.desk.ask, self.desk.tell = self.answer, self.hello, self.ask_page
+            self.desk.start()
+            self.later("beat", BEAT, self.beat)
+            self.later("look", HELLO, self.look)
+        plane.hear(Kind.CHANNEL, self.heard)
+        self.later("renew", int(office * RENEW / 4), self.renew)
+
+    # For those that keep channels.
+
+    def take(self, channel: str, then: Took) -> None:
+        """Become the channel's keeper, or renew; `then` gets a Term, or a fault whose `pause` says when to come back."""
+        place = self.places.get(channel)
+        if not 0 < len(channel.encode("utf-8", "replace")) <= MOST_NAME:
+            return self.soon(then, TooMany(f"a channel's name of {len(channel)} characters", "channels"))
+        if len(self.open) >= MOST_OPEN or (place is None and len(self.places) >= self.most) or (
+                place is not None and len(place.takers) >= MOST_CALLBACKS):
+            return self.soon(then, TooMany("too many channels or calls under way", "channels", self.span.call))
+        if place is None:
+            seat = Seat(channel, self.plane.name, self.nonce, self.span, len(self.names))
+            place = self.places[channel] = Place(seat)
+        place.takers.append(then)
+        self.act(place, place.seat.take(self.now()))
+
+    def write(self, term: Term, value: bytes, then: Wrote) -> None:
+        """The channel's whole record, at a majority when `then` gets None; also renews. Writes that come while one is under way
+        become one, the last. After a fault the term is over."""
+        place = self.places.get(term.channel)
+        if term.over or place is None or place.term is not term:
+            return self.soon(then, NotHeld("the term is over", term.channel))
+        if len(value) > self.most_value:
+            return self.soon(then, TooMany(f"a record of {len(value)} bytes, {self.most_value} at most", term.channel))
+        if len(place.queued) >= MOST_CALLBACKS or len(self.open) >= MOST_OPEN:
+            return self.soon(then, TooMany("too many writes under way", term.channel, self.span.call))
+        place.queued.append(then)
+        self.act(place, place.seat.write(value, self.now()))
+
+    def holds(self, term: Term) -> bool:
+        """Whether nobody else can be the channel's keeper now, by this gateway's clock."""
+        return not term.over and term.seat.ballot == term.ballot and term.seat.holds(self.now())
+
+    def give_up(self, term: Term) -> None:
+        """Nothing is out under it any more: others may come in at once. What waits here is told that it is over."""
+        place = self.places.get(term.channel)
+        if place is not None and place.term is term and not term.over:
+            self.act(place, place.seat.give_up(self.now()))
+
+    def keeper_of(self, channel: str) -> str:
+        """By this gateway's view, which may be wrong; empty where it is empty."""
+        return next(iter(self.plane.view.chosen(channel, 1)), "")
+
+    def stop(self) -> None:
+        """Offices under which nothing is out are given up; the register's last round is written down."""
+        for place in list(self.places.values()):
+            if place.term is not None and not place.term.busy:
+                self.act(place, place.seat.give_up(self.now()))
+        self.flush()
+        self.stopped = True
+        for each in self.timers.values():
+            if each.active():
+                each.cancel()
+        self.worker.stop()
+        if self.desk is not None:
+            self.desk.stop()
+
+    # What a seat wants done.
+
+    def act(self, place: Place, effects: Iterable[Effect]) -> None:
+        seat = place.seat
+        for effect in effects:
+            if effect in SENDS:
+                if effect is Effect.WRITE:
+                    place.writing, place.queued = place.queued, []
+                if seat.poll is not None:  # the last of the effects is what is under way
+                    self.begin(seat, seat.poll)
+            elif effect in (Effect.SEAT, Effect.EXTEND):
+                self.seated(place, effect is Effect.SEAT)
+            elif effect is Effect.WROTE:
+                self.wrote(place)
+            elif effect is Effect.KEEP:
+                self.told(place, self.fault(seat))
+            elif effect is Effect.NOT_HELD:
+                waiting, place.queued = place.queued, []
+                for each in waiting:
+                    self.soon(each, NotHeld("the office is not held", seat.channel))
+            elif effect in (Effect.LOSE, Effect.RELEASE):
+                self.lost(place, effect)
+
+    def seated(self, place: Place, anew: bool) -> None:
+        seat = place.seat
+        if anew or place.term is None:
+            place.term = Term(seat.channel, seat, None if seat.since is None else max(self.now() - seat.since, 0) if seat.value else 0)
+        place.term.ends = seat.ends
+        self.told(place, place.term)
+
+    def told(self, place: Place, result: Any) -> None:
+        takers, place.takers = place.takers, []
+        if takers:
+            self.figures.takes.labels(type(result).__name__ if isinstance(result, Fault) else "held").inc()
+        for each in takers:
+            self.soon(each, result)
+
+    def wrote(self, place: Place) -> None:
+        seat, term = place.seat, place.term
+        waiting, place.writing = place.writing, []
+        if term is not None:
+            term.value, term.ends = seat.value, seat.ends
+            if seat.since is not None:  # the poll's send
+                self.figures.write_seconds.observe((self.now() - seat.since) / 10_000)
+            self.told(place, term)  # who wanted it renewed has it
+        self.figures.writes.labels("written").inc(len(waiting))
+        for each in waiting:
+            self.soon(each, None)
+
+    def lost(self, place: Place, effect: Effect) -> None:
+        seat = place.seat
+        fault = self.fault(seat) if effect is Effect.LOSE else NotHeld("the office was given up", seat.channel)
+        if place.term is not None:
+            place.term.over, place.term = True, None
+        if seat.gone is not None:
+            self.post(seat.gone)
+        self.told(place, fault)
+        waiting, place.writing, place.queued = place.writing + place.queued, [], []
+        if waiting:
+            self.figures.writes.labels(type(fault).__name__).inc(len(waiting))
+        for each in waiting:
+            self.soon(each, fault)
+
+    def fault(self, seat: Seat) -> ChannelFault:
+        """Why a poll came to nothing, and when to come back."""
+        said = seat.refusal
+        if said is None or said.say is Say.AWAY:
+            return NoMajority("too few registers answered", seat.channel, max(self.span.call, said.pause if said is not None else 0))
+        if said.say is Say.HELD:
+            return NotKeeper(f"{said.who} has the office", seat.channel, said.pause, said.who)
+        return Outvoted("a later ballot was promised", seat.channel, self.chance.randint(*PAUSE))
+
+    # Calls to registers.
+
+    def begin(self, seat: Seat, poll: Poll) -> None:
+        self.open.append((poll.sent + self.span.call, poll, seat))
+        self.halves.append((poll.sent + int(self.span.call * AGAIN), poll, seat))
+        self.post(poll.call)
+        if "tick" not in self.timers or not self.timers["tick"].active():
+            self.later("tick", TICK, self.tick)
+
+    def post(self, call: Call, names: Iterable[str] | None = None) -> None:
+        """With all else of this turn of the reactor."""
+        if not self.outbox:
+            self.later("flush", 0, self.flush)
+        for name in self.names if names is None else names:
+            self.outbox.setdefault(name, []).append(call)
+
+    def flush(self) -> None:
+        outbox, self.outbox = self.outbox, {}
+        for name, calls in outbox.items():
+            if name == self.plane.name and self.desk is not None:
+                self.desk.calls(name, calls)
+                continue
+            for part in codec.parted([codec.put_call(each) for each in calls]):
+                if not self.plane.tell(name, Kind.CHANNEL, codec.encoded(calls=wire.Calls(call=part))):
+                    self.figures.unsent.inc(len(part))
+                    for each in part:
+                        self.away(name, each)
+
+    def away(self, name: str, call: Any) -> None:
+        """A register that cannot even be told counts as one that said so: whoever waits hears it at once."""
+        ask = codec.ASKS[call.ask]
+        if ask is not Ask.RELEASE:
+            self.say(name, Answer(ask, call.channel, Ballot(call.round, self.plane.name, call.nonce), call.index, Say.AWAY,
+                                  pause=self.span.call))
+
+    def tick(self) -> None:
+        """Calls that nobody answered are told once more at half of their span, and are over at its end."""
+        now = self.now()
+        while self.halves and now >= self.halves[0][0]:
+            _, poll, seat = self.halves.popleft()
+            if seat.poll is poll:
+                self.post(poll.call, [each for each in self.names if each not in poll.yes])
+        while self.open and (now >= self.open[0][0] or self.open[0][2].poll is not self.open[0][1]):
+            _, poll, seat = self.open.popleft()
+            place = self.places.get(seat.channel)
+            if seat.poll is poll and place is not None and place.seat is seat:
+                self.act(place, seat.late(now))
+        self.figures.pending.set(len(self.open))
+        if self.open:
+            self.later("tick", TICK, self.tick)
+
+    def say(self, member: str, answer: Answer) -> None:
+        place = self.places.get(answer.channel)
+        if place is not None:
+            self.act(place, place.seat.hear(member, answer, self.now()))
+
+    # From and to others.
+
+    def heard(self, member: str, run: int, body: bytes) -> None:
+        if self.stopped:
+            return
+        if not body.startswith(codec.MARK):
+            return self.others(member, run, body)
+        try:
+            self.frame(member, codec.decoded(body))
+        except codec.Unreadable as error:
+            self.figures.unreadable.inc()
+            if self.now() - self.warned.get("unreadable", -1 << 60) >= 600_000:
+                self.warned["unreadable"] = self.now()
+                self.remark("channels", **error.said(), member=member)
+
+    def frame(self, member: str, frame: Any) -> None:
+        """What a later version says besides is left."""
+        what, desk = frame.WhichOneof("what"), self.desk
+        if what == "answers" and member in self.names:
+            self.learn(member, codec.get_identity(frame.answers.own))
+            for each in frame.answers.answer[:codec.PER_FRAME]:
+                if (answer := codec.get_answer(self.plane.name, each)) is not None:
+                    self.say(member, answer)
+        elif what == "beat" and member in self.names:
+            self.learn(member, codec.get_identity(frame.beat.own))
+        elif what == "hello" and member in self.names:
+            self.witness(member)
+        elif desk is None:
+            return
+        elif what == "calls":
+            calls = (codec.get_call(member, each) for each in frame.calls.call[:codec.PER_FRAME])
+            desk.calls(member, [each for each in calls if each is not None])
+        elif what == "witness":
+            desk.witnessed(member, codec.get_identity(frame.witness.known) if frame.witness.HasField("known") else None)
+        elif what == "tell" and member in self.names:
+            after = frame.tell.after
+            desk.page(member, after, lambda page: self.tell(member, page=codec.put_page(after, page)))
+        elif what == "page" and member in self.names:
+            desk.told(member, frame.page.after, codec.get_page(frame.page))
+
+    def tell(self, member: str, **what: Any) -> None:
+        if not self.stopped:
+            self.plane.tell(member, Kind.CHANNEL, codec.encoded(**what))
+
+    def learn(self, member: str, own: Identity) -> None:
+        """The latest that was heard of a register; one that says less than that is told so, now and then."""
+        known = self.known(member)
+        if self.desk is not None:
+            self.desk.remember(member, own)
+        if known is None or own > known:
+            self.heard_of[member] = own
+        elif later(known, own) and self.now() - self.warned.get(member, -1 << 60) >= HELLO:
+            self.warned[member] = self.now()
+            self.witness(member)
+
+    def known(self, member: str) -> Identity | None:
+        found = [each for each in (self.heard_of.get(member), self.desk.known(member) if self.desk is not None else None) if each]
+        return max(found, default=None)
+
+    def witness(self, member: str) -> None:
+        known = self.known(member)
+        self.tell(member, witness=wire.Witness(known=codec.put_identity(known)) if known is not None else wire.Witness())
+
+    def answer(self, member: str, answers: list[Answer]) -> None:
+        """From this gateway's register."""
+        desk = self.desk
+        if desk is None or self.stopped:
+            return
+        if member == self.plane.name:
+            for each in answers:
+                self.say(member, each)
+            return
+        own = codec.put_identity(desk.own())
+        for part in codec.parted([codec.put_answer(each) for each in answers]):
+            self.tell(member, answers=wire.Answers(own=own, answer=part))
+
+    def hello(self) -> None:
+        for each in self.plane.view.by_name:
+            if each != self.plane.name:
+                self.tell(each, hello=wire.Hello())
+
+    def ask_page(self, member: str, after: str) -> None:
+        self.tell(member, tell=wire.Tell(after=after))
+
+    # Upkeep.
+
+    def beat(self) -> None:
+        """Other registers are told of this one's state where it went on, so that an older copy of it shows."""
+        self.later("beat", BEAT, self.beat)
+        desk = self.desk
+        if desk is not None and desk.whole() and desk.own() != self.beaten:
+            self.beaten = desk.own()
+            for each in desk.others:
+                self.tell(each, beat=wire.Beat(own=codec.put_identity(self.beaten)))
+
+    def look(self) -> None:
+        self.later("look", HELLO, self.look)
+        if self.desk is not None:
+            self.desk.look()
+
+    def renew(self) -> None:
+        """Terms under which something is out, and seats that lapsed long ago."""
+        self.later("renew", int(self.span.office * RENEW / 4), self.renew)
+        now, held = self.now(), 0
+        for channel, place in list(self.places.items()):
+            seat, term = place.seat, place.term
+            held += seat.holds(now)
+            if term is not None and term.busy and seat.state is Seated.SEATED and now >= seat.ends - self.span.office * RENEW:
+                self.act(place, seat.take(now))
+            elif (term is None or not term.busy) and seat.poll is None and not place.takers and now >= seat.ends + FORGET:
+                if term is not None:
+                    term.over = True
+                del self.places[channel]
+        self.figures.held.set(held)
+
+    def soon(self, call: Callable[[Any], None], result: Any) -> None:
+        if not self.stopped:
+            self.reactor.callLater(0, call, result)
+
+    def later(self, name: str, span: int, call: Callable[[], None]) -> None:
+        """One timer a name."""
+        if not self.stopped:
+            self.timers[name] = self.reactor.callLater(span / 10_000, call)
--- a/milletsill/fleet/channels/registers/standing.py
+++ b/milletsill/fleet/channels/registers/standing.py
@@ -133,8 +133,9 @@
         """An operator's order to go on with what there is."""
         return self.word(Word.ORDERED)
 
-    def back(self) -> None:
-        """What was told could not be written down."""
+    def back(self, again: int) -> None:
+        """What was told could not be written down: it is asked for again at a time."""
+        self.waits = again
         self.word(Word.UNWRITTEN)
 
     def pause(self, now: int) -> int:
--- a/milletsill/fleet/channels/registers/store.py
+++ b/milletsill/fleet/channels/registers/store.py
@@ -220,9 +220,9 @@
             raise fault_of(error, self.path) from None
         return Page(tuple(found), self.floor, last)
 
-    def forget(self, after: str, some: int, up: int, silent: int, least: Callable[[str], bool]) -> str:
-        """Looks at some records after a channel and lets those go that were silent for so long and that `least` lets go; the
-        channel it came to, empty at the end. Raises as `commit`."""
+    def forget(self, after: str, some: int, up: int, silent: int, free: Callable[[str], bool]) -> tuple[str, list[str]]:
+        """Looks at some records after a channel and lets those go that were silent for so long and that are `free`; the channel it
+        came to, empty at the end, and what went. Raises as `commit`."""
         try:
             rows = self.base.execute("SELECT channel, touched, body, sum FROM record WHERE channel > ? ORDER BY channel LIMIT ?",
                                      (after, some)).fetchall()
@@ -232,11 +232,11 @@
         gone: dict[str, Record | None] = {}
         floor = self.floor
         for channel, record in records.items():
-            if forgettable(record, up, silent) and least(channel):
+            if forgettable(record, up, silent) and free(channel):
                 gone[channel], floor = None, raised(floor, record)
         if gone:
             self.commit(gone, up, floor)
-        return rows[-1][0] if len(rows) == some else ""
+        return rows[-1][0] if len(rows) == some else "", list(gone)
 
     def close(self) -> None:
         self.base.close()
