--- a/milletsill/fleet/channels/edge.py
+++ b/milletsill/fleet/channels/edge.py
@@ -2,6 +2,7 @@
 door. Made only where the file has a `fleet { channels }` block."""
 from __future__ import annotations
 
+import os
 from typing import Any, Callable
 
 import xxhash
@@ -21,6 +22,7 @@
 from milletsill.fleet.channels.contracts.words import Elsewhere, Look, Open, Say, Transfer, Word
 from milletsill.fleet.plane import Kind
 
+EXTENSIONS = (wire.CHANNEL, wire.NUMBERED)
 LOOK_EVERY = 5.0  # seconds between looks at quiet channels
 HANDLE = b"channel"
 
@@ -35,6 +37,19 @@
     return Book(found)
 
 
+def channels_of(edge: Any, seed: int) -> Channels:
+    """A gateway's channels over its fleet, as its file has them."""
+    from milletsill.fleet.channels.registers.service import Offices
+    keeping = edge.file.fleet.channels
+    silent = max((round(each.silent_s * 10_000) for each in keeping.contract), default=0)
+    offices = Offices(edge.reactor, edge.now, edge.fleet, list(keeping.register), round(keeping.office_s * 10_000),
+                      keeping.drift_permille, round(keeping.call_ms * 10), keeping.most_channels,
+                      os.path.join(edge.file.state_dir, "registers.db"), seed, edge.remark, edge.figures.registry, silent=silent)
+    made = Channels(edge, edge.fleet, offices)
+    offices.others = made.heard
+    return made
+
+
 class Channel:
     """What a client's channel handle stands for."""
 
@@ -97,6 +112,7 @@
             self.ways.drop(each)
         for held in list(self.keeper.kept.values()):
             self.keeper.hand_over(held)
+        self.offices.stop()
 
     def count(self, word: str) -> None:
         self.words.labels(word).inc()
--- a/milletsill/fleet/channels/model.py
+++ b/milletsill/fleet/channels/model.py
@@ -16,8 +16,9 @@
 from typing import Any, Callable, Iterator
 from unittest import mock
 
-from milletsill.fleet.channels.registers import decide, standing
-from milletsill.fleet.channels.registers.decide import Office, Seat, Seated, Span
+from milletsill.fleet.channels.registers import decide, seat, standing
+from milletsill.fleet.channels.registers.decide import Office, Span
+from milletsill.fleet.channels.registers.seat import Seated
 from milletsill.fleet.channels.registers.standing import Joining, Page
 from milletsill.fleet.channels.world import SPAN, Heard, Hello, Tell, World
 
@@ -136,70 +137,139 @@
     world.exchange(name, reach, chance.random() < 0.85)
 
 
-def doubtful(world: World) -> bool:
-    """Whether a register may lose something now: so many as a majority can do without, and one in three as the model has it."""
-    return all(each.whole() for each in world.registers.values())
+def catch_up(world: World, name: str) -> None:
+    """A register asks on, as the service does again and again."""
+    joining = world.registers[name].joining
+    if joining is None:
+        return
+    if joining.state is standing.Standing.GATHERING:
+        for other in joining.others:
+            world.fly(other, name, Tell())
+    else:
+        world.hello(name)
+    settle(world)
+
+
+def lose(world: World, chance: Random, name: str) -> None:
+    """A register loses something, and with chance is back at once. One at a time: that is what is promised of three."""
+    if not all(each.whole() for each in world.registers.values()):
+        return
+    world.start_register(name, chance.choice(("older", "lost", "lost")))
+    if chance.random() < 0.7:
+        catch_up(world, name)
+        world.pass_time(world.span.rest() * 1000 // (1000 + world.rates[name]) + 1)
+        catch_up(world, name)
+
+
+def lapse(world: World, chance: Random, keeper: str, register: str) -> None:
+    """To the very moment at which a register lets others in, and somebody is there."""
+    world.pass_time(world.office_over(register) + chance.choice((0, 1)))
+    world.take(keeper)
+    near(world, chance, keeper)
+
+
+def silence(world: World, chance: Random) -> None:
+    """Nothing for so long that registers forget; some do."""
+    world.pass_time(world.silent * 1100 // 1000)
+    for name in world.registers:
+        if chance.random() < 0.8:
+            world.forget(name)
+
+
+def slow(world: World, chance: Random, keeper: str) -> None:
+    """A keeper's call whose answers take nearly all of its span."""
+    reach = tuple(each for each in world.registers if chance.random() < 0.75)
+    world.take(keeper)
+    world.exchange(keeper, reach, False)
+    world.pass_time(SPAN.call * 9 // 10)
+    world.exchange(keeper, reach)
+
+
+def anew(world: World, chance: Random, keeper: str, other: str) -> None:
+    """A register starts again right after it let a keeper in, with its state kept or older, and another keeper comes."""
+    places = tuple(world.registers)
+    [world.beat(each) for each in places]
+    settle(world)
+    reach = chance.sample(places, decide.majority(len(places)))
+    for _ in range(2):
+        world.take(keeper)
+        world.exchange(keeper, tuple(reach))
+    world.write(keeper)
+    world.exchange(keeper, tuple(reach))
+    if all(each.whole() for each in world.registers.values()):
+        [world.beat(each) for each in places]
+        settle(world)
+        world.start_register(reach[0], chance.choice(("restart", "older")))
+        settle(world)
+    world.take(other)
+    near(world, chance, other)
+
+
+def usurp(world: World, chance: Random, old: str, new: str) -> None:
+    """One keeper is followed by another that reaches two registers, some of whom lose it or forget; the old one writes on."""
+    places = tuple(world.registers)
+    for _ in range(2):
+        world.take(old)
+        world.exchange(old, places)
+    world.write(old)
+    world.exchange(old, places)
+    world.pass_time(SPAN.office * 12 // 10)
+    if chance.random() < 0.5:
+        world.start_keeper(new)
+    [world.beat(each) for each in places]
+    settle(world)
+    if world.silent and chance.random() < 0.4:
+        silence(world, chance)
+    reach = chance.sample(places, decide.majority(len(places)))
+    world.take(new)
+    world.exchange(new, tuple(reach), chance.random() < 0.5)
+    if chance.random() < 0.6:
+        [world.beat(each) for each in places]
+        settle(world)
+        lose(world, chance, reach[0])
+    for each in (old, new) if chance.random() < 0.7 else (new, old):
+        world.write(each)
+        near(world, chance, each)
 
 
 def walk(registers: int, keepers: int, steps: int, seed: int) -> tuple[int, str | None, int]:
-    """Chance through a world whose clocks drift: the steps made, what went wrong, and the writes that counted."""
+    """Chance through a world whose clocks drift: the steps made, what went wrong, and the writes that were begun."""
     chance = Random(seed)
     drift = SPAN.drift
     world = World(registers, keepers, SPAN, tuple(chance.choice((-drift, drift)) for _ in range(registers + keepers)))
     world.silent = chance.choice((0, 6 * SPAN.office))
     names, places = tuple(world.keepers), tuple(world.registers)
+    if chance.random() < 0.3:  # two gateways have one name
+        world.keepers[names[1]].seat.name = world.keepers[names[0]].seat.name
+    spans = (20, 200, 1_000, 1_000, 2_400, 2_600, 5_000, 9_500)
     for step in range(steps):
-        keeper, register, dice = chance.choice(names), chance.choice(places), chance.random()
-        if dice < 0.13:
-            world.take(keeper)
-            near(world, chance, keeper)
-        elif dice < 0.33:
-            if world.keepers[keeper].seat.state in (Seated.SEATED, Seated.WRITING):
-                world.write(keeper)
-                near(world, chance, keeper)
-        elif dice < 0.60 and world.flying:
-            world.arrive(chance.randrange(len(world.flying)), chance.random() < 0.25)
-        elif dice < 0.64:
-            world.again(keeper)
-        elif dice < 0.67:
-            world.give_up(keeper)
-            near(world, chance, keeper)
-        elif dice < 0.86:
-            world.pass_time(chance.choice((20, 200, 1_000, 1_000, 2_600, 5_000, 9_500, 10_300)))
-        elif dice < 0.90:
-            for each in places:
-                world.beat(each)
-            settle(world)
-        elif dice < 0.92:
-            world.start_keeper(keeper)
-        elif dice < 0.94:
-            world.start_register(register, "restart")
-            settle(world)
-        elif dice < 0.965:
-            if doubtful(world):
-                world.start_register(register, chance.choice(("older", "lost")))
-        elif dice < 0.98:
-            catch_up(world, register)
-        elif world.silent:
-            world.forget(register)
+        keeper, register = chance.choice(names), chance.choice(places)
+        turns: list[tuple[float, Callable[[], None]]] = [
+            (0.08, lambda: world.take(keeper)),
+            (0.08, lambda: (world.take(keeper), near(world, chance, keeper))),
+            (0.06, lambda: world.write(keeper) if world.keepers[keeper].seat.state is Seated.SEATED else None),
+            (0.14, lambda: (world.write(keeper), near(world, chance, keeper))
+             if world.keepers[keeper].seat.state in (Seated.SEATED, Seated.WRITING) else None),
+            (0.30, lambda: world.arrive(chance.randrange(len(world.flying)), chance.random() < 0.25) if world.flying else None),
+            (0.03, lambda: world.again(keeper)),
+            (0.03, lambda: (world.give_up(keeper), near(world, chance, keeper))),
+            (0.12, lambda: world.pass_time(chance.choice(spans))),
+            (0.04, lambda: lapse(world, chance, keeper, register)),
+            (0.03, lambda: ([world.beat(each) for each in places], settle(world))),
+            (0.02, lambda: world.start_keeper(keeper)),
+            (0.02, lambda: (world.start_register(register, "restart"), settle(world))),
+            (0.02, lambda: lose(world, chance, register)),
+            (0.02, lambda: catch_up(world, register)),
+            (0.02, lambda: slow(world, chance, keeper)),
+            (0.015, lambda: anew(world, chance, *chance.sample(names, 2))),
+            (0.015, lambda: usurp(world, chance, *chance.sample(names, 2))),
+            (0.01, lambda: silence(world, chance) if world.silent else None)]
+        chance.choices([each for _, each in turns], [part for part, _ in turns])[0]()
         if world.wrong:
             return step, f"seed {seed}, step {step}: {world.wrong}", world.written
     return steps, None, world.written
 
 
-def catch_up(world: World, name: str) -> None:
-    """A register asks on, as the service does again and again."""
-    joining = world.registers[name].joining
-    if joining is None:
-        return
-    if joining.state is standing.Standing.GATHERING:
-        for other in joining.others:
-            world.fly(other, name, Tell())
-    else:
-        world.hello(name)
-    settle(world)
-
-
 def wrong(walks: int, steps: int = 600) -> str | None:
     """What goes wrong first, if anything, by chance through small worlds."""
     return next((found for seed in range(walks) if (found := walk(3, 3, steps, seed)[1])), None)
@@ -257,6 +327,11 @@
     return True
 
 
+def _any_renewal(poll: Any, answer: Any) -> bool:
+    """An answer to an older renewal counts for a newer one."""
+    return answer.ask is poll.call.ask and answer.ballot == poll.call.ballot
+
+
 def _one_holder(self: Any, other: Any) -> bool:
     """A gateway's new start passes for its old one."""
     return self.name == other.name
@@ -299,17 +374,35 @@
             records[channel] = new._replace(promised=new.stamp.ballot, touched=up)
 
 
+def _copies_vote(answers: Any, best: Any, registers: int) -> bool:
+    """A copy that a register was told of counts as a vote."""
+    return best.stamp == decide.UNWRITTEN or sum(each.stamp == best.stamp for each in answers) >= seat.majority(registers)
+
+
+def _young_again(self: Any, value: bytes, now: int, fresh: bool = True) -> None:
+    """What is written again is as young as if it were new."""
+    _send(self, value, now)
+
+
+def _some_age(answers: Any, value: bytes) -> int | None:
+    """Those that have the value and know since when are enough."""
+    return max((each.aged for each in answers if each.value == value and each.aged != decide.UNKNOWN), default=None)
+
+
+_send = seat.Seat.send
 MUTANTS: dict[str, tuple[Any, str, Any]] = {
     "lower ballots are refused": (decide, "rank", _any_ballot),
     "an office refuses others": (decide, "hold", _no_office),
     "drift at the register": (Span, "refused", _shorter),
     "drift at the keeper": (Span, "kept", _longer),
-    "terms from the send": (decide, "term_end", _from_answer),
-    "a majority": (decide, "majority", _half),
-    "written again": (decide, "even", _always_even),
-    "the latest write is read": (decide, "newest", _first_told),
+    "terms from the send": (seat, "term_end", _from_answer),
+    "a majority": (seat, "majority", _half),
+    "written again": (seat, "even", _always_even),
+    "copies are no votes": (seat, "even", _copies_vote),
+    "the latest write is read": (seat, "newest", _first_told),
     "offices of a former self": (decide, "loaded", _none_loaded),
-    "a call's end": (decide, "open_still", _each_answer),
+    "a call's end": (seat, "open_still", _each_answer),
+    "one renewal's answers": (seat, "fits", _any_renewal),
     "starts differ": (decide.Ballot, "same_holder", _one_holder),
     "the floor of what is forgotten": (decide, "raised", _no_floor),
     "others' word of later things": (standing, "later", _never_later),
@@ -317,6 +410,8 @@
     "enough others tell": (standing, "needed", _one_tells),
     "the rest before catching up": (Span, "rest", _no_rest),
     "what others tell is taken": (standing, "merged", _nothing_merged),
+    "what is written again is not new": (seat.Seat, "send", _young_again),
+    "all know the age": (seat, "aged", _some_age),
     "promises are told too": (standing, "merged", _promise_left),
 }
 
--- a/milletsill/fleet/channels/world.py
+++ b/milletsill/fleet/channels/world.py
@@ -7,11 +7,12 @@
 from typing import Any, NamedTuple
 
 from milletsill.fleet.channels.registers import decide, standing
-from milletsill.fleet.channels.registers.decide import Answer, Call, Effect, Office, Poll, Record, Seat, Seated, Span
+from milletsill.fleet.channels.registers.decide import Answer, Call, Office, Record, Span
+from milletsill.fleet.channels.registers.seat import Effect, Poll, Seat, Seated
 from milletsill.fleet.channels.registers.standing import Identity, Joining, Page, Standing, Turn
 
 C, MOST_FLYING = "c", 14
-SPAN = Span(10_000, 2_500, 20)  # clocks that are wrong by 2%, so that it shows
+SPAN = Span(10_000, 2_500, 50)  # clocks that are wrong by 5%, so that it shows past the guard of a send
 
 
 class Hello(NamedTuple):
@@ -75,15 +76,16 @@
 
 
 class Keeper:
-    """One keeper's seat of the channel, and what it heard of registers."""
+    """One keeper's seat of the channel, and what it heard of registers. `called`: the name that it has, which may be another's
+    too."""
 
-    def __init__(self, name: str, nonce: int, span: Span, registers: int) -> None:
-        self.name, self.seat = name, Seat(C, name, nonce, span, registers)
+    def __init__(self, called: str, nonce: int, span: Span, registers: int) -> None:
+        self.seat = Seat(C, called, nonce, span, registers)
         self.known: dict[str, Identity] = {}
 
     def copy(self) -> Keeper:
         made = Keeper.__new__(Keeper)
-        made.name, made.known = self.name, dict(self.known)
+        made.known = dict(self.known)
         seat = made.seat = copy.copy(self.seat)
         if seat.poll is not None:
             poll = seat.poll = Poll(seat.poll.call, seat.poll.sent)
@@ -106,6 +108,7 @@
         # Registers fast and keepers slow is the worst that drift allows.
         self.rates = dict(zip([*self.registers, *self.keepers], rates or [span.drift] * registers + [-span.drift] * keepers))
         self.flying: list[Message] = []
+        self.firsts: dict[bytes, int] = {}  # when each value counted first
         self.settled, self.settled_at, self.silent = b"", 0, 0  # silent: a register forgets a channel after it; 0 for never
         self.wrong: str | None = None
         self.budget = {"double": 1, "restart": 1, "older": 1, "lost": 1, "keeper": 1}
@@ -115,7 +118,7 @@
         made.__dict__.update(self.__dict__)
         made.registers = {name: each.copy() for name, each in self.registers.items()}
         made.keepers = {name: each.copy() for name, each in self.keepers.items()}
-        made.flying, made.budget = list(self.flying), dict(self.budget)
+        made.flying, made.budget, made.firsts = list(self.flying), dict(self.budget), dict(self.firsts)
         return made
 
     def key(self) -> Any:
@@ -141,6 +144,9 @@
                 self.settled, self.settled_at = value, self.now  # forgotten as it was allowed to be
                 return
             self.wrong = self.wrong or f"{name} has {value!r}, {self.settled!r} counted"
+        first = self.firsts.setdefault(value, self.now) * (1000 + self.rates[name]) // 1000
+        if seated and value and seat.since is not None and seat.since > first:
+            self.wrong = self.wrong or f"{name} takes {value!r} for younger than it is"
         if len(value) >= len(self.settled):
             self.settled, self.settled_at = value, self.now
 
@@ -180,7 +186,7 @@
 
     def start_keeper(self, name: str) -> None:
         self.nonce += 1
-        self.keepers[name] = Keeper(name, self.nonce, self.span, len(self.registers))
+        self.keepers[name] = Keeper(self.keepers[name].seat.name, self.nonce, self.span, len(self.registers))
 
     # Events of registers.
 
@@ -309,6 +315,12 @@
                 break
             self.arrive(place, False)
 
+    def office_over(self, name: str) -> int:
+        """How long until a register lets others in."""
+        register = self.registers[name]
+        until = 0 if register.office is None else register.office.until
+        return max(-(-until * 1000 // (1000 + self.rates[name])) - self.now, 0)
+
     def pass_time(self, span: int) -> None:
         self.now += span
         self.look()
