--- a/milletsill/fleet/channels/edge.py
+++ b/milletsill/fleet/channels/edge.py
@@ -2,6 +2,7 @@
 door. Made only where the file has a `fleet { channels }` block."""
 from __future__ import annotations
 
+import os
 from typing import Any, Callable
 
 import xxhash
@@ -14,14 +15,14 @@
 from milletsill.files.extensions import Terms
 from milletsill.files.wire import bytes_of
 from milletsill.fleet.channels.contracts.decide import Book, Contract, Input, Order, Reach, Reaches, Unsure
+from milletsill.fleet.channels.contracts.gone import Gone
 from milletsill.fleet.channels.contracts.keeper import Keeper
 from milletsill.fleet.channels.contracts.line import LetGo
 from milletsill.fleet.channels.contracts.ways import Ways
 from milletsill.fleet.channels.contracts.words import Elsewhere, Look, Open, Say, Transfer, Word
 from milletsill.fleet.plane import Kind
-from milletsill.interface import Outcome
 
-NEVER_RAN = (Outcome.TURNED_AWAY, Outcome.UNREACHED)
+EXTENSIONS = (wire.CHANNEL, wire.NUMBERED)
 LOOK_EVERY = 5.0  # seconds between looks at quiet channels
 HANDLE = b"channel"
 
@@ -36,6 +37,19 @@
     return Book(found)
 
 
+def channels_of(edge: Any, seed: int) -> Channels:
+    """A gateway's channels over its fleet, as its file has them."""
+    from milletsill.fleet.channels.registers.service import Offices
+    keeping = edge.file.fleet.channels
+    silent = max((round(each.silent_s * 10_000) for each in keeping.contract), default=0)
+    offices = Offices(edge.reactor, edge.now, edge.fleet, list(keeping.register), round(keeping.office_s * 10_000),
+                      keeping.drift_permille, round(keeping.call_ms * 10), keeping.most_channels,
+                      os.path.join(edge.file.state_dir, "registers.db"), seed, edge.remark, edge.figures.registry, silent=silent)
+    made = Channels(edge, edge.fleet, offices)
+    offices.others = made.heard
+    return made
+
+
 class Channel:
     """What a client's channel handle stands for."""
 
@@ -60,30 +74,6 @@
         self.answered = lambda packet: None
 
 
-class Gone:
-    """One number that was let go, as the way to the boxes sees it: whether it may still leave, and whether it may have run."""
-
-    __slots__ = ("offices", "term", "ticket", "ends", "again", "sent", "harmless")
-
-    def __init__(self, offices: Any, term: Any, ticket: str, ends: int, again: bool) -> None:
-        self.offices, self.term, self.ticket, self.ends, self.again = offices, term, ticket, ends, again
-        self.sent = self.harmless = 0
-
-    def leaves(self) -> bool:
-        """Guards against a process that stood between the gate and the send: another may keep the channel by now. Asked at the
-        last place, also for what waited for a link. Harm: a lawful dispatch is put off."""
-        return bool(self.offices.holds(self.term))
-
-    def watched(self, ended: Any) -> Any:
-        """Counts dispatches that came back without having run."""
-        self.sent += 1
-
-        def heard(outcome: Outcome, verdict: Any) -> None:
-            self.harmless += outcome in NEVER_RAN
-            ended(outcome, verdict)
-        return heard
-
-
 class Channels:
     """All of it at one gateway. `offices` is made by who starts this; its other bodies come to `heard`."""
 
@@ -122,6 +112,7 @@
             self.ways.drop(each)
         for held in list(self.keeper.kept.values()):
             self.keeper.hand_over(held)
+        self.offices.stop()
 
     def count(self, word: str) -> None:
         self.words.labels(word).inc()
@@ -297,8 +288,7 @@
         def answered(packet: Any) -> None:
             if running.final == "satisfied":
                 return ended(Input.SETTLED, getattr(packet, "code", 0), 0, packet)
-            input = Input.NEVER_RAN if gate.sent == gate.harmless else Input.LOST
-            ended(input, 0, edge.host.facts["longest_pause"], packet)
+            ended(gate.input(), 0, edge.host.facts["longest_pause"], packet)
 
         running = Running(edge, what.command, terms, word.volume, what.path, opened, answered, edge.now(), gate)
         try:
