--- a/milletsill/edge/service.py
+++ b/milletsill/edge/service.py
@@ -156,11 +156,11 @@
             self.open()
         elif effect == "drain":
             self.log.info("draining", held=self.host.held)
-            if self.fleet is not None:
+            if self.channels is not None:
+                self.channels.drain()  # the fleet is told of the leave when its offices are given up
+            elif self.fleet is not None:
                 self.fleet.leave()
             self.close_ports()
-            if self.channels is not None:
-                self.channels.drain()
             self.overdue_call = self.reactor.callLater(self.file.door.drain_s, self.step, Event.OVERDUE)
             self.emptied()
         elif effect == "stop":
--- a/milletsill/fleet/channels/contracts/keeper.py
+++ b/milletsill/fleet/channels/contracts/keeper.py
@@ -343,7 +343,7 @@
     def fault(self, word: Word, fault: Any) -> None:
         """Why a word comes to nothing."""
         if isinstance(fault, NotKeeper) and fault.who:
-            return word.answered(Elsewhere(fault.who))
+            return word.answered(Elsewhere(fault.who, fault.pause))
         if isinstance(fault, CONTRADICTIONS):
             return self.answer(word, "contract", text=fault.what)
         self.answer(word, "declined", None, getattr(fault, "pause", 0) or PAUSE, f"declined: {getattr(fault, 'what', fault)}")
--- a/milletsill/fleet/channels/contracts/ways.py
+++ b/milletsill/fleet/channels/contracts/ways.py
@@ -32,10 +32,10 @@
 
 
 class Ways:
-    """`own` handles a word here; `call` is how long a word of life may take, in tenths of a millisecond. `volume` finds a
+    """`own` handles another gateway's word here, `keep` one of ours that this gateway is to keep itself; `call` is how long a word of life may take, in tenths of a millisecond. `volume` finds a
     volume by name."""
 
-    def __init__(self, reactor: Any, now: Callable[[], int], plane: Plane, call: int, own: Callable[[Word, int], None],
+    def __init__(self, reactor: Any, now: Callable[[], int], plane: Plane, call: int, own: Callable[[Word, str], None],
                  keep: Callable[[Word], None], volume: Callable[[str], Any], count: Callable[[str], None]) -> None:
         self.reactor, self.now, self.plane, self.call = reactor, now, plane, call
         self.own, self.keep, self.volume, self.count = own, keep, volume, count
@@ -78,6 +78,7 @@
         """Its keeper cannot be reached: this gateway tries to be it; the registers say whether it may."""
         self.drop(forward)
         self.count("keeper_away")
+        forward.word.away += (forward.to,)
         self.keep(forward.word)
 
     def over(self, forward: Forward) -> None:
@@ -104,6 +105,8 @@
         if reply.HasField("keeper"):
             if reply.keeper == self.plane.name:
                 return self.keep(forward.word)
+            if reply.keeper in forward.word.away:
+                return forward.word.answered(Elsewhere(reply.keeper, reply.pause))
             return self.forward(forward.word, reply.keeper, forward.hops + 1)
         try:
             answer = extensions.dressed(reply.answer, 0)
@@ -137,11 +140,11 @@
         while len(self.others) > MOST_HEARD:
             self.others.popitem(last=False)
         self.say(member, self.still(ask.id))
-        self.own(word, ask.hops)
+        self.own(word, member)
 
     def answered(self, key: tuple[str, int, int], packet: Any) -> None:
         member, _, id = key
-        envelope = Envelope(reply=Reply(id=id, keeper=packet.who) if isinstance(packet, Elsewhere)
+        envelope = Envelope(reply=Reply(id=id, keeper=packet.who, pause=packet.pause) if isinstance(packet, Elsewhere)
                             else Reply(id=id, answer=bare(packet)))
         body = put_envelope(envelope)
         if key in self.others:
--- a/milletsill/fleet/channels/contracts/words.py
+++ b/milletsill/fleet/channels/contracts/words.py
@@ -61,6 +61,7 @@
     what: What
     token: str
     answered: Callable[[Any], None]
+    away: tuple[str, ...] = ()  # gateways that could not be reached with it
 
     @property
     def key(self) -> str:
@@ -69,9 +70,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Elsewhere:
-    """Another gateway keeps the channel."""
+    """Another gateway keeps the channel; for so long at the most if nobody hears of it any more, in tenths of a millisecond."""
 
     who: str
+    pause: int
 
 
 def put_word(word: Word, id: int, left: int, hops: int) -> Ask:
--- a/milletsill/fleet/channels/edge.py
+++ b/milletsill/fleet/channels/edge.py
@@ -23,7 +23,7 @@
 from milletsill.fleet.plane import Kind
 
 EXTENSIONS = (wire.CHANNEL, wire.NUMBERED)
-LOOK_EVERY = 5.0  # seconds between looks at quiet channels
+LOOK_EVERY, LEAVE_EVERY, QUIET = 5.0, 0.02, 5  # seconds between looks at quiet channels, and at what holds up the end; looks then
 HANDLE = b"channel"
 
 
@@ -91,23 +91,35 @@
         self.ways = Ways(edge.reactor, edge.now, plane, round(keeping.call_ms * 10), self.forwarded, self.keeper.word,
                          self.volume, self.count)
         self.handles = 0
-        self.look_call: Any = None
+        self.look_calls: list[Any] = []  # the next look, and where it goes down the next look at what is left
 
     def start(self) -> None:
-        self.look_call = self.edge.reactor.callLater(LOOK_EVERY, self.look)
+        self.look_calls = [self.edge.reactor.callLater(LOOK_EVERY, self.look)]
 
     def look(self) -> None:
         self.keeper.look_round()
         self.kept.set(len(self.keeper.kept))
-        self.look_call = self.edge.reactor.callLater(LOOK_EVERY, self.look)
+        self.look_calls[0] = self.edge.reactor.callLater(LOOK_EVERY, self.look)
 
     def drain(self) -> None:
-        """SIGTERM: offices are given up as soon as nothing is out under them."""
+        """SIGTERM: offices are given up as soon as nothing is out under them, and the word of it gets time to leave."""
+        self.held += 1
         self.keeper.drain()
+        self.drained(0)
+
+    def drained(self, quiet: int) -> None:
+        quiet = 0 if self.keeper.kept else quiet + 1
+        if quiet <= QUIET:
+            self.look_calls[1:] = [self.edge.reactor.callLater(LEAVE_EVERY, self.drained, quiet)]
+        else:
+            self.plane.leave()
+            self.held -= 1
+            self.edge.emptied()
 
     def stop(self) -> None:
-        if self.look_call is not None and self.look_call.active():
-            self.look_call.cancel()
+        for call in self.look_calls:
+            if call.active():
+                call.cancel()
         for each in list(self.ways.out.values()):
             self.ways.drop(each)
         for held in list(self.keeper.kept.values()):
@@ -238,16 +250,15 @@
 
     def elsewhere(self, word: Word, told: Elsewhere) -> None:
         """The registers say that another holds the office."""
-        if told.who == self.plane.name or told.who not in self.plane.view.by_name:
-            pause = round(self.edge.file.fleet.channels.office_s * 10_000 / 2)
-            return word.answered(wire.put_sign(0, "declined", f"declined: {told.who} held the channel and is away", None, pause))
+        if told.who in (self.plane.name, *word.away) or told.who not in self.plane.view.by_name:
+            return word.answered(wire.put_sign(0, "declined", f"declined: {told.who} held the channel and is away", None,
+                                               told.pause))
         self.ways.forward(word, told.who, 1)
 
-    def forwarded(self, word: Word, hops: int) -> None:
-        """Another gateway's word: this one is thought to be the keeper."""
-        if self.edge.refusal(word.ends) and not self.keeper.keeps(word.key):
-            return word.answered(wire.put_sign(0, "declined", "declined: its keeper goes down", None,
-                                               self.edge.host.facts["longest_pause"]))
+    def forwarded(self, word: Word, member: str) -> None:
+        """Another gateway's word: this one is thought to be the keeper. One that goes down has that one try itself."""
+        if self.keeper.leaving:
+            return word.answered(Elsewhere(member, 0))
         self.keeper.word(word)
 
     def heard(self, member: str, run: int, body: bytes) -> None:
