--- /dev/null
+++ b/benchmarks/channels.py
@@ -0,0 +1,141 @@
+"""What registers and offices bear: gateways in their own processes, with the fleet's plane between them and registers on disk.
+
+    python -m benchmarks.channels [--gateways 7 --registers 3 --channels 20 --seconds 8 --value 200]
+
+Each gateway keeps so many channels and writes each one's record again as soon as the last write is at a majority. Loopback; the
+registers' files are in a temporary folder, or in --folder, and each commit is synced there.
+"""
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from types import SimpleNamespace
+from typing import Any
+
+SECOND, SILENT = 10_000, 36_000_000
+
+
+def now() -> int:
+    return time.monotonic_ns() // 100_000
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports at which nothing listens, TCP and UDP."""
+    held: list[Any] = []
+    found: list[int] = []
+    while len(found) < count:
+        tcp, udp = socket.socket(), socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        held += [tcp, udp]
+        tcp.bind(("127.0.0.1", 0))
+        try:
+            udp.bind(("127.0.0.1", tcp.getsockname()[1]))
+        except OSError:
+            continue
+        found.append(tcp.getsockname()[1])
+    for each in held:
+        each.close()
+    return found
+
+
+def gateway(given: argparse.Namespace) -> None:
+    """One process: joins, takes its channels, writes for so long, and prints what it measured."""
+    from prometheus_client import CollectorRegistry
+    from twisted.internet import reactor
+
+    from milletsill.errors import Fault
+    from milletsill.fleet.channels.registers.service import Offices
+    from milletsill.fleet.service import Fleet
+    from milletsill.settings.milletsill_pb2 import FleetLink
+
+    ports = [int(each) for each in given.ports.split(",")]
+    number, registry = given.child, CollectorRegistry()
+    link = FleetLink(name="bench", address=f"127.0.0.1:{ports[number]}", join=[f"127.0.0.1:{ports[0]}"])
+    quiet = lambda *words, **values: print(*words, values, file=sys.stderr) if given.loud else None
+    fleet = Fleet(reactor, now, SimpleNamespace(name=f"g{number}", fleet=link), number, 1, quiet, quiet, lambda run: None, registry)
+    fleet.start()
+    offices = Offices(reactor, now, fleet, [f"g{each}" for each in range(given.registers)], 2 * SECOND, 5, 3000, 100_000,
+                      os.path.join(given.folder, f"g{number}.sqlite"), number, quiet, registry, silent=SILENT)
+    took: list[float] = []
+    faults: dict[str, int] = {}
+    span = {"from": 0.0, "to": 0.0}
+
+    def begin() -> None:
+        if len(fleet.view.members) < given.gateways:
+            reactor.callLater(0.1, begin)
+            return
+        span["from"] = time.monotonic() + 3.0  # all are there, offices are taken
+        span["to"] = span["from"] + given.seconds
+        for each in range(given.channels):
+            reactor.callLater(1.0, take, f"{number}/{each}")
+        reactor.callLater(3.5 + given.seconds, end)
+
+    def take(channel: str) -> None:
+        offices.take(channel, lambda term: again(channel, term) if isinstance(term, Fault) else write(term))
+
+    def again(channel: str, fault: Any) -> None:
+        faults[type(fault).__name__] = faults.get(type(fault).__name__, 0) + 1
+        reactor.callLater(max(fault.pause, 100) / SECOND, take, channel)
+
+    def write(term: Any) -> None:
+        began = time.monotonic()
+        if began >= span["to"]:
+            return
+
+        def wrote(fault: Any) -> None:
+            if fault is not None:
+                return again(term.channel, fault)
+            if began >= span["from"]:
+                took.append(time.monotonic() - began)
+            write(term)
+
+        offices.write(term, os.urandom(given.value), wrote)
+
+    def end() -> None:
+        commits = registry.get_sample_value("milletsill_register_commits_total")
+        print(json.dumps({"took": took, "faults": faults, "commits": commits}), flush=True)
+        offices.stop()
+        fleet.stop()
+        reactor.callLater(0.2, reactor.stop)
+
+    reactor.callLater(0.1, begin)
+    reactor.callLater(given.seconds + 30, reactor.stop)
+    reactor.run()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    for name, default in (("gateways", 7), ("registers", 3), ("channels", 20), ("seconds", 8), ("value", 200)):
+        parser.add_argument(f"--{name}", type=int, default=default)
+    parser.add_argument("--folder")
+    parser.add_argument("--loud", action="store_true")
+    parser.add_argument("--child", type=int, help=argparse.SUPPRESS)
+    parser.add_argument("--ports", help=argparse.SUPPRESS)
+    given = parser.parse_args()
+    if given.child is not None:
+        return gateway(given)
+    with tempfile.TemporaryDirectory(dir=given.folder) as folder:
+        ports = ",".join(map(str, free_ports(given.gateways)))
+        command = [sys.executable, "-m", "benchmarks.channels", *(word for name in ("gateways", "registers", "channels", "seconds", "value")
+                                                                  for word in (f"--{name}", str(getattr(given, name))))]
+        command += ["--folder", folder, "--ports", ports] + (["--loud"] if given.loud else [])
+        running = [subprocess.Popen([*command, "--child", str(each)], stdout=subprocess.PIPE) for each in range(given.gateways)]
+        told = [json.loads(each.communicate()[0] or b"{}") for each in running]
+    took = sorted(each for one in told for each in one.get("took", ()))
+    if not took:
+        sys.exit("nothing was written")
+    commits = [one["commits"] for one in told if one.get("commits")]
+    print(f"{given.gateways} gateways, {given.registers} registers, {given.channels} channels each, records of {given.value} bytes, "
+          f"{given.seconds} s")
+    print(f"writes a second {len(took) / given.seconds:.0f}; a write took {1000 * took[len(took) // 2]:.1f} ms at the median, "
+          f"{1000 * took[len(took) * 99 // 100]:.1f} at p99; commits at a register {sum(commits) / max(len(commits), 1):.0f}")
+    print(f"faults {[one.get('faults') for one in told if one.get('faults')] or 'none'}")
+
+
+if __name__ == "__main__":
+    main()
--- a/milletsill/fleet/channels/registers/desk.py
+++ b/milletsill/fleet/channels/registers/desk.py
@@ -132,7 +132,7 @@
             return
         self.note()
         if turn is Turn.DOUBT:
-            kind = StateLost if joining.fresh else StateOlder
+            kind = StateLost if store.own.generation == 0 else StateOlder
             self.say(kind(f"others heard of state {joining.known_age}, past {store.own.age}.{store.own.generation}", self.path))
             self.drop("doubted")
             up = self.up()
--- a/milletsill/fleet/channels/registers/seat.py
+++ b/milletsill/fleet/channels/registers/seat.py
@@ -148,6 +148,8 @@
             return None
         says = {each.say for each in poll.no.values()}
         self.refusal = self.worst(poll)
+        if says == {Say.AWAY}:
+            return Input.LATE  # nobody else has the office for that
         return Input.LOWER if says == {Say.LOWER} and self.tries < TRIES else Input.REFUSED
 
     def worst(self, poll: Poll) -> Answer | None:
