--- a/milletsill/edge/service.py
+++ b/milletsill/edge/service.py
@@ -15,7 +15,7 @@
 from milletsill.edge.door import Clients, Connection
 from milletsill.edge.host import Ended, Host, Make
 from milletsill.edge.identity import keep, next_incarnation
-from milletsill.edge.logs import logger
+from milletsill.logs import logger
 from milletsill.edge.metrics import Figures
 from milletsill.errors import Fault
 from milletsill.files.extensions import Order
@@ -64,6 +64,8 @@
         self.flows = self.exporter(seed) if file.HasField("flows") else None
         self.parts = self.planned(given, seed) if file.HasField("planner") else None
         self.fleet = self.among_others(seed) if file.HasField("fleet") else None
+        self.extensions: tuple[str, ...] = ()  # of the door, beside those that always stand
+        self.channels = None
         self.ports: list[Any] = []
         self.stopped: list[Callable[[], None]] = []
         self.look_call: Any = None
@@ -149,6 +151,8 @@
             if self.fleet is not None:
                 self.fleet.leave()
             self.close_ports()
+            if self.channels is not None:
+                self.channels.drain()
             self.overdue_call = self.reactor.callLater(self.file.door.drain_s, self.step, Event.OVERDUE)
             self.emptied()
         elif effect == "stop":
@@ -196,7 +200,7 @@
         self.log.info("reloaded", volumes=len(file.volume), routes=len(file.route))
 
     def emptied(self) -> None:
-        if self.process is Process.DRAINING and not self.host.held:
+        if self.process is Process.DRAINING and not self.host.held and not (self.channels is not None and self.channels.held):
             self.reactor.callLater(0, self.step, Event.EMPTY)
 
     def close_ports(self) -> None:
@@ -210,6 +214,8 @@
         self.log.info("stopped", held=self.host.held)
         self.close_ports()
         self.follower.stop()
+        if self.channels is not None:
+            self.channels.stop()
         for client in list(self.clients):
             client.transport.loseConnection()
         self.host.stop()
@@ -272,10 +278,15 @@
         pool = self.pools.get(node)
         if pool is None:
             return None
+        gate = cargo.gate
+        if gate is not None:
+            if not gate.leaves():
+                return None
+            ended = gate.watched(ended)
         left = max((arrival.ends - self.now()) // 10, 1)
         return pool.dispatch(Order(self.file.name, self.incarnation, arrival.id, number, arrival.units, arrival.extent, left,
                                    cargo.ticket, arrival.volume, arrival.gateways, cargo.category, cargo.mark,
-                                   cargo.command), ended)
+                                   cargo.command), ended, gate)
 
     # The clients.
 
