--- a/milletsill/fleet/channels/contracts/line.py
+++ b/milletsill/fleet/channels/contracts/line.py
@@ -34,7 +34,8 @@
 
 @dataclass(slots=True)
 class Entry:
-    """A number that is open and known. `since`: when it was first let go; `rests`: until when it may still run."""
+    """A number that is open and known. `since`: when it was first let go; `rests`: until when it may still run; `closes`: until
+    when it is left open for its client to come again, where its end is unsure."""
 
     phase: Phase
     digest: int
@@ -45,6 +46,7 @@
     askers: list[Any] = field(default_factory=list)
     since: int = LONG_AGO
     rests: int = 0
+    closes: int = 0
     hole: int | None = None  # since when it stands behind a hole
 
 
@@ -109,7 +111,8 @@
     def took_over(self, now: int) -> None:
         """A new keeper's first look at what the record says is out: its end is unsure, and its client has not heard so."""
         for entry in self.entries.values():
-            entry.phase, entry.rests = Phase.UNSURE, self.rested(now, max(self.rest, self.contract.hole))
+            entry.phase, entry.rests = Phase.UNSURE, self.rested(now, self.rest)
+            entry.closes = max(entry.rests, now + self.contract.hole)
 
     def rested(self, now: int, rest: int) -> int:
         """Until when an unsure number stands in the way. Guards against its dispatch, which may run until rule 5's rest is over;
@@ -261,7 +264,7 @@
     def behind_unsure(self, now: int, number: int, before: int | None) -> bool:
         """What an unsure end means for one that waits behind it."""
         entry = self.entries[before]  # type: ignore[index]
-        if now < entry.rests:
+        if now < entry.closes:
             return False
         if self.contract.unsure is Unsure.STOP:
             asker = self.input(number, Input.GIVEN_UP)
@@ -317,6 +320,7 @@
             self.at_once.extend(Tell(each, "declined", self.floor, pause) for each in askers)
         elif effect == "abort":
             entry.phase, entry.rests = Phase.UNSURE, self.rested(now, self.rest)
+            entry.closes = entry.rests
             self.at_once.extend(Tell(each, "aborted", number) for each in askers)
         self.go_on(now)
 
@@ -420,7 +424,8 @@
 
     def wakes(self, now: int) -> int | None:
         """When to call `go_on` again, if at all."""
-        times = [each.rests for each in self.entries.values() if each.phase in (Phase.UNSURE, Phase.BACK)]
+        times = [at for each in self.entries.values() if each.phase in (Phase.UNSURE, Phase.BACK)
+                 for at in (each.rests, each.closes)]
         for each in self.entries.values():
             if each.coming is not None:
                 times.append(each.coming.ends)
--- a/milletsill/fleet/channels/contracts/sea.py
+++ b/milletsill/fleet/channels/contracts/sea.py
@@ -20,7 +20,7 @@
 from milletsill.fleet.channels.contracts.words import Elsewhere, Open, Transfer, Word
 from milletsill.fleet.channels.errors import NoMajority, NotKeeper, Outvoted
 
-OFFICE, REST, WINDOW, HOLE, PATIENCE, DRIFT = 1000, 100, 2400, 60, 1500, 20  # tenths of a millisecond; parts of a thousand
+OFFICE, REST, WINDOW, HOLE, PATIENCE, DRIFT = 1000, 100, 2400, 20, 1500, 20  # tenths of a millisecond; parts of a thousand
 KEY = "v/c"
 
 
@@ -318,7 +318,7 @@
                     found[f"time-out {place}"] = lambda d=dispatch: self.end(d, d.gone.input())
         for number in sorted(self.free):
             found[f"{number} becomes another"] = lambda n=number: self.other(n)
-        for span in (30, REST + 20, OFFICE // 2, OFFICE + 60):
+        for span in (24, REST + 20, OFFICE // 2, OFFICE + 60):
             found[f"time {span}"] = lambda s=span: self.pass_time(s)
         return found
 
--- a/milletsill/fleet/channels/contracts/ways.py
+++ b/milletsill/fleet/channels/contracts/ways.py
@@ -17,6 +17,7 @@
 MOST_FORWARDS, MOST_HEARD = 20_000, 20_000  # words out, and words of others that are on hand or were answered
 SILENT_CALLS = 2     # calls without a sign of life until the keeper counts as away
 MOST_HOPS = 3
+AWAY = 30_000        # tenths of a millisecond for which one that could not be reached is not asked again, unless it says something
 MARGIN = 100         # tenths of a millisecond that the way back may take
 
 
@@ -40,6 +41,7 @@
         self.reactor, self.now, self.plane, self.call = reactor, now, plane, call
         self.own, self.keep, self.volume, self.count = own, keep, volume, count
         self.out: dict[int, Forward] = {}
+        self.silent: dict[str, int] = {}  # since when a member could not be reached
         self.ids = 0
         # Words of others: None while they are on hand, then the reply.
         self.others: OrderedDict[tuple[str, int, int], bytes | None] = OrderedDict()
@@ -55,6 +57,14 @@
         self.count("forwarded")
         self.tell(forward)
 
+    def reachable(self, member: str) -> bool:
+        """Guards against a client that waits again and again for one that is gone, while the view still has it. Harm: a keeper
+        that was cut off for a moment is passed over for a while; the registers say who may keep."""
+        since = self.silent.get(member)
+        if since is not None and self.now() - since >= AWAY:
+            del self.silent[member]
+        return member not in self.silent
+
     def tell(self, forward: Forward) -> None:
         now, word = self.now(), forward.word
         left = word.ends - MARGIN - now
@@ -79,6 +89,7 @@
         self.drop(forward)
         self.count("keeper_away")
         forward.word.away += (forward.to,)
+        self.silent[forward.to] = self.now()
         self.keep(forward.word)
 
     def over(self, forward: Forward) -> None:
@@ -119,6 +130,7 @@
     def heard(self, member: str, run: int, body: bytes) -> None:
         """What another gateway says; what makes no sense is dropped, its teller tries elsewhere in time."""
         envelope = read_envelope(body)
+        self.silent.pop(member, None)
         if envelope is None:
             return
         if envelope.HasField("reply") and envelope.reply.IsInitialized():
--- a/milletsill/fleet/channels/edge.py
+++ b/milletsill/fleet/channels/edge.py
@@ -243,14 +243,14 @@
     def place(self, word: Word) -> None:
         """Here, where this gateway keeps the channel or should; else to the one that the view says."""
         who = "" if self.keeper.keeps(word.key) else self.offices.keeper_of(word.key)
-        if who in ("", self.plane.name):
+        if who in ("", self.plane.name) or not self.ways.reachable(who):
             self.count("kept_here")
             return self.keeper.word(word)
         self.ways.forward(word, who)
 
     def elsewhere(self, word: Word, told: Elsewhere) -> None:
         """The registers say that another holds the office."""
-        if told.who in (self.plane.name, *word.away) or told.who not in self.plane.view.by_name:
+        if told.who in (self.plane.name, *word.away, *self.ways.silent) or told.who not in self.plane.view.by_name:
             return word.answered(wire.put_sign(0, "declined", f"declined: {told.who} held the channel and is away", None,
                                                told.pause))
         self.ways.forward(word, told.who, 1)
