--- a/milletsill/edge/service.py
+++ b/milletsill/edge/service.py
@@ -65,7 +65,7 @@
         self.parts = self.planned(given, seed) if file.HasField("planner") else None
         self.fleet = self.among_others(seed) if file.HasField("fleet") else None
         self.extensions: tuple[str, ...] = ()  # of the door, beside those that always stand
-        self.channels = None
+        self.channels = self.channelled(seed) if self.fleet is not None and file.fleet.HasField("channels") else None
         self.ports: list[Any] = []
         self.stopped: list[Callable[[], None]] = []
         self.look_call: Any = None
@@ -97,6 +97,12 @@
                      lambda event, **values: self.log.info(event, **values),
                      self.keep_run, self.figures.registry)
 
+    def channelled(self, seed: int) -> Any:
+        """Contracts on the order of channels; none of their code is loaded where the file does not ask for it."""
+        from milletsill.fleet.channels.edge import EXTENSIONS, channels_of
+        self.extensions = EXTENSIONS
+        return channels_of(self, seed + 4)
+
     def keep_run(self, run: int) -> None:
         """The fleet knew a later run than this one; the next start goes past both."""
         complaint = keep(os.path.join(self.file.state_dir, "incarnation"), run)
@@ -112,6 +118,8 @@
                 self.fleet.start()
             except Fault as error:
                 return self.cannot(error)
+        if self.channels is not None:
+            self.channels.start()
         if self.flows is not None:
             self.flows.start()
         if self.traces is not None:
@@ -148,11 +156,11 @@
             self.open()
         elif effect == "drain":
             self.log.info("draining", held=self.host.held)
-            if self.fleet is not None:
+            if self.channels is not None:
+                self.channels.drain()  # the fleet is told of the leave when its offices are given up
+            elif self.fleet is not None:
                 self.fleet.leave()
             self.close_ports()
-            if self.channels is not None:
-                self.channels.drain()
             self.overdue_call = self.reactor.callLater(self.file.door.drain_s, self.step, Event.OVERDUE)
             self.emptied()
         elif effect == "stop":
--- a/milletsill/fleet/channels/edge.py
+++ b/milletsill/fleet/channels/edge.py
@@ -2,6 +2,7 @@
 door. Made only where the file has a `fleet { channels }` block."""
 from __future__ import annotations
 
+import os
 from typing import Any, Callable
 
 import xxhash
@@ -14,15 +15,15 @@
 from milletsill.files.extensions import Terms
 from milletsill.files.wire import bytes_of
 from milletsill.fleet.channels.contracts.decide import Book, Contract, Input, Order, Reach, Reaches, Unsure
+from milletsill.fleet.channels.contracts.gone import Gone
 from milletsill.fleet.channels.contracts.keeper import Keeper
 from milletsill.fleet.channels.contracts.line import LetGo
 from milletsill.fleet.channels.contracts.ways import Ways
 from milletsill.fleet.channels.contracts.words import Elsewhere, Look, Open, Say, Transfer, Word
 from milletsill.fleet.plane import Kind
-from milletsill.interface import Outcome
 
-NEVER_RAN = (Outcome.TURNED_AWAY, Outcome.UNREACHED)
-LOOK_EVERY = 5.0  # seconds between looks at quiet channels
+EXTENSIONS = (wire.CHANNEL, wire.NUMBERED)
+LOOK_EVERY, LEAVE_EVERY, QUIET = 5.0, 0.02, 5  # seconds between looks at quiet channels, and at what holds up the end; looks then
 HANDLE = b"channel"
 
 
@@ -36,6 +37,19 @@
     return Book(found)
 
 
+def channels_of(edge: Any, seed: int) -> Channels:
+    """A gateway's channels over its fleet, as its file has them."""
+    from milletsill.fleet.channels.registers.service import Offices
+    keeping = edge.file.fleet.channels
+    silent = max((round(each.silent_s * 10_000) for each in keeping.contract), default=0)
+    offices = Offices(edge.reactor, edge.now, edge.fleet, list(keeping.register), round(keeping.office_s * 10_000),
+                      keeping.drift_permille, round(keeping.call_ms * 10), keeping.most_channels,
+                      os.path.join(edge.file.state_dir, "registers.db"), seed, edge.remark, edge.figures.registry, silent=silent)
+    made = Channels(edge, edge.fleet, offices)
+    offices.others = made.heard
+    return made
+
+
 class Channel:
     """What a client's channel handle stands for."""
 
@@ -60,30 +74,6 @@
         self.answered = lambda packet: None
 
 
-class Gone:
-    """One number that was let go, as the way to the boxes sees it: whether it may still leave, and whether it may have run."""
-
-    __slots__ = ("offices", "term", "ticket", "ends", "again", "sent", "harmless")
-
-    def __init__(self, offices: Any, term: Any, ticket: str, ends: int, again: bool) -> None:
-        self.offices, self.term, self.ticket, self.ends, self.again = offices, term, ticket, ends, again
-        self.sent = self.harmless = 0
-
-    def leaves(self) -> bool:
-        """Guards against a process that stood between the gate and the send: another may keep the channel by now. Asked at the
-        last place, also for what waited for a link. Harm: a lawful dispatch is put off."""
-        return bool(self.offices.holds(self.term))
-
-    def watched(self, ended: Any) -> Any:
-        """Counts dispatches that came back without having run."""
-        self.sent += 1
-
-        def heard(outcome: Outcome, verdict: Any) -> None:
-            self.harmless += outcome in NEVER_RAN
-            ended(outcome, verdict)
-        return heard
-
-
 class Channels:
     """All of it at one gateway. `offices` is made by who starts this; its other bodies come to `heard`."""
 
@@ -101,27 +91,40 @@
         self.ways = Ways(edge.reactor, edge.now, plane, round(keeping.call_ms * 10), self.forwarded, self.keeper.word,
                          self.volume, self.count)
         self.handles = 0
-        self.look_call: Any = None
+        self.look_calls: list[Any] = []  # the next look, and where it goes down the next look at what is left
 
     def start(self) -> None:
-        self.look_call = self.edge.reactor.callLater(LOOK_EVERY, self.look)
+        self.look_calls = [self.edge.reactor.callLater(LOOK_EVERY, self.look)]
 
     def look(self) -> None:
         self.keeper.look_round()
         self.kept.set(len(self.keeper.kept))
-        self.look_call = self.edge.reactor.callLater(LOOK_EVERY, self.look)
+        self.look_calls[0] = self.edge.reactor.callLater(LOOK_EVERY, self.look)
 
     def drain(self) -> None:
-        """SIGTERM: offices are given up as soon as nothing is out under them."""
+        """SIGTERM: offices are given up as soon as nothing is out under them, and the word of it gets time to leave."""
+        self.held += 1
         self.keeper.drain()
+        self.drained(0)
+
+    def drained(self, quiet: int) -> None:
+        quiet = 0 if self.keeper.kept else quiet + 1
+        if quiet <= QUIET:
+            self.look_calls[1:] = [self.edge.reactor.callLater(LEAVE_EVERY, self.drained, quiet)]
+        else:
+            self.plane.leave()
+            self.held -= 1
+            self.edge.emptied()
 
     def stop(self) -> None:
-        if self.look_call is not None and self.look_call.active():
-            self.look_call.cancel()
+        for call in self.look_calls:
+            if call.active():
+                call.cancel()
         for each in list(self.ways.out.values()):
             self.ways.drop(each)
         for held in list(self.keeper.kept.values()):
             self.keeper.hand_over(held)
+        self.offices.stop()
 
     def count(self, word: str) -> None:
         self.words.labels(word).inc()
@@ -247,16 +250,15 @@
 
     def elsewhere(self, word: Word, told: Elsewhere) -> None:
         """The registers say that another holds the office."""
-        if told.who == self.plane.name or told.who not in self.plane.view.by_name:
-            pause = round(self.edge.file.fleet.channels.office_s * 10_000 / 2)
-            return word.answered(wire.put_sign(0, "declined", f"declined: {told.who} held the channel and is away", None, pause))
+        if told.who in (self.plane.name, *word.away) or told.who not in self.plane.view.by_name:
+            return word.answered(wire.put_sign(0, "declined", f"declined: {told.who} held the channel and is away", None,
+                                               told.pause))
         self.ways.forward(word, told.who, 1)
 
-    def forwarded(self, word: Word, hops: int) -> None:
-        """Another gateway's word: this one is thought to be the keeper."""
-        if self.edge.refusal(word.ends) and not self.keeper.keeps(word.key):
-            return word.answered(wire.put_sign(0, "declined", "declined: its keeper goes down", None,
-                                               self.edge.host.facts["longest_pause"]))
+    def forwarded(self, word: Word, member: str) -> None:
+        """Another gateway's word: this one is thought to be the keeper. One that goes down has that one try itself."""
+        if self.keeper.leaving:
+            return word.answered(Elsewhere(member, 0))
         self.keeper.word(word)
 
     def heard(self, member: str, run: int, body: bytes) -> None:
@@ -297,8 +299,7 @@
         def answered(packet: Any) -> None:
             if running.final == "satisfied":
                 return ended(Input.SETTLED, getattr(packet, "code", 0), 0, packet)
-            input = Input.NEVER_RAN if gate.sent == gate.harmless else Input.LOST
-            ended(input, 0, edge.host.facts["longest_pause"], packet)
+            ended(gate.input(), 0, edge.host.facts["longest_pause"], packet)
 
         running = Running(edge, what.command, terms, word.volume, what.path, opened, answered, edge.now(), gate)
         try:
