--- a/benchmarks/fuzz.py
+++ b/benchmarks/fuzz.py
@@ -3,7 +3,7 @@
     python -m benchmarks.fuzz --seconds 120 [--seed N]
 
 Bytes are flipped, cut, doubled, zeroed in pages, lengths overwritten; compressed bodies are changed and given sound checksums, so that
-what lies behind the checksums is reached too. Anything but a reading or one line of `Malformed` is a finding and ends the run.
+what lies behind the checksums is reached too. Anything but a reading or one line of `BadTrace` is a finding and ends the run.
 """
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 import zstandard
 
 from milletsill.trace import format, tools
-from milletsill.trace.format import Malformed
+from milletsill.trace.format import BadTrace
 from milletsill.trace.reader import verify
 from milletsill.trace.records import BLOCK_HEAD, FLOAT, KINDS, TEXT
 
@@ -89,7 +89,7 @@
                 try:
                     call()
                     said[f"{name} read"] += 1
-                except Malformed as error:
+                except BadTrace as error:
                     assert "\n" not in str(error)
                     said[f"{name} one line"] += 1
                 if os.path.exists(out):
--- a/milletsill/cli/files.py
+++ b/milletsill/cli/files.py
@@ -6,14 +6,14 @@
 
 import click
 
-from milletsill.settings.load import Refused, load
+from milletsill.settings.load import RefusedFile, load
 
 
 def taken(file: str, made: Any, check: Callable[..., None]) -> Any:
     """A checked file, or its faults on standard error and exit status 2."""
     try:
         return load(file, made, check)
-    except Refused as error:
+    except RefusedFile as error:
         for each in error.faults:
             click.echo(str(each), err=True)
         sys.exit(2)
--- a/milletsill/cli/main.py
+++ b/milletsill/cli/main.py
@@ -12,8 +12,9 @@
 from milletsill.cli.files import taken
 from milletsill.cli.planner import ctl, plan
 from milletsill.cli.traces import trace
+from milletsill.errors import line_of
 from milletsill.settings.decide import check_gateway, check_scenario
-from milletsill.settings.load import Refused, text_from
+from milletsill.settings.load import RefusedFile, text_from
 from milletsill.settings.milletsill_pb2 import GatewayFile, Scenario
 
 
@@ -96,11 +97,11 @@
     try:
         given = json.loads(text_from(day))
         made = scenario_of(given, edges, boxes, seconds)
-    except Refused as error:
+    except RefusedFile as error:
         click.echo(str(error), err=True)
         sys.exit(2)
     except (BadDay, ValueError, RecursionError) as error:
-        click.echo(f"{day}: {' '.join(str(error).split())[:300]}", err=True)
+        click.echo(f"{day}: {line_of(error)}", err=True)
         sys.exit(2)
     click.echo(text_format.MessageToString(made), nl=False)
 
@@ -181,7 +182,7 @@
 def flows_decode(file: str, within: tuple[str, ...]) -> None:
     """Decode FILE, IPFIX messages one behind the other (RFC 5655). Exit status 1 where it ends in the middle of one."""
     from milletsill.flows.collect import Collector, Session
-    from milletsill.flows.ipfix import Cutter, Malformed
+    from milletsill.flows.ipfix import Cutter, BadExport
     collector = Collector(lambda row: click.echo(json.dumps(row)), lambda text: click.echo(text, err=True),
                           prefixes(within))
     session, cutter, at = Session(None), Cutter(), 0
@@ -194,8 +195,8 @@
     except OSError as error:
         click.echo(f"{file}: {error.strerror}", err=True)
         sys.exit(2)
-    except Malformed as error:
-        click.echo(f"{file} at {at}: {error}", err=True)
+    except BadExport as error:
+        click.echo(error.at(f"{file} at {at}").line(), err=True)
         sys.exit(1)
     if cutter.held:
         click.echo(f"{file}: cut {len(cutter.held)} bytes into a message at {at}", err=True)
--- a/milletsill/cli/planner.py
+++ b/milletsill/cli/planner.py
@@ -8,6 +8,8 @@
 
 import click
 
+from milletsill.errors import Fault, line_of
+
 WITHIN = 5.0  # seconds for an answer
 
 
@@ -26,9 +28,15 @@
     sys.exit(run(loaded))
 
 
+class Unanswered(Fault):
+    """The planner said why it did not do what it was asked, or ended."""
+
+    remedy = "see what it says; `milletsill ctl --planner ADDRESS edges` tells whom it knows"
+
+
 def ask(address: str, **question: Any) -> list[dict[str, Any]]:
     """One question to a planner; a fault or no answer is one line and status 1."""
-    from milletsill.planner.codec import Frames, Malformed, encoded
+    from milletsill.planner.codec import Frames, encoded
     from milletsill.planner.plan_pb2 import Question
     host, _, port = address.rpartition(":")
     try:
@@ -41,11 +49,11 @@
             while data := link.recv(1 << 16):
                 for frame in frames.feed(data):
                     if frame.told.fault:
-                        raise Malformed(frame.told.fault)
+                        raise Unanswered(frame.told.fault)
                     return [json.loads(each) for each in frame.told.line]
-            raise Malformed("the planner ended without an answer")
-    except (OSError, OverflowError, ValueError, Malformed) as error:
-        click.echo(f"milletsill: {address}: {error}", err=True)
+            raise Unanswered("the planner ended without an answer")
+    except (OSError, OverflowError, ValueError, Fault) as error:
+        click.echo(f"milletsill: {address}: {line_of(error)}", err=True)
         sys.exit(1)
 
 
--- a/milletsill/cli/traces.py
+++ b/milletsill/cli/traces.py
@@ -9,6 +9,8 @@
 
 import click
 
+from milletsill.errors import line_of
+
 FILE, FILES = click.argument("file", type=click.Path()), click.argument("files", nargs=-1, required=True, type=click.Path())
 OUT = click.argument("out", type=click.Path())
 FROM = click.option("--from", "since", help="Tenths of a millisecond on the writer's clock, +N[s|m|h] "
@@ -23,11 +25,11 @@
 
 def said(call: Callable[..., Any], *values: Any, **named: Any) -> Any:
     """What a call on traces gives; a bad or missing file is one line and status 2."""
-    from milletsill.trace.format import Malformed
+    from milletsill.trace.format import BadTrace
     try:
         return call(*values, **named)
-    except (Malformed, OSError) as error:
-        what = f"{error.filename}: {error.strerror}" if isinstance(error, OSError) else str(error)
+    except (BadTrace, OSError) as error:
+        what = f"{error.filename}: {error.strerror}" if isinstance(error, OSError) else error.line()
         click.echo(f"milletsill: {what}", err=True)
         sys.exit(2)
 
@@ -58,7 +60,7 @@
     try:
         return said(found)
     except (Unclear, ValueError, TypeError) as error:
-        click.echo(f"milletsill: {error}", err=True)
+        click.echo(f"milletsill: {line_of(error)}", err=True)
         sys.exit(2)
 
 
--- a/milletsill/edge/decide.py
+++ b/milletsill/edge/decide.py
@@ -15,6 +15,7 @@
 import xxhash
 
 from milletsill.edge.stalls import BEAT, LATE_BEAT, io_first, taken_since  # noqa: F401: the edge's names for them
+from milletsill.errors import Unfit
 from milletsill.files import packets
 
 # --- What a command is.
@@ -29,8 +30,10 @@
 MOST_PATH = 4096
 
 
-class BadPath(Exception):
-    """A path that names nothing here; one line."""
+class BadPath(Unfit):
+    """A path of a client that names nothing here."""
+
+    remedy = "nothing: the client is told; one that insists sends paths over 4,096 characters or with zero octets"
 
 
 def canonical(path: str) -> str:
--- a/milletsill/edge/door.py
+++ b/milletsill/edge/door.py
@@ -8,10 +8,11 @@
 from milletsill.edge.commands import Opened, Running
 from milletsill.edge.decide import BadPath, Door, Knock, Spot, fullness, knock
 from milletsill.edge.seam import Around
+from milletsill.errors import Malformed
 from milletsill.files import extensions, packets
 from milletsill.files.extensions import Terms
-from milletsill.files.framing import Broken, Deframer
-from milletsill.files.wire import Attrs, Malformed, Name
+from milletsill.files.framing import BrokenStream, Deframer
+from milletsill.files.wire import Attrs, Name
 
 DIRECTORY = Attrs(mode=0o040755)
 BY_HANDLE = (packets.Read, packets.Write, packets.Fstat, packets.Fsetstat, packets.Readdir)
@@ -70,8 +71,8 @@
             while self.door in (Door.FRESH, Door.OPEN) and (body := self.deframer.next()) is not None:
                 self.packet(body)
                 self.look()
-        except Broken as error:
-            self.edge.remark("client_broken", reason=str(error))
+        except BrokenStream as error:
+            self.edge.remark("client_broken", **error.at(self.ends[0]).said())
             self.knock(Knock.BROKEN)
         finally:
             self.reading = False
@@ -145,12 +146,12 @@
         self.octets = len(body) + 4
         try:
             packet = packets.decode(body)
-        except packets.UnknownKind as error:
+        except packets.UnknownPacket as error:
             return self.reply(packets.Status(error.id, packets.UNSUPPORTED, str(error)))
         except Malformed as error:
-            self.edge.remark("client_malformed", reason=str(error))
+            self.edge.remark("client_malformed", **error.at(self.ends[0]).said())
             if len(body) >= 5 and self.door is Door.OPEN:
-                return self.reply(packets.Status(int.from_bytes(body[1:5], "big"), packets.BAD_MESSAGE, str(error)))
+                return self.reply(packets.Status(int.from_bytes(body[1:5], "big"), packets.BAD_MESSAGE, error.what))
             return self.knock(Knock.BROKEN)
         if isinstance(packet, packets.Init):
             return self.knock(Knock.INIT)
--- a/milletsill/edge/process.py
+++ b/milletsill/edge/process.py
@@ -13,7 +13,7 @@
 from milletsill.edge.service import Edge
 from milletsill.policy import Scheduler
 from milletsill.settings.decide import check_gateway
-from milletsill.settings.load import Refused, load
+from milletsill.settings.load import RefusedFile, load
 from milletsill.settings.milletsill_pb2 import GatewayFile
 
 SAID_FROM = 0.05  # seconds: a pause worth a line
@@ -66,6 +66,6 @@
     """Read the file again; a bad one, or one that needs a restart, changes nothing."""
     try:
         edge.reload(load(path, GatewayFile, check_gateway))
-    except Refused as error:
+    except RefusedFile as error:
         for each in error.faults:
-            edge.remark("file_refused", reason=str(each))
+            edge.remark("file_refused", **RefusedFile([each]).said())
--- a/milletsill/files/extensions.py
+++ b/milletsill/files/extensions.py
@@ -28,7 +28,7 @@
 from typing import Mapping
 
 from milletsill.files.packets import (Answer, Command, Extended, ExtendedReply, Init, Version, decode, encode)
-from milletsill.files.wire import U32, U64, Malformed, Reader, put_raw, put_text
+from milletsill.files.wire import U32, U64, BadPacket, Reader, put_raw, put_text
 
 COMMAND, DISPATCH, CANCEL = "command@milletsill", "dispatch@milletsill", "cancel@milletsill"
 HELLO, BEAT = "hello@milletsill", "beat@milletsill"
@@ -87,10 +87,10 @@
 def dressed(data: bytes, id: int) -> Command | Answer:
     """The inverse of `bare`; Extended inside Extended is not allowed but for fsync."""
     if not data:
-        raise Malformed("no command behind the terms")
+        raise BadPacket("no command behind the terms")
     packet = decode(data[:1] + U32.pack(id) + data[1:])
     if isinstance(packet, (Init, Version)) or isinstance(packet, Extended) and packet.name != FSYNC:
-        raise Malformed(f"{type(packet).__name__} cannot stand inside another packet")
+        raise BadPacket(f"{type(packet).__name__} cannot stand inside another packet")
     return packet
 
 
@@ -99,7 +99,7 @@
     reader = Reader(packet.body)
     terms = Terms(reader.u32("a patience"), reader.u32("a count of tries"), reader.text("a mark"))
     if len(terms.mark) > MOST_MARK:
-        raise Malformed(f"a mark of {len(terms.mark)} characters, {MOST_MARK} at most")
+        raise BadPacket(f"a mark of {len(terms.mark)} characters, {MOST_MARK} at most")
     return terms, dressed(reader.rest(), packet.id)  # type: ignore[return-value]
 
 
@@ -143,7 +143,7 @@
     reader = Reader(packet.body)
     verdict, text, count = reader.u32("a verdict"), reader.text("a text"), reader.u32("a count of reports")
     if verdict > ERROR or count > MOST_REPORTS:
-        raise Malformed(f"a verdict {verdict} with {count} reports")
+        raise BadPacket(f"a verdict {verdict} with {count} reports")
     report = {reader.text("a report's name"): reader.u32("a report") / 1000 for _ in range(count)}
     used, elsewhere, rest = reader.u32("a use"), reader.u32("units elsewhere"), reader.rest()
     answer = dressed(rest, packet.id) if rest else None
--- a/milletsill/files/framing.py
+++ b/milletsill/files/framing.py
@@ -1,15 +1,17 @@
 """Cuts a stream of bytes into packets: bytes in, packet bodies out, bounded.
 
 A packet is a uint32 length and that many bytes. A length of 0 or past the bound cannot be skipped, so it breaks the
-stream for good: `Broken`.
+stream for good: `BrokenStream`.
 """
 from __future__ import annotations
 
-from milletsill.files.wire import U32, Malformed
+from milletsill.files.wire import U32, BadPacket
 
 
-class Broken(Malformed):
-    """The stream cannot be read any further."""
+class BrokenStream(BadPacket):
+    """A stream whose next length is 0 or past its bound: it cannot be read any further."""
+
+    remedy = "see whether the peer speaks this protocol at all, or whether `most_packet` differs between the two sides"
 
 
 class Deframer:
@@ -32,7 +34,7 @@
             return None
         size = U32.unpack_from(self.held, self.at)[0]
         if not 1 <= size <= self.most:
-            raise Broken(f"a packet of {size} bytes, 1 to {self.most} are taken")
+            raise BrokenStream(f"a packet of {size} bytes, 1 to {self.most} are taken")
         if left < 4 + size:
             return None
         start = self.at + 4
--- a/milletsill/files/packets.py
+++ b/milletsill/files/packets.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, fields
 from typing import ClassVar, Union
 
-from milletsill.files.wire import READERS, U32, WRITERS, Attrs, Malformed, Name, Reader
+from milletsill.files.wire import READERS, U32, WRITERS, Attrs, BadPacket, Name, Reader
 
 VERSION_SPOKEN = 3
 # Open flags, section 6.3.
@@ -264,21 +264,23 @@
 REST_OF = {each: tuple(field.name for field in fields(each))[1:] for each in COMMANDS + ANSWERS}
 
 
-class UnknownKind(Malformed):
+class UnknownPacket(BadPacket):
     """A packet of a kind that version 3 does not have; `id` is what stands where an id would."""
 
+    remedy = "nothing: the client is told that it is not offered; one that insists needs another version"
+
     def __init__(self, kind: int, id: int) -> None:
         super().__init__(f"unknown packet kind {kind}")
         self.id = id
 
 
 def decode(data: bytes) -> Packet:
-    """A packet from its bytes behind the length; `Malformed` where they are not one."""
+    """A packet from its bytes behind the length; `BadPacket` where they are not one."""
     if not data:
-        raise Malformed("an empty packet")
+        raise BadPacket("an empty packet")
     found = BY_KIND.get(data[0])
     if found is None:
-        raise UnknownKind(data[0], U32.unpack_from(data, 1)[0] if len(data) >= 5 else 0)
+        raise UnknownPacket(data[0], U32.unpack_from(data, 1)[0] if len(data) >= 5 else 0)
     made, readers, names = found
     reader = Reader(data, 1)
     values = [read(reader, name) for read, name in zip(readers, names)]
--- a/milletsill/files/wire.py
+++ b/milletsill/files/wire.py
@@ -1,6 +1,6 @@
 """Fields of SFTP version 3 packets, to and from bytes (draft-ietf-secsh-filexfer-02, sections 3 to 5).
 
-Nothing here knows a transport. `Reader` never reads past its packet and raises `Malformed` with one line
+Nothing here knows a transport. `Reader` never reads past its packet and raises `BadPacket` with one line
 that says what was short or wrong.
 """
 from __future__ import annotations
@@ -9,14 +9,18 @@
 from struct import Struct
 from struct import error as StructError
 
+from milletsill.errors import Malformed
+
 U32, U64 = Struct(">I"), Struct(">Q")
 U32_FROM = U32.unpack_from
 ATTR_SIZE, ATTR_OWNER, ATTR_MODE, ATTR_TIMES, ATTR_EXTENDED = 1, 2, 4, 8, 0x80000000
 MOST_ATTR_PAIRS, MOST_NAMES = 16, 4096
 
 
-class Malformed(Exception):
-    """Bytes that the protocol does not allow; the message is one line."""
+class BadPacket(Malformed):
+    """Octets that are no packet of SFTP version 3 or its extensions here."""
+
+    remedy = "find the client or box that sends them and bring it to a version that goes with this one; it alone is cut or told"
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +64,7 @@
         """That many bytes."""
         end = self.at + size
         if end > len(self.data):
-            raise Malformed(f"{what} needs {size} bytes, {len(self.data) - self.at} are left")
+            raise BadPacket(f"{what} needs {size} bytes, {len(self.data) - self.at} are left")
         data, self.at = self.data[self.at:end], end
         return data
 
@@ -74,7 +78,7 @@
             return U32_FROM(self.data, at)[0]
         except StructError:
             self.at = at
-            raise Malformed(f"{what} needs 4 bytes, {len(self.data) - at} are left") from None
+            raise BadPacket(f"{what} needs 4 bytes, {len(self.data) - at} are left") from None
 
     def u64(self, what: str = "a long number") -> int:
         return U64.unpack(self.take(8, what))[0]
@@ -83,7 +87,7 @@
         size = self.u32(what)
         at, data = self.at, self.data
         if size > len(data) - at:
-            raise Malformed(f"{what} needs {size} bytes, {len(data) - at} are left")
+            raise BadPacket(f"{what} needs {size} bytes, {len(data) - at} are left")
         self.at = at + size
         return data[at:at + size]
 
@@ -99,7 +103,7 @@
         if flags & ATTR_EXTENDED:
             count = self.u32("a count of attributes")
             if count > MOST_ATTR_PAIRS:
-                raise Malformed(f"{count} extended attributes, {MOST_ATTR_PAIRS} at most")
+                raise BadPacket(f"{count} extended attributes, {MOST_ATTR_PAIRS} at most")
             for _ in range(2 * count):
                 self.raw("an extended attribute")
         return Attrs(size, uid, gid, mode, atime, mtime)
@@ -107,7 +111,7 @@
     def names(self, what: str = "names") -> tuple[Name, ...]:
         count = self.u32(what)
         if count > MOST_NAMES:
-            raise Malformed(f"{count} names, {MOST_NAMES} at most")
+            raise BadPacket(f"{count} names, {MOST_NAMES} at most")
         return tuple(Name(self.text("a name"), self.text("a long name"), self.attrs()) for _ in range(count))
 
     def rest(self, what: str = "") -> bytes:
@@ -117,7 +121,7 @@
     def end(self) -> None:
         """Nothing may be left."""
         if self.at != len(self.data):
-            raise Malformed(f"{len(self.data) - self.at} bytes left over at the end of a packet")
+            raise BadPacket(f"{len(self.data) - self.at} bytes left over at the end of a packet")
 
 
 def put_raw(data: bytes) -> bytes:
--- a/milletsill/flows/collect.py
+++ b/milletsill/flows/collect.py
@@ -15,7 +15,7 @@
 from twisted.internet.protocol import DatagramProtocol, Factory, Protocol
 
 from milletsill.flows import ipfix, netflow9
-from milletsill.flows.ipfix import Cutter, Malformed
+from milletsill.flows.ipfix import Cutter, BadExport
 
 MOST_SESSIONS, MOST_TOP, LIFETIME = 1024, 100_000, 1800.0  # templates over UDP last as long, in seconds
 SUMMED = ("octetDeltaCount", "reverseOctetDeltaCount", "packetDeltaCount", "reversePacketDeltaCount", "commandDeltaCount",
@@ -81,11 +81,11 @@
         decoder = session.decoders.get(version)
         try:
             if decoder is None:
-                raise Malformed(f"version {version} is not read")
+                raise BadExport(f"version {version} is not read")
             made = decoder.message(data, self.clock())
-        except Malformed as error:
+        except BadExport as error:
             self.malformed += 1
-            return self.complain(f"{source}: {error}")
+            return self.complain(error.at(str(source)).line())
         self.messages += 1
         self.bytes += len(data)
         self.unknown += made.unknown
@@ -171,9 +171,9 @@
         try:
             for message in self.cutter.feed(data):
                 self.collector.message(self.session, message, self.transport.getPeer())
-        except Malformed as error:
+        except BadExport as error:
             self.collector.malformed += 1
-            self.collector.complain(f"{self.transport.getPeer()}: {error}")
+            self.collector.complain(error.at(str(self.transport.getPeer())).line())
             self.transport.abortConnection()
 
 
--- a/milletsill/flows/ipfix.py
+++ b/milletsill/flows/ipfix.py
@@ -11,6 +11,7 @@
 from struct import error as StructError
 from typing import Any, Callable, Iterator, Mapping, Sequence
 
+from milletsill.errors import Malformed
 from milletsill.flows.elements import (DOCUMENTATION_PEN, ELEMENTS, IANA, OURS, REVERSE, REVERSE_PEN, SEMANTICS, TYPES,
                                        VARIABLE, Element, Template)
 
@@ -22,8 +23,10 @@
 MODULO = 1 << 32
 
 
-class Malformed(Exception):
-    """Bytes that RFC 7011 does not allow, or that this decoder will not hold; one line."""
+class BadExport(Malformed):
+    """Octets that RFC 7011 or NetFlow 9 does not allow, or that this decoder will not hold."""
+
+    remedy = "see what exports to this collector; the message alone is passed over, a broken stream is cut"
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,29 +179,29 @@
             self.names[space, each.id] = (each.name, each.type)
 
     def message(self, data: bytes, now: float) -> Decoded:
-        """One whole message; `Malformed` leaves what was learnt before as it was."""
+        """One whole message; `BadExport` leaves what was learnt before as it was."""
         if len(data) < HEADER.size:
-            raise Malformed(f"a message of {len(data)} bytes has no header")
+            raise BadExport(f"a message of {len(data)} bytes has no header")
         version, length, export_time, sequence, domain = HEADER.unpack_from(data)
         if version != VERSION:
-            raise Malformed(f"version {version}, {VERSION} is read")
+            raise BadExport(f"version {version}, {VERSION} is read")
         if length != len(data):
-            raise Malformed(f"a length of {length} in a message of {len(data)} bytes")
+            raise BadExport(f"a length of {length} in a message of {len(data)} bytes")
         made, learnt = Decoded(export_time, sequence, domain), dict[tuple[int, int], Learnt | None]()
         at = HEADER.size
         while at < length:
             if length - at < SET.size:
-                raise Malformed(f"{length - at} bytes left over behind the last set")
+                raise BadExport(f"{length - at} bytes left over behind the last set")
             set_id, size = SET.unpack_from(data, at)
             if size < SET.size or at + size > length:
-                raise Malformed(f"a set of {size} bytes where {length - at} are left")
+                raise BadExport(f"a set of {size} bytes where {length - at} are left")
             body = data[at + SET.size:at + size]
             if set_id in (TEMPLATE_SET, OPTIONS_SET):
                 made.templates += self.learn(body, domain, set_id == OPTIONS_SET, now, learnt)
             elif set_id >= FIRST_DATA:
                 self.data_set(body, domain, set_id, now, learnt, made)
             else:
-                raise Malformed(f"set id {set_id} is not allowed")
+                raise BadExport(f"set id {set_id} is not allowed")
             at += size
         self.keep(learnt)
         for _, _, values in made.rows:
@@ -229,7 +232,7 @@
                     scope = WIDTHS[2].unpack_from(body, at)[0]
                     at += 2
                 if template_id < FIRST_DATA or fields > MOST_FIELDS or options and not 0 < scope <= fields:
-                    raise Malformed(f"template {template_id} with {fields} fields, {scope} of scope")
+                    raise BadExport(f"template {template_id} with {fields} fields, {scope} of scope")
                 specifiers = []
                 for _ in range(fields):
                     id, length = SET.unpack_from(body, at)
@@ -240,11 +243,11 @@
                         at += 4
                     specifiers.append(Field(pen, id & 0x7FFF, length))
                 if not any(each.length for each in specifiers):
-                    raise Malformed(f"template {template_id} describes no byte")
+                    raise BadExport(f"template {template_id} describes no byte")
                 learnt[domain, template_id] = Learnt(tuple(specifiers), scope, now)
                 count += 1
         except StructError:
-            raise Malformed("a template is cut short") from None
+            raise BadExport("a template is cut short") from None
         return count
 
     def data_set(self, body: bytes, domain: int, set_id: int, now: float,
@@ -264,20 +267,20 @@
                 length = each.length
                 if length == VARIABLE:
                     if at >= len(body):
-                        raise Malformed("a record is cut short")
+                        raise BadExport("a record is cut short")
                     length, at = body[at], at + 1
                     if length == 255:
                         if at + 2 > len(body):
-                            raise Malformed("a record is cut short")
+                            raise BadExport("a record is cut short")
                         length, at = WIDTHS[2].unpack_from(body, at)[0], at + 2
                 if at + length > len(body):
-                    raise Malformed("a record is cut short")
+                    raise BadExport("a record is cut short")
                 name, value = self.value(each, body[at:at + length])
                 values[name] = value
                 at += length
             made.rows.append((set_id, template.scope, values))
         if any(body[at:]):
-            raise Malformed("padding that is not zero")
+            raise BadExport("padding that is not zero")
 
     def value(self, field: Field, data: bytes) -> tuple[str, Any]:
         """A field's name and value; of one that is not known, its numbers and bytes."""
@@ -313,7 +316,7 @@
         while len(self.held) >= 4:
             version, length = SET.unpack_from(self.held)
             if version != VERSION or length < HEADER.size:
-                raise Malformed(f"version {version} and a length of {length} begin no message")
+                raise BadExport(f"version {version} and a length of {length} begin no message")
             if len(self.held) < length:
                 return
             message = bytes(self.held[:length])
--- a/milletsill/flows/netflow9.py
+++ b/milletsill/flows/netflow9.py
@@ -9,7 +9,7 @@
 from typing import Any, Callable, Sequence
 
 from milletsill.flows.elements import ELEMENTS, IANA, OURS, Element, Template
-from milletsill.flows.ipfix import MODULO, SET, WIDTHS, Decoded, Malformed, Record, cut, packer, text_value
+from milletsill.flows.ipfix import MODULO, SET, WIDTHS, Decoded, BadExport, Record, cut, packer, text_value
 
 VERSION, HEADER = 9, Struct(">HHIIII")
 TEMPLATE_SET, OPTIONS_SET, FIRST_DATA, STRING = 0, 1, 256, 48
@@ -98,24 +98,24 @@
 
     def message(self, data: bytes, now: float) -> Decoded:
         if len(data) < HEADER.size:
-            raise Malformed(f"a packet of {len(data)} bytes has no header")
+            raise BadExport(f"a packet of {len(data)} bytes has no header")
         version, _, _, export_time, sequence, domain = HEADER.unpack_from(data)
         if version != VERSION:
-            raise Malformed(f"version {version}, {VERSION} is read")
+            raise BadExport(f"version {version}, {VERSION} is read")
         made, at = Decoded(export_time, sequence, domain), HEADER.size
         while at < len(data):
             if len(data) - at < SET.size:
-                raise Malformed(f"{len(data) - at} bytes left over behind the last flow set")
+                raise BadExport(f"{len(data) - at} bytes left over behind the last flow set")
             set_id, size = SET.unpack_from(data, at)
             if size < SET.size or at + size > len(data):
-                raise Malformed(f"a flow set of {size} bytes where {len(data) - at} are left")
+                raise BadExport(f"a flow set of {size} bytes where {len(data) - at} are left")
             body = data[at + SET.size:at + size]
             if set_id in (TEMPLATE_SET, OPTIONS_SET):
                 made.templates += self.learn(body, domain, set_id == OPTIONS_SET, now)
             elif set_id >= FIRST_DATA:
                 self.data_set(body, domain, set_id, now, made)
             else:
-                raise Malformed(f"flow set id {set_id} is not allowed")
+                raise BadExport(f"flow set id {set_id} is not allowed")
             at += size
         return made
 
@@ -127,10 +127,10 @@
             fields = scope + WIDTHS[2].unpack_from(body, at + 4)[0] // 4 if options else first
             at += head
             if id < FIRST_DATA or not 0 < fields <= MOST_FIELDS or at + 4 * fields > len(body):
-                raise Malformed(f"template {id} with {fields} fields")
+                raise BadExport(f"template {id} with {fields} fields")
             told = [SET.unpack_from(body, at + 4 * each) for each in range(fields)]
             if not sum(size for _, size in told):
-                raise Malformed(f"template {id} describes no byte")
+                raise BadExport(f"template {id} describes no byte")
             at += 4 * fields
             self.templates.pop((domain, id), None)
             self.templates[domain, id] = (told, scope, now)
--- a/milletsill/http1/lines.py
+++ b/milletsill/http1/lines.py
@@ -3,7 +3,7 @@
 
 import httptools
 
-from milletsill.http1.reader import ERRORS, Malformed
+from milletsill.http1.reader import ERRORS, BadMessage
 
 
 class AnswerLines:
@@ -32,9 +32,9 @@
         try:
             self.parser.feed_data(data)
         except ERRORS as error:
-            raise Malformed(502, f"a watch that cannot be read: {error}"[:200]) from None
+            raise BadMessage(502, f"a watch that cannot be read: {error}"[:200]) from None
         self.octets += 0 if self.status else len(data)
         if max(len(self.line), self.octets) > self.most_line:
-            raise Malformed(502, "a line over the bound")
+            raise BadMessage(502, "a line over the bound")
         lines, self.lines = self.lines, []
         return lines
--- a/milletsill/http1/reader.py
+++ b/milletsill/http1/reader.py
@@ -8,14 +8,17 @@
 
 import httptools
 
+from milletsill.errors import Malformed
 from milletsill.http1.decide import AMBIGUOUS, MOST_INTERIM, Bounds, length_of
 
 ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 END = b"\r\n\r\n"
 
 
-class Malformed(Exception):
-    """Bytes that are no message within the bounds; `status` is what a server answers."""
+class BadMessage(Malformed):
+    """Octets that are no message of HTTP/1.1 within the bounds; `status` is what a server answers."""
+
+    remedy = "see which client, node or discovery sends them; its connection alone is closed"
 
     def __init__(self, status: int, reason: str) -> None:
         super().__init__(reason)
@@ -87,7 +90,7 @@
             self.buffer = self.buffer + data if self.buffer else data
 
     def next(self) -> Message | None:
-        """The next whole message; None where more bytes are wanted; `Malformed` once and for all."""
+        """The next whole message; None where more bytes are wanted; `BadMessage` once and for all."""
         if self.message is None:
             self.message = self.head()
         message = self.message
@@ -120,21 +123,21 @@
         end = self.buffer.find(END)
         if end < 0 and len(self.buffer) <= self.bounds.head:
             if AMBIGUOUS.search(self.buffer[:-1] if self.buffer.endswith(b"\r") else self.buffer):
-                raise Malformed(400, "a head that can be read in two ways")
+                raise BadMessage(400, "a head that can be read in two ways")
             return None
         if not 0 <= end <= self.bounds.head - len(END):
-            raise Malformed(431, "a head over the bound")
+            raise BadMessage(431, "a head over the bound")
         head, self.buffer = self.buffer[:end + len(END)], self.buffer[end + len(END):]
         if AMBIGUOUS.search(head):
-            raise Malformed(400, "a head that can be read in two ways")
+            raise BadMessage(400, "a head that can be read in two ways")
         message = Message(self.bounds.body)
         message.parser = self.parser(message)
         try:
             message.parser.feed_data(head)
         except ERRORS as error:
-            raise Malformed(400, f"a head that cannot be read: {error}"[:200]) from None
+            raise BadMessage(400, f"a head that cannot be read: {error}"[:200]) from None
         if message.count > self.bounds.fields:
-            raise Malformed(431, "too many lines in a head")
+            raise BadMessage(431, "too many lines in a head")
         self.read(message)
         return message
 
@@ -142,7 +145,7 @@
         """What the head says of the whole."""
         message.length, message.chunked, status, reason = length_of(message.fields, message.doubled, self.bounds)
         if status:
-            raise Malformed(status, reason)
+            raise BadMessage(status, reason)
 
     def parser(self, message: Message) -> Any:
         raise NotImplementedError
@@ -155,10 +158,10 @@
             try:
                 message.parser.feed_data(data)
             except ERRORS as error:
-                raise Malformed(400, f"chunks that cannot be read: {error}"[:200]) from None
+                raise BadMessage(400, f"chunks that cannot be read: {error}"[:200]) from None
             message.length += len(data)  # with its framing
             if len(message.body) > self.bounds.body or message.length > 2 * self.bounds.body + self.bounds.head:
-                raise Malformed(413, "a body over the bound")
+                raise BadMessage(413, "a body over the bound")
         return message.ended
 
 
@@ -174,9 +177,9 @@
         message.length = max(message.length, 0)
         version = message.parser.get_http_version()
         if version not in ("1.1", "1.0"):
-            raise Malformed(505, "not HTTP/1.1")
+            raise BadMessage(505, "not HTTP/1.1")
         if b"host" in message.doubled or version == "1.1" and b"host" not in message.fields:
-            raise Malformed(400, "not one Host")
+            raise BadMessage(400, "not one Host")
 
 
 class AnswerReader(Reader):
@@ -195,7 +198,7 @@
         if 100 <= message.status < 200 or message.status in (204, 304):
             message.length, message.chunked = 0, False
         if message.length < 0:
-            raise Malformed(502, "an answer whose end is not told")
+            raise BadMessage(502, "an answer whose end is not told")
 
     def next(self) -> Message | None:
         """The next whole answer, 1xx ahead of it passed over."""
@@ -205,5 +208,5 @@
                 return message
             self.interim += 1
             if self.interim > MOST_INTERIM or message.status == 101:
-                raise Malformed(502, "1xx answers without an end")
+                raise BadMessage(502, "1xx answers without an end")
         return None
--- a/milletsill/lab/box.py
+++ b/milletsill/lab/box.py
@@ -8,10 +8,10 @@
 
 from twisted.internet.protocol import Factory, Protocol
 
+from milletsill.errors import Malformed
 from milletsill.files import extensions, packets
 from milletsill.files.extensions import DRAINING, ERROR, FULL, Order, Verdict
 from milletsill.files.framing import Deframer
-from milletsill.files.wire import Malformed
 from milletsill.lab.engine import Engine, Job, Speed
 from milletsill.lab.files import Files
 from milletsill.lab.record import IN, OUT, Recorder
--- a/milletsill/lab/day.py
+++ b/milletsill/lab/day.py
@@ -9,6 +9,7 @@
 from random import Random
 from typing import Any
 
+from milletsill.errors import Unfit
 from milletsill.settings.decide import TROUBLES
 from milletsill.settings.milletsill_pb2 import Scenario
 
@@ -19,8 +20,10 @@
 OF_BOXES = ("vanish", "slow", "pauses", "neighbour")
 
 
-class BadDay(Exception):
-    """Not a day of storage nodes; one line."""
+class BadDay(Unfit):
+    """A file that is no day of storage nodes."""
+
+    remedy = "give a day file of the family `stores`"
 
 
 def scenario_of(day: Any, edges: int | None = None, boxes: int | None = None, seconds: float | None = None) -> Scenario:
--- a/milletsill/lab/wire.py
+++ b/milletsill/lab/wire.py
@@ -12,7 +12,7 @@
 from milletsill.policy import Scheduler
 from milletsill.trace.recorder import Recorder
 from milletsill.trace.tools import Tap
-from milletsill.wirehost.codec import Malformed
+from milletsill.wirehost.codec import BadBatch
 from milletsill.wirehost.host import Instance, serve
 
 
@@ -50,8 +50,8 @@
     kept = Kept(folder)
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer, lambda number: Recorded(number, kept))
-    except Malformed as error:
-        print(f"milletsill: malformed input: {error}", file=sys.stderr)
+    except BadBatch as error:
+        print(f"milletsill: malformed input: {error.line()}", file=sys.stderr)
         return 2
     except BrokenPipeError:
         return 1
--- a/milletsill/links/pool.py
+++ b/milletsill/links/pool.py
@@ -9,10 +9,11 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory, Protocol
 
+from milletsill.errors import Malformed
 from milletsill.files import extensions, packets
 from milletsill.files.extensions import Order, Verdict
 from milletsill.files.framing import Deframer
-from milletsill.files.wire import Malformed
+from milletsill.files.wire import BadPacket
 from milletsill.interface import Outcome
 from milletsill.links.decide import Bounds, Load, Sign, Stage, Way, due, route, step
 
@@ -78,7 +79,7 @@
             while (body := self.deframer.next()) is not None:
                 self.packet(packets.decode(body), len(body) + 4)
         except Malformed as error:
-            self.pool.remark(f"broken bytes from the box: {error}")
+            self.pool.remark(f"broken bytes from the box: {error.line()}")
             return self.sign(Sign.BROKEN)
         self.sign(Sign.WORD)
 
@@ -93,10 +94,10 @@
             self.beats = max(self.beats - 1, 0)
             return
         if not isinstance(packet, packets.ExtendedReply):
-            raise Malformed(f"{type(packet).__name__} where a verdict was due")
+            raise BadPacket(f"{type(packet).__name__} where a verdict was due")
         verdict = extensions.read_verdict(packet)
         if verdict.verdict in (extensions.DONE, extensions.ELSEWHERE) and verdict.answer is None:
-            raise Malformed("a verdict without the answer it speaks of")
+            raise BadPacket("a verdict without the answer it speaks of")
         if sending is not None:
             del self.out[packet.id]
             self.load.out = len(self.out)
--- a/milletsill/planner/codec.py
+++ b/milletsill/planner/codec.py
@@ -6,6 +6,7 @@
 
 from google.protobuf.message import DecodeError
 
+from milletsill.errors import Malformed
 from milletsill.planner.decide import Ask, Grant
 from milletsill.planner.plan_pb2 import Frame, Given, Piece, Wish
 
@@ -13,8 +14,10 @@
 WHATS = ("limit", "reserve", "cold")
 
 
-class Malformed(Exception):
-    """Bytes that are no frame; one line."""
+class BadFrame(Malformed):
+    """Octets between a gateway and its planner that are no frame."""
+
+    remedy = "see that planner.address leads to a planner, and that both run versions that go together"
 
 
 class Frames:
@@ -30,7 +33,7 @@
         while len(self.held) - at >= LENGTH.size:
             size = LENGTH.unpack_from(self.held, at)[0]
             if size > MOST_FRAME:
-                raise Malformed(f"a frame of {size} bytes, {MOST_FRAME} at most")
+                raise BadFrame(f"a frame of {size} bytes, {MOST_FRAME} at most")
             if len(self.held) - at - LENGTH.size < size:
                 break
             at += LENGTH.size
@@ -43,9 +46,9 @@
     try:
         frame = Frame.FromString(data)
     except DecodeError:
-        raise Malformed("a frame that is no protobuf of ours") from None
+        raise BadFrame("a frame that is no protobuf of ours") from None
     if frame.WhichOneof("what") is None or not frame.IsInitialized():
-        raise Malformed("a frame with nothing in it that we know")
+        raise BadFrame("a frame with nothing in it that we know")
     return frame
 
 
@@ -62,7 +65,7 @@
 
 def get_ask(edge: str, incarnation: int, wish: Any) -> Ask:
     if wish.what not in WHATS:
-        raise Malformed(f"an ask for {wish.what[:20]!r}, not one of {', '.join(WHATS)}")
+        raise BadFrame(f"an ask for {wish.what[:20]!r}, not one of {', '.join(WHATS)}")
     return Ask(edge, incarnation, wish.epoch, (wish.what, wish.id), wish.want, wish.capital,
                tuple((each.part, each.heard) for each in wish.lent), wish.sent)
 
@@ -75,6 +78,6 @@
 
 def get_grant(given: Any) -> Grant:
     if given.what not in WHATS:
-        raise Malformed(f"a grant of {given.what[:20]!r}, not one of {', '.join(WHATS)}")
+        raise BadFrame(f"a grant of {given.what[:20]!r}, not one of {', '.join(WHATS)}")
     return Grant(given.epoch, given.incarnation, (given.what, given.id), given.sequence, given.granted, given.lasts, given.lend,
                  given.asked, given.told, given.again)
--- a/milletsill/planner/edge.py
+++ b/milletsill/planner/edge.py
@@ -13,7 +13,7 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from milletsill.interface import Arrival, Listed, Readiness
-from milletsill.planner.codec import VERSION, Frames, Malformed, encoded, get_grant, put_ask
+from milletsill.planner.codec import VERSION, Frames, BadFrame, encoded, get_grant, put_ask
 from milletsill.planner.decide import (GUARD, SECOND, WHOLE, Demand, Edge, Heard, Link, Said, Thing, dial_after, link_step,
                                        want_of, wanted)
 from milletsill.planner.plan_pb2 import Asks, Hello, Refused
@@ -36,8 +36,8 @@
         try:
             for frame in self.frames.feed(data):
                 self.parts.heard(self, frame)
-        except Malformed as error:
-            self.parts.remark("planner", reason=str(error))
+        except BadFrame as error:
+            self.parts.remark("planner", **error.said())
             self.transport.abortConnection()
 
     def connectionLost(self, reason: Any = None) -> None:
--- a/milletsill/planner/service.py
+++ b/milletsill/planner/service.py
@@ -17,10 +17,10 @@
 
 from milletsill.logs import logger
 from milletsill.planner import codec
-from milletsill.planner.codec import Frames, Malformed, encoded, get_ask, put_grant
+from milletsill.planner.codec import Frames, BadFrame, encoded, get_ask, put_grant
 from milletsill.planner.decide import SECOND, Planner, Span
 from milletsill.planner.plan_pb2 import Grants, Refused, Told, Welcome
-from milletsill.planner.store import Unkept, next_epoch
+from milletsill.planner.store import EpochUnkept, next_epoch
 
 MOST_UNREAD, LOOK_EVERY = 4 << 20, 1.0  # bytes that an edge has not read; seconds
 
@@ -58,8 +58,8 @@
         try:
             for frame in self.frames.feed(data):
                 self.heard(frame)
-        except Malformed as error:
-            self.service.remark("malformed", edge=self.name or str(self.transport.getPeer()), reason=str(error))
+        except BadFrame as error:
+            self.service.remark("malformed", edge=self.name or str(self.transport.getPeer()), **error.said())
             self.refuse(str(error))
 
     def heard(self, frame: Any) -> None:
@@ -73,7 +73,7 @@
         elif what == "refused" and self.name:
             self.service.refused(self, frame.refused)
         else:
-            raise Malformed(f"{what} before a hello")
+            raise BadFrame(f"{what} before a hello")
 
     def answer(self, asks: Any) -> None:
         """Each ask of a frame, in one frame."""
@@ -301,8 +301,8 @@
     from twisted.internet import reactor
     try:
         service = Service(file, reactor)
-    except Unkept as error:
-        logger(file.logging.level, file.logging.json, planner=file.name).error("epoch_not_kept", reason=str(error))
+    except EpochUnkept as error:
+        logger(file.logging.level, file.logging.json, planner=file.name).error("epoch_not_kept", **error.said())
         return 1
     service.alone = True
     reactor.callWhenRunning(service.start)
--- a/milletsill/platform/asks.py
+++ b/milletsill/platform/asks.py
@@ -4,6 +4,7 @@
 import re
 from typing import Any, Mapping
 
+from milletsill.errors import Unfit
 from milletsill.facts import REPORTS
 from milletsill.http1.reader import Message
 from milletsill.interface import Arrival
@@ -19,8 +20,10 @@
 MOST = 1e9  # units and cells, where the settings set no bound
 
 
-class BadAsk(Exception):
-    """A request that is no transfer; `status` is its answer."""
+class BadAsk(Unfit):
+    """A client's request that is no transfer; `status` is its answer."""
+
+    remedy = "nothing: the client is told why, and counted under `refused` in the tally"
 
     def __init__(self, status: int, reason: str) -> None:
         super().__init__(reason)
--- a/milletsill/platform/configuration.py
+++ b/milletsill/platform/configuration.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any, Callable, Mapping
 
+from milletsill.errors import Refused
 from milletsill.facts import facts_of, missing_in, unknown_in
 from milletsill.platform.nodes import BadEntry, News, address_of, news_of
 
@@ -18,8 +19,10 @@
           "rules.ask_within_ns", "rules.fall_multiple", "rules.fall_ns", "rules.warm_after_ns")
 
 
-class Refused(Exception):
-    """A configuration that cannot be used; one line."""
+class RefusedPlace(Refused):
+    """The platform's file that cannot be used."""
+
+    remedy = "mend the file that NODE_CONFIG names, then restart or send SIGHUP; a gateway that runs goes on with what it had"
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,19 +43,19 @@
     """The file that NODE_CONFIG names; the other variables stand in for what it leaves out."""
     path = environ.get("NODE_CONFIG", "")
     if not path:
-        raise Refused("NODE_CONFIG names no file")
+        raise RefusedPlace("NODE_CONFIG names no file")
     try:
         with open(path, "rb") as file:
             data = file.read(MOST_OCTETS + 1)
         given = json.loads(data) if len(data) <= MOST_OCTETS else None
     except (OSError, ValueError, RecursionError) as error:
-        raise Refused(f"{path}: {' '.join(str(error).split())[:200]}") from None
+        raise RefusedPlace(" ".join(str(error).split())[:200], path) from None
     if not isinstance(given, dict):
-        raise Refused(f"{path}: not a JSON object of a bearable size")
+        raise RefusedPlace("not a JSON object of a bearable size", path)
     try:
         return deployment_of(given, environ, clock, remark)
     except (BadEntry, ValueError) as error:
-        raise Refused(f"{path}: {' '.join(str(error).split())[:200]}") from None
+        raise RefusedPlace(" ".join(str(error).split())[:200], path) from None
 
 
 def deployment_of(given: Mapping[str, Any], environ: Mapping[str, str], clock: int,
--- a/milletsill/platform/discovery.py
+++ b/milletsill/platform/discovery.py
@@ -6,8 +6,9 @@
 
 from twisted.internet.protocol import ClientFactory, Protocol
 
+from milletsill.errors import line_of
 from milletsill.http1.lines import AnswerLines
-from milletsill.http1.reader import Malformed
+from milletsill.http1.reader import BadMessage
 from milletsill.http1.writer import request
 from milletsill.interface import News as Kind
 from milletsill.platform.decide import DIAL, FIRST_WORD, MOST_LINE, OVERDUE, QUIET, retry_within
@@ -40,8 +41,8 @@
             for line in lines:
                 if not self.over:
                     self.follower.line(self, line.strip())
-        except (Malformed, BadEntry, ValueError, RecursionError) as error:
-            return self.end(" ".join(str(error).split())[:200])
+        except (BadMessage, BadEntry, ValueError, RecursionError) as error:
+            return self.end(line_of(error))
         if self.answer.ended:
             self.end("the watch ended")
 
--- a/milletsill/platform/door.py
+++ b/milletsill/platform/door.py
@@ -8,7 +8,7 @@
 
 from milletsill.http1 import writer
 from milletsill.http1.decide import Bounds
-from milletsill.http1.reader import Malformed, Message, RequestReader
+from milletsill.http1.reader import BadMessage, Message, RequestReader
 from milletsill.platform.decide import LOOK_SHORT, MOST_AHEAD, MOST_DISCARDED, OVER, Cue, Octets, Stage, due, next_stage
 from milletsill.platform.links import Verdict
 
@@ -80,7 +80,7 @@
         while self.stage in (Stage.FRESH, Stage.WAITING) and not self.stuck:
             try:
                 message = self.reader.next()
-            except Malformed as error:
+            except BadMessage as error:
                 return self.refuse(error.status, error.reason)
             if message is None:
                 return
--- a/milletsill/platform/links.py
+++ b/milletsill/platform/links.py
@@ -8,7 +8,7 @@
 
 from milletsill.edge.host import Ended
 from milletsill.http1.decide import Bounds
-from milletsill.http1.reader import AnswerReader, Malformed, Message
+from milletsill.http1.reader import AnswerReader, BadMessage, Message
 from milletsill.http1.writer import request
 from milletsill.interface import Outcome, Readiness
 from milletsill.platform.asks import Cargo, number_in, report_in
@@ -100,7 +100,7 @@
         self.reader.feed(data)
         try:
             message = self.reader.next()
-        except Malformed as error:
+        except BadMessage as error:
             self.node.fleet.note("spoilt", error.reason)
             return self.finish(Outcome.ERROR, None, False)
         if message is None:
--- a/milletsill/platform/nodes.py
+++ b/milletsill/platform/nodes.py
@@ -5,14 +5,17 @@
 from hashlib import blake2b
 from typing import Any, Callable, Sequence
 
+from milletsill.errors import Unfit
 from milletsill.interface import Listed, Readiness
 
 STATES = {"active": Readiness.READY, "leaving": Readiness.DRAINING, "left": Readiness.GONE}
 MOST_ID, MOST_CELL = 200, 1 << 16
 
 
-class BadEntry(Exception):
-    """What describes no node; one line."""
+class BadEntry(Unfit):
+    """An entry of the list that describes no node."""
+
+    remedy = "put the entry right at discovery; the others stand, a whole list that is none is asked for again"
 
 
 @dataclass(frozen=True, slots=True)
--- a/milletsill/platform/process.py
+++ b/milletsill/platform/process.py
@@ -40,13 +40,13 @@
         print(USAGE if wanted else "milletsill: serve takes no arguments", file=sys.stdout if wanted else sys.stderr)
         return 0 if wanted else 2
     signals = Signals()
-    from milletsill.platform.configuration import Refused, read
+    from milletsill.platform.configuration import RefusedPlace, read
     clock = time.monotonic_ns() // 100_000 - time.time_ns() // 100_000
     faults = list[str]()
     try:
         deployment = read(os.environ, clock, faults.append)
-    except Refused as error:
-        print(f"milletsill: {error}", file=sys.stderr)
+    except RefusedPlace as error:
+        print(f"milletsill: {error.line()}", file=sys.stderr)
         return 2
     return serve(deployment, clock, signals, faults)
 
@@ -57,7 +57,7 @@
     from twisted.internet.error import CannotListenError
 
     from milletsill.edge.quiet import SETTLED, settle_memory
-    from milletsill.platform.configuration import Refused, read
+    from milletsill.platform.configuration import RefusedPlace, read
     from milletsill.platform.gateway import Gateway
     from milletsill.platform.lines import Lines
     log = Lines(sys.stdout, gateway=deployment.name)
@@ -68,8 +68,8 @@
     def again() -> None:
         try:
             gateway.reload(read(os.environ, clock, lambda text: gateway.remark("configuration", reason=text)))
-        except Refused as error:
-            log.warning("configuration", reason=str(error))
+        except RefusedPlace as error:
+            log.warning("configuration", **error.said())
 
     def heard(number: int) -> None:
         reactor.callFromThread(again if number == signal.SIGHUP else gateway.terminate)
--- a/milletsill/registry/cache.py
+++ b/milletsill/registry/cache.py
@@ -5,18 +5,21 @@
 import os
 import zlib
 
+from milletsill.errors import Unkept
 from milletsill.interface import Readiness
 from milletsill.registry.decide import BadBox, Box, box_of
 
 FORMAT, MOST_BYTES = 1, 16_000_000
 
 
-class Unusable(Exception):
-    """A cache that cannot be read or written; one line."""
+class ListUnkept(Unkept):
+    """The last list of boxes on disk, which cannot be read or written."""
+
+    remedy = "make room in state_dir or make it writable; traffic goes on, a restart begins without a list until the registry answers"
 
 
 def put(path: str, boxes: dict[str, Box], revision: int) -> None:
-    """Write the list beside and move it into place; `Unusable` where the disk is full or refuses."""
+    """Write the list beside and move it into place; `ListUnkept` where the disk is full or refuses."""
     rows = {key: {"id": each.id, "address": each.address, "size": each.size, "kind": each.kind, "zone": each.zone,
                   "cell": each.cell, "started": each.started,
                   "state": "ready" if each.readiness is Readiness.READY else "draining"}
@@ -34,25 +37,25 @@
             os.unlink(beside)
         except OSError:
             pass
-        raise Unusable(f"{path}: {error.strerror or error}") from None
+        raise ListUnkept(error.strerror or str(error), path) from None
 
 
 def get(path: str) -> tuple[dict[str, Box], int]:
-    """The list and its revision; empty where there is none; `Unusable` where it is torn."""
+    """The list and its revision; empty where there is none; `ListUnkept` where it is torn."""
     try:
         with open(path, "rb") as source:
             data = source.read(MOST_BYTES + 1)
     except FileNotFoundError:
         return {}, 0
     except OSError as error:
-        raise Unusable(f"{path}: {error.strerror or error}") from None
+        raise ListUnkept(error.strerror or str(error), path) from None
     head, _, body = data.partition(b"\n")
     try:
         if len(data) > MOST_BYTES or int(head, 16) != zlib.crc32(body):
-            raise Unusable(f"{path}: checksum does not fit")
+            raise ListUnkept("checksum does not fit", path)
         held = json.loads(body)
         if held["format"] != FORMAT:
-            raise Unusable(f"{path}: format {held['format']}, {FORMAT} is read")
+            raise ListUnkept(f"format {held['format']}, {FORMAT} is read", path)
         return {key: box_of(value) for key, value in held["boxes"].items()}, int(held["revision"])
     except (ValueError, KeyError, TypeError, AttributeError, BadBox) as error:
-        raise Unusable(f"{path}: {error}") from None
+        raise ListUnkept(str(error), path) from None
--- a/milletsill/registry/decide.py
+++ b/milletsill/registry/decide.py
@@ -9,6 +9,7 @@
 from enum import Enum
 from typing import Any, Mapping
 
+from milletsill.errors import Unfit
 from milletsill.interface import Listed, News, Readiness
 
 # IDLE: nothing is asked. RANGING: the whole list is awaited. JOINING: the watch is being opened. WATCHING: it stands.
@@ -60,8 +61,10 @@
     return FOLLOW_TABLE.get((stage, cue), (stage, ""))
 
 
-class BadBox(Exception):
-    """A value that describes no box; one line."""
+class BadBox(Unfit):
+    """A value of the registry that describes no box."""
+
+    remedy = "put the value right in the registry, or delete its key; the other boxes stand"
 
 
 @dataclass(frozen=True, slots=True)
--- a/milletsill/registry/follower.py
+++ b/milletsill/registry/follower.py
@@ -105,8 +105,8 @@
         boxes: dict[str, Box] = {}
         try:
             boxes, _ = cache.get(self.cache_path)
-        except cache.Unusable as error:
-            self.remark(f"the last list is not used: {error}")
+        except cache.ListUnkept as error:
+            self.remark(f"the last list is not used: {error.line()}")
         self.view.replace(boxes, 0)
         self.tell(News.CACHED, self.view.whole())
 
@@ -178,7 +178,7 @@
                 boxes, revision = jsons.read_range(data, self.complain)
                 count = jsons.read_newest(data)[1]
             except jsons.BadAnswer as error:
-                self.remark(f"registry: {error}")
+                self.remark(f"registry: {error.line()}")
                 return self.cue(Cue.FAIL)
             self.view.replace(boxes, revision)
             self.brought, self.before, self.put_off = revision, Newest(0, count, revision), 0
@@ -207,7 +207,7 @@
         try:
             changes, newest, opened, compacted = jsons.read_watch(data, self.complain)
         except jsons.BadAnswer as error:
-            self.remark(f"registry: {error}")
+            self.remark(f"registry: {error.line()}")
             return self.cue(Cue.FAIL)
         self.no_longer_late()
         if compacted:
@@ -325,8 +325,8 @@
             self.save_call = None
             try:
                 cache.put(self.cache_path, self.view.by_key, self.view.revision)
-            except cache.Unusable as error:
-                self.saved(str(error))
+            except cache.ListUnkept as error:
+                self.saved(error.line())
         self.close_stream()
         if getattr(self, "pending", None) is not None:
             self.pending.cancel()
--- a/milletsill/registry/jsons.py
+++ b/milletsill/registry/jsons.py
@@ -10,11 +10,14 @@
 import json
 from typing import Any, Callable
 
+from milletsill.errors import Malformed
 from milletsill.registry.decide import BadBox, Box, Told, box_of
 
 
-class BadAnswer(Exception):
-    """Not what the gateway may say; one line."""
+class BadAnswer(Malformed):
+    """An answer of the registry that its protocol does not allow."""
+
+    remedy = "see that registry.address leads to etcd's JSON gateway (v3); the list that was known stands meanwhile"
 
 
 def encoded(text: str) -> str:
@@ -79,7 +82,8 @@
     try:
         return box_of(json.loads(value))
     except (BadBox, ValueError, RecursionError) as error:
-        complain(f"{key[:200]}: {error if isinstance(error, BadBox) else 'not JSON'}")
+        fault = error if isinstance(error, BadBox) else BadBox("not JSON")
+        complain(fault.at(key[:200]).line())
         return None
 
 
--- a/milletsill/settings/load.py
+++ b/milletsill/settings/load.py
@@ -1,6 +1,6 @@
 """Loads a text-format file into its message, with a line number for every field.
 
-`load` raises `Refused` with one `Fault` for each thing wrong; a fault is one line: file, line, reason. A file is
+`load` raises `RefusedFile` with one `Flaw` for each thing wrong; a flaw is one line: file, line, reason. A file is
 at most MOST_BYTES long.
 """
 from __future__ import annotations
@@ -12,13 +12,15 @@
 from google.protobuf import text_format
 from google.protobuf.message import Message
 
+from milletsill.errors import Refused
+
 MOST_BYTES, MOST_DEPTH, MOST_FAULTS = 4_000_000, 16, 20
 Path = tuple[str, ...]  # of a field: names, with the place of a repeated one, such as ("plan", "0", "weight")
 M = TypeVar("M", bound=Message)
 
 
 @dataclass(frozen=True, slots=True)
-class Fault:
+class Flaw:
     """One thing wrong with a file; line 0 is the file as a whole."""
 
     file: str
@@ -29,10 +31,12 @@
         return f"{self.file}:{self.line}: {self.reason}" if self.line else f"{self.file}: {self.reason}"
 
 
-class Refused(Exception):
-    """A file that is not taken."""
+class RefusedFile(Refused):
+    """A file in protobuf text form that is not taken, with each flaw and its line."""
+
+    remedy = "mend the lines named; `milletsill check FILE` says whether it is fine. A gateway that runs goes on with what it had"
 
-    def __init__(self, faults: Iterable[Fault]) -> None:
+    def __init__(self, faults: Iterable[Flaw]) -> None:
         self.faults = list(faults)
         super().__init__("; ".join(str(each) for each in self.faults))
 
@@ -90,7 +94,7 @@
     """Gathers faults; checks say which field and why."""
 
     def __init__(self, file: str, lines: Lines) -> None:
-        self.file, self.lines, self.faults = file, lines, list[Fault]()
+        self.file, self.lines, self.faults = file, lines, list[Flaw]()
 
     def add(self, path: Path, reason: str) -> None:
         """One fault at a field; (name, place) pairs, the place left out where it is 0."""
@@ -101,20 +105,20 @@
             else:
                 full += [each, "0"]
         if len(self.faults) < MOST_FAULTS:
-            self.faults.append(Fault(self.file, self.lines.line(tuple(full)), reason))
+            self.faults.append(Flaw(self.file, self.lines.line(tuple(full)), reason))
 
 
 def text_from(file: str) -> str:
-    """The text of a file, or `Refused`."""
+    """The text of a file, or `RefusedFile`."""
     try:
         if os.path.getsize(file) > MOST_BYTES:
-            raise Refused([Fault(file, 0, f"longer than {MOST_BYTES} bytes")])
+            raise RefusedFile([Flaw(file, 0, f"longer than {MOST_BYTES} bytes")])
         with open(file, encoding="utf-8") as source:
             return source.read()
     except OSError as error:
-        raise Refused([Fault(file, 0, error.strerror or str(error))]) from None
+        raise RefusedFile([Flaw(file, 0, error.strerror or str(error))]) from None
     except UnicodeDecodeError as error:
-        raise Refused([Fault(file, 0, f"not UTF-8 at byte {error.start}")]) from None
+        raise RefusedFile([Flaw(file, 0, f"not UTF-8 at byte {error.start}")]) from None
 
 
 def load(file: str, made: Callable[[], M], check: Callable[[M, Report], None]) -> M:
@@ -130,9 +134,9 @@
     except text_format.ParseError as error:
         line, reason = error.GetLine() or 0, str(error)
         reason = reason.split(" : ", 1)[-1] if line else reason
-        raise Refused([Fault(file, line, " ".join(reason.split()))]) from None
+        raise RefusedFile([Flaw(file, line, " ".join(reason.split()))]) from None
     except (RecursionError, ValueError) as error:
-        raise Refused([Fault(file, 0, f"cannot be read: {' '.join(str(error).split())[:200]}")]) from None
+        raise RefusedFile([Flaw(file, 0, f"cannot be read: {' '.join(str(error).split())[:200]}")]) from None
     report = Report(file, Lines(text))
     missing = message.FindInitializationErrors()
     for each in missing:
@@ -140,7 +144,7 @@
     if not missing:
         check(message, report)
     if report.faults:
-        raise Refused(report.faults)
+        raise RefusedFile(report.faults)
     return message
 
 
--- a/milletsill/trace/columns.py
+++ b/milletsill/trace/columns.py
@@ -12,6 +12,7 @@
 
 import numpy as np
 
+from milletsill.errors import Malformed
 from milletsill.trace.records import FLOAT, MOST_TEXT, PLAIN, STEP, TEXT
 
 HEAD, U16, U32 = Struct("<BBII"), Struct("<H"), Struct("<I")
@@ -21,8 +22,10 @@
 MOST_COUNT, MOST_TEXTS = 1 << 20, 1 << 16
 
 
-class Malformed(Exception):
-    """Bytes that are no column; one line."""
+class BadColumn(Malformed):
+    """Octets of a block that are no column."""
+
+    remedy = "the block is lost, the others stand: `milletsill trace repair` keeps them"
 
 
 def narrow(values: np.ndarray) -> tuple[int, bytes]:
@@ -76,17 +79,17 @@
     try:
         coding, width, count, size = HEAD.unpack_from(data, at)
     except StructError:
-        raise Malformed("a column is cut short") from None
+        raise BadColumn("a column is cut short") from None
     start = at + HEAD.size
     end = start + size
     if end > len(data) or count > MOST_COUNT:
-        raise Malformed(f"a column of {count} values in {size} bytes where {len(data) - start} are left")
+        raise BadColumn(f"a column of {count} values in {size} bytes where {len(data) - start} are left")
     body = data[start:end]
     if coding == TEXT:
         return list(get_texts(body, count)), end
     if coding == FLOAT:
         if size != 8 * count:
-            raise Malformed(f"{count} floats in {size} bytes")
+            raise BadColumn(f"{count} floats in {size} bytes")
         return np.frombuffer(body, dtype="<f8").tolist(), end
     return get_numbers(body, coding, width, count), end
 
@@ -96,9 +99,9 @@
     try:
         end = at + HEAD.size + HEAD.unpack_from(data, at)[3]
     except StructError:
-        raise Malformed("a column is cut short") from None
+        raise BadColumn("a column is cut short") from None
     if end > len(data):
-        raise Malformed("a column is cut short")
+        raise BadColumn("a column is cut short")
     return end
 
 
@@ -108,7 +111,7 @@
     kind, first = TYPES.get(width), 8 if coding == STEP else 0
     rows = count - 1 if coding == STEP else count
     if kind is None or coding not in (STEP, PLAIN) or rows < 0 or len(body) != first + rows * width:
-        raise Malformed(f"{count} numbers of width {width} and coding {coding} in {len(body)} bytes")
+        raise BadColumn(f"{count} numbers of width {width} and coding {coding} in {len(body)} bytes")
     held = np.frombuffer(body, dtype=kind, offset=first).astype(np.int64)
     if coding == STEP:
         held = np.cumsum(np.concatenate((np.frombuffer(body, dtype="<i8", count=1), held)))
@@ -119,18 +122,18 @@
     try:
         entries, at = U32.unpack_from(body)[0], 4
         if entries > MOST_TEXTS * 16 or 2 * entries > len(body):
-            raise Malformed(f"a dictionary of {entries} texts in {len(body)} bytes")
+            raise BadColumn(f"a dictionary of {entries} texts in {len(body)} bytes")
         texts = []
         for _ in range(entries):
             size = U16.unpack_from(body, at)[0]
             at += 2
             if at + size > len(body):
-                raise Malformed("a dictionary is cut short")
+                raise BadColumn("a dictionary is cut short")
             texts.append(body[at:at + size].decode("utf-8", "surrogateescape"))
             at += size
     except StructError:
-        raise Malformed("a dictionary is cut short") from None
+        raise BadColumn("a dictionary is cut short") from None
     places, end = get(body, at)
     if len(places) != count or end != len(body) or places and not 0 <= min(places) <= max(places) < entries:  # type: ignore[type-var]
-        raise Malformed("places that are not in the dictionary")
+        raise BadColumn("places that are not in the dictionary")
     return [texts[each] for each in places]  # type: ignore[index]
--- a/milletsill/trace/decide.py
+++ b/milletsill/trace/decide.py
@@ -9,6 +9,7 @@
 from statistics import median
 from typing import Any, Callable, Iterable, Iterator, Mapping, Sequence
 
+from milletsill.errors import Unfit
 from milletsill.trace.records import BY_TRANSFER, CATEGORY_PLACE, STORE_PLACE, BlockHead, Kind, Row
 
 SECOND = 10_000
@@ -145,8 +146,10 @@
 
 # --- What a time on the command line means.
 
-class Unclear(Exception):
-    """A text that is no time; one line."""
+class Unclear(Unfit):
+    """A text on the command line that is no time."""
+
+    remedy = "give tenths of a millisecond, +90s, +5m or +1h after the opening, or ISO 8601"
 
 
 SPANS = {"s": SECOND, "m": 60 * SECOND, "h": 3600 * SECOND}
--- a/milletsill/trace/format.py
+++ b/milletsill/trace/format.py
@@ -23,6 +23,7 @@
 import xxhash
 import zstandard
 
+from milletsill.errors import Malformed
 from milletsill.trace import columns
 from milletsill.trace.decide import MOST_INDEXED, Stores
 from milletsill.trace.records import BLOCK_HEAD, BY_NUMBER, PLAIN, STEP, BlockHead, Kind, Row
@@ -36,8 +37,10 @@
 MOST_BODY, MOST_RAW, MOST_RECORDS, MOST_HEADER, MOST_FOOTER = 1 << 26, 1 << 27, 1 << 20, 1 << 24, 1 << 28
 
 
-class Malformed(Exception):
-    """Bytes that are no trace, or no longer one; one line."""
+class BadTrace(Malformed):
+    """A file that is no trace, or no longer one."""
+
+    remedy = "`milletsill trace verify` says what is broken, `trace repair` keeps the blocks that are whole"
 
 
 def store_bits(store: str) -> list[int]:
@@ -74,31 +77,31 @@
 def get_header(data: bytes) -> tuple[dict[str, Any], int]:
     """What the header says, and where it ends. `data` holds the file's beginning."""
     if len(data) < HEAD.size:
-        raise Malformed("too short for a trace")
+        raise BadTrace("too short for a trace")
     magic, major, minor, size, crc = HEAD.unpack_from(data)
     if magic != MAGIC:
-        raise Malformed("not a trace")
+        raise BadTrace("not a trace")
     if major != MAJOR:
-        raise Malformed(f"format {major}.{minor}, {MAJOR}.x is read")
+        raise BadTrace(f"format {major}.{minor}, {MAJOR}.x is read")
     body = data[HEAD.size:HEAD.size + size]
     if size > MOST_HEADER or len(body) < size or zlib.crc32(body) != crc:
-        raise Malformed("the header is cut or damaged")
+        raise BadTrace("the header is cut or damaged")
     try:
         about = json.loads(body)
     except (ValueError, RecursionError):
-        raise Malformed("the header is not JSON") from None
+        raise BadTrace("the header is not JSON") from None
     if not isinstance(about, dict):
-        raise Malformed("the header is not a JSON object")
+        raise BadTrace("the header is not a JSON object")
     return {**about, "minor": minor}, HEAD.size + size
 
 
 def header_size(start: bytes) -> int:
     """How many bytes of a file its header takes, from the first HEAD.size of them."""
     if len(start) < HEAD.size:
-        raise Malformed("too short for a trace")
+        raise BadTrace("too short for a trace")
     size = HEAD.unpack_from(start)[3]
     if size > MOST_HEADER:
-        raise Malformed(f"a header of {size} bytes")
+        raise BadTrace(f"a header of {size} bytes")
     return HEAD.size + size
 
 
@@ -121,7 +124,7 @@
     _, size, crc = FOOTER_HEAD.unpack_from(data)
     body = data[FOOTER_HEAD.size:FOOTER_HEAD.size + size]
     if len(body) != size or zlib.crc32(body) != crc:
-        raise Malformed("the index of stores is cut or damaged")
+        raise BadTrace("the index of stores is cut or damaged")
     raw, at, found = unpack(body, MOST_FOOTER, "the index of stores"), 0, dict[str, list[int]]()
     try:
         while at < len(raw):
@@ -129,12 +132,12 @@
             count = NUMBER.unpack_from(raw, name_ends)[0]
             ends = name_ends + NUMBER.size + 4 * count
             if ends > len(raw) or len(found) >= MOST_INDEXED:
-                raise Malformed("the index of stores is cut short or too large")
+                raise BadTrace("the index of stores is cut short or too large")
             name = raw[at + NAME_SIZE.size:name_ends].decode("utf-8", "surrogateescape")
             found[name] = np.frombuffer(raw, "<u4", count, name_ends + NUMBER.size).tolist()
             at = ends
     except StructError:
-        raise Malformed("the index of stores is cut short") from None
+        raise BadTrace("the index of stores is cut short") from None
     return found
 
 
@@ -161,12 +164,12 @@
 def get_head(data: bytes, offset: int) -> BlockHead:
     """The head of the block whose bytes begin `data`."""
     if len(data) < BLOCK_HEAD.size:
-        raise Malformed("a block's head is cut short")
+        raise BadTrace("a block's head is cut short")
     magic, size, raw, records, first, last, crc, stores, own = BLOCK_HEAD.unpack_from(data)
     if magic != BLOCK or zlib.crc32(data[:BLOCK_HEAD.size - 4]) != own:
-        raise Malformed("no block here, or its head is damaged")
+        raise BadTrace("no block here, or its head is damaged")
     if size > MOST_BODY or raw > MOST_RAW or not 0 < records <= MOST_RECORDS:
-        raise Malformed(f"a block of {size} bytes and {records} records")
+        raise BadTrace(f"a block of {size} bytes and {records} records")
     return BlockHead(offset, size, raw, records, first, last, crc, stores)
 
 
@@ -174,35 +177,35 @@
     """Unpacked bytes, at most so many: a body that claims or yields more is refused before memory is taken."""
     try:
         if zstandard.frame_content_size(body) > most:
-            raise Malformed(f"{what} unpacks to more than {most} bytes")
+            raise BadTrace(f"{what} unpacks to more than {most} bytes")
         return zstandard.ZstdDecompressor().decompress(body, max_output_size=most)
     except zstandard.ZstdError as error:
-        raise Malformed(f"{what} cannot be unpacked: {error}") from None
+        raise BadTrace(f"{what} cannot be unpacked: {error}") from None
 
 
 def get_rows(head: BlockHead, body: bytes, only: frozenset[int] | None = None) -> list[Row]:
-    """The records of a block, those of unknown kinds left out, or all but the kinds of `only`; `Malformed` where the body is
+    """The records of a block, those of unknown kinds left out, or all but the kinds of `only`; `BadTrace` where the body is
     not what the head says."""
     if len(body) != head.size or zlib.crc32(body) != head.crc:
-        raise Malformed("a block is cut or damaged")
+        raise BadTrace("a block is cut or damaged")
     raw = unpack(body, head.raw, "a block")
     if len(raw) != head.raw:
-        raise Malformed("a block unpacks to another size")
+        raise BadTrace("a block unpacks to another size")
     try:
         return list(rows_of(raw, head.records, only))
-    except columns.Malformed as error:
-        raise Malformed(f"in a block: {error}") from None
+    except columns.BadColumn as error:
+        raise BadTrace(f"in a block: {error}") from None
 
 
 def rows_of(raw: bytes, records: int, only: frozenset[int] | None = None) -> Iterator[Row]:
     kinds, at = columns.get(raw, 0)
     times, at = columns.get(raw, at)
     if len(kinds) != records or len(times) != records:
-        raise columns.Malformed(f"{len(kinds)} kinds and {len(times)} times of {records} records")
+        raise columns.BadColumn(f"{len(kinds)} kinds and {len(times)} times of {records} records")
     held: dict[int, dict[int, list[object]]] = {}
     while at < len(raw):
         if len(raw) - at < FIELD.size:
-            raise columns.Malformed("bytes left over")
+            raise columns.BadColumn("bytes left over")
         number, place = FIELD.unpack_from(raw, at)
         if only is not None and number not in only:
             at = columns.skip(raw, at + FIELD.size)
@@ -216,7 +219,7 @@
             continue
         fields = [held.get(kind.number, {}).get(place) for place in range(1, len(kind.fields) + 1)]
         if any(each is None or len(each) != count for each in fields):
-            raise columns.Malformed(f"fields of {kind.name} are missing or of another length")
+            raise columns.BadColumn(f"fields of {kind.name} are missing or of another length")
         walks[number] = zip(*fields) if fields else iter([()] * count)  # type: ignore[arg-type]
     for number, time in zip(kinds, times):
         if number in walks:
@@ -233,16 +236,16 @@
 def get_footer(data: bytes) -> tuple[list[tuple[int, int, int, int, bytes]], dict[str, list[int]] | None]:
     """The indexes from a footer's bytes, the trailer left out: offset, records, first, last, filter; blocks of stores."""
     if len(data) < FOOTER_HEAD.size:
-        raise Malformed("the footer is cut short")
+        raise BadTrace("the footer is cut short")
     magic, size, crc = FOOTER_HEAD.unpack_from(data)
     body = data[FOOTER_HEAD.size:FOOTER_HEAD.size + size]
     if magic != FOOTER or len(body) != size or zlib.crc32(body) != crc:
-        raise Malformed("the footer is cut or damaged")
+        raise BadTrace("the footer is cut or damaged")
     raw = unpack(body, MOST_FOOTER, "the footer")
     if len(raw) % ENTRY.size:
-        raise Malformed("the footer is no list of blocks")
+        raise BadTrace("the footer is no list of blocks")
     entries = list(ENTRY.iter_unpack(raw))
     stores = get_stores(data[FOOTER_HEAD.size + size:])
     if stores is not None and any(each and not 0 <= each[-1] < len(entries) for each in stores.values()):
-        raise Malformed("the index of stores names blocks that are not there")
+        raise BadTrace("the index of stores names blocks that are not there")
     return entries, stores
--- a/milletsill/trace/reader.py
+++ b/milletsill/trace/reader.py
@@ -8,7 +8,7 @@
 
 from milletsill.trace import format
 from milletsill.trace.decide import Stores, Verdict, chosen, judge
-from milletsill.trace.format import Malformed
+from milletsill.trace.format import BadTrace
 from milletsill.trace.records import BLOCK_HEAD, BlockHead, Row
 
 Heard = Optional[Callable[[int], None]]  # told how many bytes were read, for those who show progress
@@ -71,22 +71,22 @@
         """The blocks, by the index, else by themselves."""
         try:
             self.map.heads = self.indexed()
-        except Malformed:
+        except BadTrace:
             self.walk()
 
     def indexed(self) -> list[BlockHead]:
         """The blocks as the footer has them; sizes follow from the next one's offset."""
         tail = self.take(max(self.size - format.TRAILER.size, 0), format.TRAILER.size)
         if len(tail) < format.TRAILER.size:
-            raise Malformed("no trailer")
+            raise BadTrace("no trailer")
         offset, end = format.TRAILER.unpack(tail)
         last = self.size - format.TRAILER.size
         if end != format.END or not self.start <= offset <= last or last - offset > format.MOST_FOOTER:
-            raise Malformed("no trailer")
+            raise BadTrace("no trailer")
         entries, self.map.stores = format.get_footer(self.take(offset, last - offset))
         ends = [each[0] for each in entries[1:]] + [offset]
         if any(a >= b for a, b in zip([each[0] for each in entries], ends)) or entries and entries[0][0] != self.start:
-            raise Malformed("the footer's blocks do not follow each other")
+            raise BadTrace("the footer's blocks do not follow each other")
         return [BlockHead(at, end - at - BLOCK_HEAD.size, 0, records, first, last_at, 0, stores)
                 for (at, records, first, last_at, stores), end in zip(entries, ends)]
 
@@ -111,7 +111,7 @@
     def head_at(self, at: int) -> tuple[BlockHead | None, str]:
         try:
             head = format.get_head(self.take(at, BLOCK_HEAD.size), at)
-        except Malformed as error:
+        except BadTrace as error:
             return None, str(error)
         return (head, "") if head.end <= self.size else (None, "the last block is cut short")
 
@@ -149,7 +149,7 @@
         try:
             data = self.take(head.offset, BLOCK_HEAD.size + head.size)
             return format.get_rows(format.get_head(data, head.offset), data[BLOCK_HEAD.size:], only)
-        except Malformed as error:
+        except BadTrace as error:
             if all(each.offset != head.offset for each in self.map.breaks):
                 self.map.breaks.append(Break(head.offset, BLOCK_HEAD.size + head.size, str(error)))
             return []
--- a/milletsill/trace/service.py
+++ b/milletsill/trace/service.py
@@ -12,7 +12,7 @@
 import numpy as np
 
 from milletsill.trace.reckoning import Claim, Done, reckon
-from milletsill.trace.format import Malformed
+from milletsill.trace.format import BadTrace
 from milletsill.trace.reader import Heard, Trace
 from milletsill.trace.records import BY_NAME
 
@@ -58,7 +58,7 @@
                      [Claim(each["reserve_rate"], each["weight"]) for each in claims], power or 0.0, facts["largest_units"],
                      facts["share_utility"], facts.get("spare_utility", 0.0))
     except (KeyError, IndexError, TypeError, ValueError) as error:
-        raise Malformed(f"a header without the terms of service: {type(error).__name__} {error}") from None
+        raise BadTrace(f"a header without the terms of service: {type(error).__name__} {error}") from None
 
 
 def done_of(trace: Trace, terms: ServiceTerms, since: int | None = None,
@@ -67,7 +67,7 @@
     for _, _, values in trace.rows(since, until, only=COMMANDS):
         began, span, store, plan, category, _, units, _, _, final, why = values
         if not (0 <= category < len(terms.categories) and 0 <= plan < len(terms.prices)):
-            raise Malformed(f"a command of category {category} and plan {plan}, which the header does not have")
+            raise BadTrace(f"a command of category {category} and plan {plan}, which the header does not have")
         name, target, utility, late = terms.categories[category]
         in_time = final == "satisfied" and span <= target
         counts = 1.0 if in_time else late if final == "satisfied" else 0.0
@@ -105,7 +105,7 @@
         for each, span, final, why in done_of(trace, terms, since, until):
             at = each.second * SECOND // window
             if at not in windows and len(windows) >= MOST_WINDOWS:
-                raise Malformed(f"more than {MOST_WINDOWS} windows: take longer ones")
+                raise BadTrace(f"more than {MOST_WINDOWS} windows: take longer ones")
             held = windows.setdefault(at, Window())
             held.due += each.units * each.utility
             held.in_time += 0.0 if each.late else each.units * each.utility
--- a/milletsill/trace/tools.py
+++ b/milletsill/trace/tools.py
@@ -13,7 +13,7 @@
 
 from milletsill.trace import format
 from milletsill.trace.decide import MOST_AGE, MOST_ROWS, Stores, Wanted, align, block_ends, of_transfers
-from milletsill.trace.format import LEVEL, Malformed
+from milletsill.trace.format import LEVEL, BadTrace
 from milletsill.trace.reader import Heard, Trace
 from milletsill.trace.records import BY_NAME, FLOAT, KINDS, TEXT, BlockHead, Kind, Row
 
@@ -163,7 +163,7 @@
     try:
         return int(about.get("wall_ms", 0)) * 10 - int(about.get("opened", 0))
     except (TypeError, ValueError):
-        raise Malformed("a header whose clock origin is no number") from None
+        raise BadTrace("a header whose clock origin is no number") from None
 
 
 def shifted(trace: Trace, place: int, of: int, shift: int) -> Iterator[Row]:
@@ -333,4 +333,4 @@
         return names.index(category)
     if category.isdecimal():
         return int(category)
-    raise Malformed(f"no category {category!r}; there are {', '.join(names) or 'none named'}")
+    raise BadTrace(f"no category {category!r}; there are {', '.join(names) or 'none named'}")
--- a/milletsill/wirehost/__main__.py
+++ b/milletsill/wirehost/__main__.py
@@ -1,7 +1,7 @@
 """Speaks the bench's wire on standard input and output."""
 import sys
 
-from milletsill.wirehost.codec import Malformed
+from milletsill.wirehost.codec import BadBatch
 from milletsill.wirehost.host import serve
 
 
@@ -9,8 +9,8 @@
     """Exit cleanly when input ends; a plain line and status 2 on input that makes no sense."""
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
-    except Malformed as error:
-        print(f"milletsill: malformed input: {error}", file=sys.stderr)
+    except BadBatch as error:
+        print(f"milletsill: malformed input: {error.line()}", file=sys.stderr)
         return 2
     except BrokenPipeError:
         return 1
--- a/milletsill/wirehost/codec.py
+++ b/milletsill/wirehost/codec.py
@@ -6,6 +6,7 @@
 from typing import Any, BinaryIO, Iterator, Mapping, NamedTuple
 
 from milletsill import facts
+from milletsill.errors import Malformed
 from milletsill.facts import UNIT
 from milletsill.interface import Listed, News, Outcome, Readiness
 
@@ -28,8 +29,10 @@
 NEWS = {0: News.CHANGES, 1: News.WHOLE, 2: News.CACHED, 3: News.FAILED}
 
 
-class Malformed(Exception):
-    """The input is not what the wire page allows."""
+class BadBatch(Malformed):
+    """Input of the simulator's wire that its page does not allow."""
+
+    remedy = "bring the adapter and the simulator to versions that go together"
 
 
 class Event(NamedTuple):
@@ -54,7 +57,7 @@
     if may_end and not data:
         return None
     if len(data) != size:
-        raise Malformed(f"input ended inside {what}: {len(data)} of {size} bytes")
+        raise BadBatch(f"input ended inside {what}: {len(data)} of {size} bytes")
     return data
 
 
@@ -65,12 +68,12 @@
         return None
     number, size, count, clock = HEADER.unpack(head)
     if size < HEADER.size + count * RECORD.size:
-        raise Malformed(f"batch {number}: a length of {size} cannot hold {count} records")
+        raise BadBatch(f"batch {number}: a length of {size} cannot hold {count} records")
     body = read_exactly(stream, size - HEADER.size, f"batch {number}")
     assert body is not None
     events = list(events_of(body, number))
     if len(events) != count:
-        raise Malformed(f"batch {number}: {len(events)} records where the header says {count}")
+        raise BadBatch(f"batch {number}: {len(events)} records where the header says {count}")
     return Batch(number, clock, events)
 
 
@@ -79,26 +82,26 @@
     at = 0
     while at < len(body):
         if len(body) - at < RECORD.size:
-            raise Malformed(f"batch {number}: {len(body) - at} bytes left over after the last record")
+            raise BadBatch(f"batch {number}: {len(body) - at} bytes left over after the last record")
         code, size = RECORD.unpack_from(body, at)
         fixed = FIXED.get(code)
         if fixed is None:
-            raise Malformed(f"batch {number}: unknown event code {code}")
+            raise BadBatch(f"batch {number}: unknown event code {code}")
         start = at + RECORD.size
         at = start + size
         if at > len(body) or size < fixed.size:
-            raise Malformed(f"batch {number}: {NAMES[code]} cannot have a length of {size}")
+            raise BadBatch(f"batch {number}: {NAMES[code]} cannot have a length of {size}")
         fields = fixed.unpack_from(body, start)
         counted = fields[-1] * TAIL[code] if code in TAIL else 0
         if size != fixed.size + counted:
-            raise Malformed(f"batch {number}: {NAMES[code]} is {size} bytes long, not {fixed.size + counted}")
+            raise BadBatch(f"batch {number}: {NAMES[code]} is {size} bytes long, not {fixed.size + counted}")
         yield Event(code, fields, body[start + fixed.size:at])
 
 
 def pick(table: Mapping[int, Any], code: int, what: str) -> Any:
     """The word for a code; an unknown one is malformed input."""
     if code not in table:
-        raise Malformed(f"unknown {what} {code}")
+        raise BadBatch(f"unknown {what} {code}")
     return table[code]
 
 
@@ -120,7 +123,7 @@
     try:
         return facts.facts_of(json.loads(text))
     except ValueError as error:
-        raise Malformed(f"settings: {error}") from None
+        raise BadBatch(f"settings: {error}") from None
 
 
 def action(code: int, layout: str) -> Any:
--- a/milletsill/wirehost/host.py
+++ b/milletsill/wirehost/host.py
@@ -7,7 +7,7 @@
 from milletsill.interface import Answer, Arrival, Listed, News
 from milletsill.policy import Scheduler
 from milletsill.wirehost import codec
-from milletsill.wirehost.codec import UNIT, Event, Malformed
+from milletsill.wirehost.codec import UNIT, Event, BadBatch
 
 LONGEST_TIMER = 70 * 60 * 1_000_000_000  # the wire takes timers of up to 71 minutes
 
@@ -67,11 +67,11 @@
             return
         module = self.module
         if module is None:
-            raise Malformed(f"{codec.NAMES[event.code]} for instance {self.number}, which was never born")
+            raise BadBatch(f"{codec.NAMES[event.code]} for instance {self.number}, which was never born")
         if event.code == codec.UPDATE:
             news = codec.pick(codec.NEWS, fields[0], "kind of Update")
             if news is not News.FAILED and fields[2] not in banks:
-                raise Malformed(f"Update names list {fields[2]}, which never came")
+                raise BadBatch(f"Update names list {fields[2]}, which never came")
             module.listed(now, news, () if news is News.FAILED else banks[fields[2]])
         elif event.code == codec.TAKEN:
             tid, key, sharers, category, plan, flags, shard, units, volume, ends = fields
@@ -112,7 +112,7 @@
                 current = self.instances.get(number) or self.instances.setdefault(number, self.make(number))
                 heard[number], current.clock = current, batch.clock
             elif current is None:
-                raise Malformed(f"batch {batch.number}: {codec.NAMES[event.code]} before any Instance")
+                raise BadBatch(f"batch {batch.number}: {codec.NAMES[event.code]} before any Instance")
             elif event.code in (codec.CRASH, codec.BORN) and current.module is not None:
                 current = self.fresh(current, heard)
                 if event.code == codec.BORN:
@@ -132,7 +132,7 @@
         """Run the module; an exception in it is said on the wire."""
         try:
             call()
-        except Malformed:
+        except BadBatch:
             raise
         except Exception as error:
             instance.said.append(codec.text_action(3, whereabouts(error)))
--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -3,8 +3,8 @@
 
 from milletsill.files import extensions, packets
 from milletsill.files.extensions import Order, Terms, Verdict
-from milletsill.files.framing import Broken, Deframer
-from milletsill.files.wire import Attrs, Malformed, Name
+from milletsill.files.framing import BrokenStream, Deframer
+from milletsill.files.wire import Attrs, BadPacket, Name
 
 SAMPLES = [
     packets.Init(3), packets.Version(3, extensions.offered()), packets.Open(1, "/a/\udcff", 26, Attrs(size=5, mode=0o644)),
@@ -30,19 +30,19 @@
             for end in range(len(data)):
                 try:
                     packets.decode(data[:end])
-                except Malformed as error:
+                except BadPacket as error:
                     self.assertNotIn("\n", str(error))
 
     def test_bytes_left_over_are_malformed(self):
-        with self.assertRaises(Malformed):
+        with self.assertRaises(BadPacket):
             packets.decode(packets.encode(packets.Close(1, b"h"))[4:] + b"\0")
 
     def test_a_count_of_names_past_the_bound_is_refused_before_memory_is_taken(self):
-        with self.assertRaises(Malformed):
+        with self.assertRaises(BadPacket):
             packets.decode(b"\x68" + b"\0\0\0\1" + b"\xff\xff\xff\xff")
 
     def test_an_unknown_kind_tells_its_id(self):
-        with self.assertRaises(packets.UnknownKind) as caught:
+        with self.assertRaises(packets.UnknownPacket) as caught:
             packets.decode(b"\x63\0\0\0\7rest")
         self.assertEqual(caught.exception.id, 7)
 
@@ -55,7 +55,7 @@
 
     def test_a_command_within_a_command_within_a_command_is_refused(self):
         inner = extensions.put_terms(Terms(), packets.Stat(1, "/a"))
-        with self.assertRaises(Malformed):
+        with self.assertRaises(BadPacket):
             extensions.read_terms(extensions.put_terms(Terms(), inner))
 
 
@@ -72,7 +72,7 @@
         for length in (0xFFFFFFFF, 10_001, 0):
             deframer = Deframer(10_000)
             deframer.feed(length.to_bytes(4, "big"))
-            with self.assertRaises(Broken):
+            with self.assertRaises(BrokenStream):
                 deframer.next()
 
 
--- a/tests/test_flows_codec.py
+++ b/tests/test_flows_codec.py
@@ -8,7 +8,7 @@
 from milletsill.flows import ipfix, netflow9
 from milletsill.flows.elements import (BOX_FLOW, CLIENT_FLOW, COMMAND, ELEMENTS, IANA, OURS, TEMPLATES, TYPE_INFO,
                                        Template)
-from milletsill.flows.ipfix import Malformed, Record
+from milletsill.flows.ipfix import BadExport, Record
 
 TEXT = st.text(max_size=400)
 
@@ -123,7 +123,7 @@
             for codec in (ipfix, netflow9):
                 try:
                     codec.Decoder().message(data, 0)
-                except Malformed as error:
+                except BadExport as error:
                     self.assertNotIn("\n", str(error))
 
     def test_a_stream_is_cut_into_messages_at_any_byte(self):
@@ -131,7 +131,7 @@
         cutter = ipfix.Cutter()
         found = [each for at in range(0, len(data), 7) for each in cutter.feed(data[at:at + 7])]
         self.assertEqual((b"".join(found), len(found)), (data, 3))
-        with self.assertRaises(Malformed):
+        with self.assertRaises(BadExport):
             list(ipfix.Cutter().feed(b"\0\x0a\0\x02"))
 
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -7,7 +7,7 @@
 from milletsill.http1 import writer
 from milletsill.http1.decide import Bounds
 from milletsill.http1.lines import AnswerLines
-from milletsill.http1.reader import AnswerReader, Malformed, RequestReader
+from milletsill.http1.reader import AnswerReader, BadMessage, RequestReader
 
 HOST = b"Host: a\r\n"
 STREAM = (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 300\r\n\r\n" + b"x\r\n" * 100
@@ -28,7 +28,7 @@
 class Requests(unittest.TestCase):
 
     def refused(self, data, status):
-        with self.assertRaises(Malformed, msg=data[:80]) as caught:
+        with self.assertRaises(BadMessage, msg=data[:80]) as caught:
             read(RequestReader(Bounds()), data)
         self.assertEqual(caught.exception.status, status, data[:80])
 
@@ -69,7 +69,7 @@
         for reader in (RequestReader(Bounds()), AnswerReader(Bounds())):
             try:
                 read(reader, *pieces)
-            except Malformed as error:
+            except BadMessage as error:
                 self.assertIn(error.status, range(400, 600))
 
 
@@ -88,7 +88,7 @@
     def test_what_is_not_whole_or_over_the_bound_is_malformed(self):
         for data in (b"HTTP/1.1 200 OK\r\n\r\nuntil the end", b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n",
                      b"HTTP/1.1 101 Up\r\n\r\n", b"HTTP/1.1 103 Hint\r\n\r\n" * 20, b"noise\r\n\r\n"):
-            with self.assertRaises(Malformed, msg=data[:60]):
+            with self.assertRaises(BadMessage, msg=data[:60]):
                 read(AnswerReader(Bounds()), data)
 
     def test_octets_behind_a_whole_answer_leave_it_good(self):
@@ -100,7 +100,7 @@
         lines = AnswerLines(100)
         self.assertEqual(lines.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\na\nb\r\n"), [b"a"])
         self.assertEqual(lines.feed(b"2\r\nc\n\r\n"), [b"bc"])
-        with self.assertRaises(Malformed):
+        with self.assertRaises(BadMessage):
             lines.feed(b"c8\r\n" + b"x" * 200)
 
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -21,7 +21,7 @@
 from milletsill.files import packets
 from milletsill.interface import Listed, Readiness
 from milletsill.planner import codec, store
-from milletsill.planner.codec import Frames, Malformed, encoded
+from milletsill.planner.codec import Frames, BadFrame, encoded
 from milletsill.planner.decide import (GUARD, MOST_WAIT, SECOND, Ask, Demand, Edge, Grant, Lent, Link, Said, Span, dial_after, link_step,
                                        want_of)
 from milletsill.planner.edge import Parts
@@ -122,7 +122,7 @@
         path = os.path.join(self.folder, "file")
         with open(path, "w", encoding="ascii") as sink:
             sink.write("in the way")
-        with self.assertRaises(store.Unkept):
+        with self.assertRaises(store.EpochUnkept):
             store.next_epoch(path, Random(1))
 
 
@@ -145,11 +145,11 @@
     def test_any_bytes_are_frames_or_one_line(self, data):
         try:
             list(Frames().feed(data))
-        except Malformed as error:
+        except BadFrame as error:
             self.assertNotIn("\n", str(error))
 
     def test_a_frame_that_claims_too_much_is_refused_before_it_comes(self):
-        with self.assertRaises(Malformed):
+        with self.assertRaises(BadFrame):
             list(Frames().feed((1 << 30).to_bytes(4, "big")))
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -27,7 +27,7 @@
 from milletsill.http1.reader import RequestReader
 from milletsill.interface import News, Outcome, Readiness
 from milletsill.platform.asks import BadAsk, Cargo, Categories, report_in
-from milletsill.platform.configuration import Refused, deployment_of, read
+from milletsill.platform.configuration import RefusedPlace, deployment_of, read
 from milletsill.platform.decide import OVER, SILENT, WHOLE, Octets, Process, Stage, due, leave_within, shares_of
 from milletsill.platform.discovery import Dial, Follower
 from milletsill.platform.gateway import Gateway
@@ -541,10 +541,10 @@
                          json.dumps(GIVEN | {"settings": SETTINGS | {"classes": 5}})):
                 with open(path, "w") as file:
                     file.write(text)
-                with self.assertRaises(Refused, msg=text[:50]) as caught:
+                with self.assertRaises(RefusedPlace, msg=text[:50]) as caught:
                     read({"NODE_CONFIG": path}, 0, list[str]().append)
                 self.assertNotIn("\n", str(caught.exception))
-            with self.assertRaises(Refused):
+            with self.assertRaises(RefusedPlace):
                 read({}, 0, print)
 
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -191,11 +191,11 @@
             for bad in (data[:at], data[:at] + bytes((data[at] ^ 1,)) + data[at + 1:]):
                 with open(self.path, "wb") as sink:
                     sink.write(bad)
-                with self.assertRaises(cache.Unusable):
+                with self.assertRaises(cache.ListUnkept):
                     cache.get(self.path)
 
     def test_a_full_disk_leaves_the_old_list_and_one_line(self):
-        with self.assertRaises(cache.Unusable) as caught:
+        with self.assertRaises(cache.ListUnkept) as caught:
             cache.put("/dev/full/x", {}, 1)
         self.assertNotIn("\n", str(caught.exception))
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,7 +2,7 @@
 import unittest
 
 from milletsill.settings.decide import check_gateway, check_scenario
-from milletsill.settings.load import Refused, parse
+from milletsill.settings.load import RefusedFile, parse
 from milletsill.settings.milletsill_pb2 import GatewayFile, Scenario
 
 GOOD = """name: "edge-1"
@@ -39,27 +39,27 @@
 
     def test_each_bad_file_is_refused_with_its_line_and_reason(self):
         for old, new, line, reason in BAD:
-            with self.subTest(new), self.assertRaises(Refused) as caught:
+            with self.subTest(new), self.assertRaises(RefusedFile) as caught:
                 parse(GOOD.replace(old, new), "f", GatewayFile, check_gateway)
             fault = caught.exception.faults[0]
             self.assertEqual((fault.line, reason in fault.reason, "\n" in str(fault)), (line, True, False), str(fault))
 
     def test_roots_within_each_other_are_refused(self):
         text = GOOD + 'volume { name: "b" root: "/suva/b" plan: "basic" cell: 0 }\n'
-        with self.assertRaises(Refused) as caught:
+        with self.assertRaises(RefusedFile) as caught:
             parse(text, "f", GatewayFile, check_gateway)
         self.assertEqual((caught.exception.faults[0].line, "within" in str(caught.exception)), (8, True))
 
     def test_a_file_of_nonsense_gives_one_line(self):
         for text in ("{" * 5000, "\0", "name: \"", "a { " * 200):
-            with self.assertRaises(Refused) as caught:
+            with self.assertRaises(RefusedFile) as caught:
                 parse(text, "f", GatewayFile, check_gateway)
             self.assertNotIn("\n", str(caught.exception))
 
     def test_a_scenario_with_a_cell_without_a_box_is_refused(self):
         inner = GOOD.replace("\n", " ")
         text = f'name: "d"\nedges: 1\nkind {{ name: "k" }}\nbox {{ kind: "k" }}\ngateway {{ {inner} }}\n'
-        with self.assertRaises(Refused) as caught:
+        with self.assertRaises(RefusedFile) as caught:
             parse(text, "f", Scenario, check_scenario)
         self.assertIn("without a box", str(caught.exception))
 
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -12,7 +12,7 @@
 from milletsill.trace import columns, format, tools
 from milletsill.trace.decide import (FEW_ROWS, LONGER, MOST_AGE, MOST_ROWS, Tracing, Verdict, Word, block_ends, file_ends, judge, retry_after,
                                      room, step, to_delete)
-from milletsill.trace.format import Malformed
+from milletsill.trace.format import BadTrace
 from milletsill.trace.reader import Trace, repair, verify
 from milletsill.trace.records import BLOCK_HEAD, BY_NAME, FLOAT, KINDS, TEXT
 from milletsill.trace.writer import Writer
@@ -86,7 +86,7 @@
     def test_any_bytes_are_a_column_or_refused(self, data):
         try:
             columns.get(data, 0)
-        except columns.Malformed as error:
+        except columns.BadColumn as error:
             self.assertNotIn("\n", str(error))
 
 
@@ -107,7 +107,7 @@
         header = format.header_size(data[:format.HEAD.size])
         for cut in range(len(data)):
             if cut < header:
-                with self.assertRaises(Malformed):
+                with self.assertRaises(BadTrace):
                     self.read(data[:cut])
                 continue
             found, known = self.read(data[:cut])
@@ -158,7 +158,7 @@
     def test_another_major_version_is_refused_in_one_line(self):
         data = bytearray(whole(rows(1))[0])
         data[8] = 2
-        with self.assertRaises(Malformed) as caught:
+        with self.assertRaises(BadTrace) as caught:
             self.read(bytes(data))
         self.assertIn("format 2.", str(caught.exception))
 
@@ -187,7 +187,7 @@
         at %= len(data)
         try:
             self.read(data[:at] + noise + data[at + len(noise):])
-        except Malformed as error:
+        except BadTrace as error:
             self.assertNotIn("\n", str(error))
 
 
--- a/tests/test_trace_tools.py
+++ b/tests/test_trace_tools.py
@@ -19,7 +19,7 @@
 from milletsill.lab.wire import Kept, Recorded
 from milletsill.trace import format, tools
 from milletsill.trace.decide import MOST_FOLLOWED, MOST_INDEXED, TOLERATED, Stores, Unclear, Verdict, align, moment
-from milletsill.trace.format import Malformed
+from milletsill.trace.format import BadTrace
 from milletsill.trace.reader import Trace, repair, verify
 from milletsill.trace.records import BY_NAME, KINDS
 from milletsill.trace.service import ServiceTerms, put_terms, summarise
@@ -153,7 +153,7 @@
         data = format.FOOTER_HEAD.pack(format.STORES, len(packed), zlib.crc32(packed)) + packed
         try:
             format.get_stores(data)
-        except Malformed as error:
+        except BadTrace as error:
             self.assertNotIn("\n", str(error))
 
     @settings(max_examples=60, deadline=None, derandomize=True)
@@ -171,7 +171,7 @@
         try:
             found = verify(path)
             list(tools.cut(path, path + ".cut", store="a"))
-        except Malformed as error:
+        except BadTrace as error:
             self.assertNotIn("\n", str(error))
         else:
             self.assertTrue(found.verdict is not Verdict.WHOLE or len(found.heads) == 2 or found.breaks)
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -6,7 +6,7 @@
 from milletsill import facts as shared
 from milletsill.interface import News, Outcome
 from milletsill.wirehost import codec
-from milletsill.wirehost.codec import Batch, Event, Malformed
+from milletsill.wirehost.codec import Batch, Event, BadBatch
 from milletsill.wirehost.host import Host, serve
 
 FACTS = json.dumps({"peers_total": 2, "resolution_ns": 2_000_000, "membership_mode": "on_request",
@@ -44,7 +44,7 @@
                      frame(1, 5, event(codec.INSTANCE, 1)[:-1]), frame(1, 5, event(codec.RING, 1)),
                      frame(1, 5, event(codec.INSTANCE, 1), event(codec.RING, 1)),
                      frame(1, 5, b"\x0b\xff\xff\xff\xff")):
-            with self.assertRaises(Malformed):
+            with self.assertRaises(BadBatch):
                 self.answered(data)
 
     def test_limits_round_so_that_none_is_passed(self):
