--- a/benchmarks/planner.py
+++ b/benchmarks/planner.py
@@ -12,7 +12,9 @@
 from random import Random
 
 from milletsill.planner import codec
-from milletsill.planner.decide import SECOND, WHOLE, Edge, Planner, Span
+from milletsill.planner.decide.granting import Planner
+from milletsill.planner.decide.lending import Edge
+from milletsill.planner.decide.terms import SECOND, WHOLE, Span
 from milletsill.planner.plan_pb2 import Asks, Frame, Grants
 
 
--- a/milletsill/planner/edge.py
+++ b/milletsill/planner/edge.py
@@ -14,8 +14,10 @@
 
 from milletsill.interface import Arrival, Listed, Readiness
 from milletsill.planner.codec import VERSION, Frames, BadFrame, encoded, get_grant, put_ask
-from milletsill.planner.decide import (GUARD, SECOND, WHOLE, Demand, Edge, Heard, Link, Said, Thing, dial_after, link_step,
-                                       want_of, wanted)
+from milletsill.planner.decide.lending import Edge, Heard
+from milletsill.planner.decide.link import Link, Said, dial_after, link_step
+from milletsill.planner.decide.terms import GUARD, SECOND, WHOLE, Thing
+from milletsill.planner.decide.wants import Demand, want_of, wanted
 from milletsill.planner.plan_pb2 import Asks, Hello, Refused
 from milletsill.planner.service import span_of
 
--- a/milletsill/planner/model.py
+++ b/milletsill/planner/model.py
@@ -1,4 +1,4 @@
-"""A model of planner, edges and a network that loses, doubles, delays and reorders, run on the very functions of decide.py.
+"""A model of planner, edges and a network that loses, doubles, delays and reorders, run on the very functions of decide.
 
     python -m milletsill.planner.model [--walks N --steps N --edges N]
 
@@ -15,8 +15,10 @@
 from typing import Any, Callable, Iterator
 from unittest import mock
 
-from milletsill.planner import decide
-from milletsill.planner.decide import SECOND, WHOLE, Ask, Edge, Grant, Holding, Lent, Planner, Share, Span
+from milletsill.planner.decide.granting import Planner
+from milletsill.planner.decide.lending import Heard, Edge, Holding
+from milletsill.planner.decide.plan import Share
+from milletsill.planner.decide.terms import SECOND, WHOLE, Ask, Grant, Lent, Span
 
 THING, SPAN, MOST_FLYING = ("limit", 1), Span(4 * SECOND, 0, 0.2), 6
 
@@ -223,7 +225,7 @@
     """A grant lasts from when it arrives."""
     held = self.holdings[grant.thing]
     found = _take(self, grant, now)
-    if found is decide.Heard.TAKEN:
+    if found is Heard.TAKEN:
         held.granted_ends = now + grant.lasts
     return found
 
@@ -232,7 +234,7 @@
     """A grant that comes after its end is taken, and lasts from then."""
     held = self.holdings[grant.thing]
     found = _take(self, grant, now)
-    if found is decide.Heard.TOO_LATE:
+    if found is Heard.TOO_LATE:
         held.granted, held.granted_ends = grant.granted, now + grant.lasts
     return found
 
--- a/milletsill/planner/service.py
+++ b/milletsill/planner/service.py
@@ -18,7 +18,8 @@
 from milletsill.logs import logger
 from milletsill.planner import codec
 from milletsill.planner.codec import Frames, BadFrame, encoded, get_ask, put_grant
-from milletsill.planner.decide import SECOND, Planner, Span
+from milletsill.planner.decide.granting import Planner
+from milletsill.planner.decide.terms import SECOND, Span
 from milletsill.planner.plan_pb2 import Grants, Refused, Told, Welcome
 from milletsill.planner.store import EpochUnkept, next_epoch
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -22,8 +22,10 @@
 from milletsill.interface import Listed, Readiness
 from milletsill.planner import codec, store
 from milletsill.planner.codec import Frames, BadFrame, encoded
-from milletsill.planner.decide import (GUARD, MOST_WAIT, SECOND, Ask, Demand, Edge, Grant, Lent, Link, Said, Span, dial_after, link_step,
-                                       want_of)
+from milletsill.planner.decide.lending import Edge
+from milletsill.planner.decide.link import MOST_WAIT, Link, Said, dial_after, link_step
+from milletsill.planner.decide.terms import GUARD, SECOND, Ask, Grant, Lent, Span
+from milletsill.planner.decide.wants import Demand, want_of
 from milletsill.planner.edge import Parts
 from milletsill.planner.plan_pb2 import Asks, Welcome, Wish
 from milletsill.planner.service import Service
--- a/tests/test_planner_decide.py
+++ b/tests/test_planner_decide.py
@@ -3,9 +3,10 @@
 from dataclasses import replace
 
 from milletsill.planner import model
-from milletsill.planner.decide import (GUARD, MOST_PROMISES, PLAN_EVERY, SECOND, WHOLE, Ask, Edge, Grant, Heard,
-                                       Holding, Lent, Planner, Pot,
-                                       Share, Span, even, fair, plan)
+from milletsill.planner.decide.granting import Planner
+from milletsill.planner.decide.lending import Edge, Heard, Holding
+from milletsill.planner.decide.plan import PLAN_EVERY, Pot, Share, fair, plan
+from milletsill.planner.decide.terms import GUARD, MOST_PROMISES, SECOND, WHOLE, Ask, Grant, Lent, Span, even
 
 SPAN, THING = Span(4 * SECOND, 5, 0.2), ("limit", 1)
 NOW = 1000 * SECOND
