--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -3,7 +3,7 @@
 import copy
 
 from milletsill.platform.gateway import Gateway
-from tests import test_platform as shared
+from tests import platform_rig as shared
 
 KILLED, COUNTED, STEP = 0.7, 3.0, 0.05  # seconds after the longest patience, which counts as three at most
 
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -6,7 +6,7 @@
 
 from milletsill.platform.discovery import Follower
 from milletsill.platform.gateway import Gateway
-from tests import test_platform as shared
+from tests import platform_rig as shared
 
 TOLD, MOVED = 6.0, 4.0  # seconds: the platform counts what a silent watch missed, and what came after SIGHUP, as told by then
 BEAT, STEP, MANY = 2.0, 0.05, 100
