--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -1,23 +1,17 @@
 """Flow export: its decisions, its cache, its senders against collectors that fail, and exact sums through a gateway."""
-import socket
 import unittest
 from itertools import count
 from random import Random
 
-from twisted.internet import defer, reactor
-from twisted.internet.protocol import Factory, Protocol
 from twisted.internet.task import Clock
-from twisted.trial.unittest import TestCase
 
-from milletsill.files import packets
-from milletsill.flows.collect import Collector, Ear, Gap, Lines
+from milletsill.flows.collect import Collector, Gap
 from milletsill.flows.decide import (Account, Kind, Level, Metering, Post, Tally, Word, back_off, ended, post, receivers,
                                      shed, templates_due, victim)
 from milletsill.flows.elements import CLIENT_FLOW, NO_ROOM_END
 from milletsill.flows.exporter import Exporter
 from milletsill.flows.meter import BoxKey, Cache, ClientKey, Meter
 from milletsill.settings.milletsill_pb2 import FlowExport
-from tests.rig import Client, Rig, later
 
 
 class Decided(unittest.TestCase):
@@ -259,144 +253,5 @@
         self.assertEqual(told[:2], [1, 3])
 
 
-class Deaf(Protocol):
-    """Accepts and never reads."""
-
-    def connectionMade(self):
-        self.transport.pauseProducing()
-        self.factory.held.append(self)
-
-
-class Through(TestCase):
-    """A whole gateway with export on, against collectors on loopback."""
-
-    timeout = 25
-
-    async def rig(self, *addresses, transport="tcp", **given):
-        rig = Rig(self)
-        rig.file.flows.SetInParent()
-        for each in addresses:
-            rig.file.flows.collector.add(address=each, transport=transport)
-        rig.file.flows.idle_s = 0.5
-        for field, value in given.items():
-            setattr(rig.file.flows, field, value)
-        self.edge = await rig.edge(most_handles=100)
-        return rig
-
-    def listen(self, factory):
-        port = reactor.listenTCP(0, factory, interface="127.0.0.1")
-        self.addCleanup(port.stopListening)
-        return f"127.0.0.1:{port.getHost().port}"
-
-    async def work(self, rig, client, reads=30):
-        """Commands of all sorts; bytes as the client counted them."""
-        handle = await client.open("/f/x")
-        going = [client.command(packets.Write(0, handle, each, b"data")) for each in range(4)]
-        await defer.gatherResults(going)
-        for each in range(reads):
-            await client.command(packets.Read(0, handle, 0, each + 1) if each % 2 else packets.Stat(0, f"/h/{each}"))
-
-    def client_of(self, rig):
-        counted = {"to": 0, "back": 0, "packets": 0}
-
-        class Counted(Client):
-            def connectionMade(self):
-                write = self.transport.write
-
-                def counting(data):
-                    counted["to"] += len(data)
-                    counted["packets"] += 1
-                    write(data)
-                self.transport.write = counting
-                super().connectionMade()
-
-            def dataReceived(self, data):
-                counted["back"] += len(data)
-                super().dataReceived(data)
-        return Counted(), counted
-
-    async def test_sums_equal_what_client_and_boxes_counted(self):
-        collector = Collector(lambda row: None, lambda text: self.fail(text))
-        rig = await self.rig(self.listen(Lines(collector)))
-        client, counted = self.client_of(rig)
-        from twisted.internet.endpoints import TCP4ClientEndpoint
-        factory = Factory.forProtocol(lambda: client)
-        await TCP4ClientEndpoint(reactor, "127.0.0.1", self.edge.ports[0].getHost().port).connect(factory)
-        rig.clients.append(client)
-        await client.ready
-        await self.work(rig, client)
-        ended = defer.Deferred()
-        self.edge.stopped.append(lambda: ended.callback(None))
-        self.edge.terminate()
-        await ended
-        await later(0.3)
-        sums = collector.sums
-        self.assertEqual((sums["client octetDeltaCount"], sums["client reverseOctetDeltaCount"],
-                          sums["client packetDeltaCount"]), (counted["to"], counted["back"], counted["packets"]))
-        self.assertEqual((sums["client commandDeltaCount"], sums["client satisfiedDeltaCount"]), (35, 35))
-        self.assertEqual(sums["box dispatchDeltaCount"], sum(box.answered for box in rig.boxes))
-        self.assertEqual((collector.unknown, collector.malformed, collector.missing), (0, 0, 0))
-        report = [each for each in collector.options.values() if "exportedCommandTotalCount" in each][0]
-        self.assertEqual((report["exportedCommandTotalCount"], report["gatewayName"]), (35, "edge-t"))
-
-    async def test_a_collector_that_never_reads_slows_nobody_and_is_left(self):
-        deaf, collector = Factory.forProtocol(Deaf), Collector(lambda row: None, lambda text: None)
-        deaf.held = []
-        rig = await self.rig(self.listen(deaf), self.listen(Lines(collector)))
-        sender = self.edge.flows.exporter.senders[0]
-        client = await rig.client(self.edge)
-        handle = await client.open("/f/x")
-        for _ in range(20):
-            sender.pipe.transport.write(bytes(1 << 20)) if sender.pipe else None
-            await client.command(packets.Stat(0, "/f/x"))
-        self.assertEqual(sender.state, Post.STUCK)
-        sender.stuck_at -= 60_000
-        await later(0.3)
-        self.assertEqual(sender.state, Post.AWAY)
-        await client.command(packets.Read(0, handle, 0, 1))
-        await later(1.2)
-        self.assertGreater(collector.sums["client commandDeltaCount"], 20)
-        for each in deaf.held:
-            each.transport.abortConnection()
-
-    async def test_a_collector_away_at_the_start_and_restarted_gets_templates_again(self):
-        collector = Collector(lambda row: None, lambda text: None)
-        held = socket.socket()  # keeps its number from everybody else's listeners, and refuses connections
-        self.addCleanup(held.close)
-        held.bind(("127.0.0.1", 0))
-        number = held.getsockname()[1]
-        rig = await self.rig(f"127.0.0.1:{number}")
-        client = await rig.client(self.edge)
-        await client.command(packets.Stat(0, "/f/x"))
-        await later(0.3)
-        self.assertEqual(self.edge.flows.exporter.senders[0].state, Post.AWAY)
-        held.close()
-        port = reactor.listenTCP(number, Lines(collector), interface="127.0.0.1")
-        self.addCleanup(port.stopListening)
-        await later(3)
-        self.assertEqual((collector.sums["client commandDeltaCount"], collector.unknown), (1, 0))
-        self.edge.flows.exporter.senders[0].pipe.transport.abortConnection()
-        await client.command(packets.Stat(0, "/f/x"))
-        await later(2.5)
-        self.assertEqual((collector.sums["client commandDeltaCount"], collector.unknown), (2, 0))
-
-    async def test_udp_and_netflow9(self):
-        collector = Collector(lambda row: None, lambda text: self.fail(text))
-        port = reactor.listenUDP(0, Ear(collector), interface="127.0.0.1")
-        self.addCleanup(port.stopListening)
-        rig = await self.rig(f"127.0.0.1:{port.getHost().port}", transport="udp", copies=True)
-        other = rig.file.flows.collector[0]
-        self.assertEqual(other.protocol, "ipfix")
-        client = await rig.client(self.edge)
-        await self.work(rig, client, 10)
-        await later(1.5)
-        self.assertEqual((collector.sums["client commandDeltaCount"], collector.unknown), (15, 0))
-
-    async def test_export_switched_off_runs_none_of_it(self):
-        import subprocess
-        import sys
-        code = ("import sys, milletsill.edge.process, milletsill.edge.door; "
-                "sys.exit(any(name.startswith('milletsill.flows') for name in sys.modules))")
-        self.assertEqual(subprocess.run([sys.executable, "-c", code]).returncode, 0)
-        rig = Rig(self)
-        self.assertIsNone((await rig.edge()).flows)
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_policy_rules.py
@@ -0,0 +1,278 @@
+"""The seven rules, and their parts: each test builds the state it needs and calls one function."""
+import unittest
+
+from milletsill.interface import News, Outcome, Readiness
+from milletsill.policy.records import Store
+from milletsill.policy.tables import NEVER, Health, Phase
+from tests.helpers import answer, arrival, line, node, scheduler, transfer
+
+
+class Rules(unittest.TestCase):
+    """The gate and the final answers."""
+
+    def test_nothing_is_sent_after_the_clients_time(self):
+        of, _ = scheduler()
+        at, one = node(of), transfer(of, 1)
+        self.assertEqual(of.wait_for(one, at, one.ends), NEVER)
+
+    def test_a_held_transfer_is_declined_before_its_client_leaves(self):
+        of, port = scheduler()
+        one = transfer(of, 1)
+        of.woken(one.ends - 40, one)
+        self.assertEqual(port.of("decline"), [(1, 5000)])
+
+    def test_what_was_never_dispatched_is_given_up_at_half_of_its_clients_time(self):
+        for dispatched, told in ((False, [(1, 5000)]), (True, [])):
+            of, port = scheduler()
+            one = transfer(of, 1)
+            if dispatched:
+                of.dispatch(one, node(of), 0)
+                of.returned(100, answer(1, Outcome.TURNED_AWAY))
+            of.woken(one.ends // 2, one)
+            self.assertEqual(port.of("decline"), told)
+
+    def test_what_is_given_up_is_answered_in_the_same_settle_with_a_time_to_come_back(self):
+        of, port = scheduler()
+        at = node(of)
+        at.rest_until = 4000  # behind its target, and the node is crowded: nothing can be in time there
+        at.lapses = 1
+        of.taken(0, arrival(1))
+        of.settle(0)
+        self.assertEqual((port.of("decline"), of.transfers), ([(1, 5000)], {}))
+
+    def test_what_may_not_go_again_is_answered_with_the_word_of_its_last_dispatch(self):
+        of, port = scheduler(most_dispatches=1)
+        one = transfer(of, 1)
+        of.dispatch(one, node(of), 0)
+        of.returned(100, answer(1, Outcome.ERROR))
+        self.assertEqual((port.of("decline"), of.transfers), ([(1, 5000)], {}))
+
+    def test_a_timeout_at_the_clients_time_is_answered_at_once(self):
+        of, port = scheduler({"repeats": "ticketed", "group": "cell"})
+        at, one = node(of), transfer(of, 1)
+        of.dispatch(one, at, 0)
+        of.returned(one.ends, answer(1, Outcome.TIMED_OUT))
+        self.assertEqual(port.of("abort"), [(1,)])
+
+    def test_a_late_answer_for_a_transfer_that_is_over_changes_nothing(self):
+        of, port = scheduler()
+        at, one = node(of), transfer(of, 1)
+        of.dispatch(one, at, 0)
+        of.abandoned(10, 1)
+        of.returned(20, answer(1, Outcome.SATISFIED, over=True))
+        self.assertEqual([port.of("decline"), port.of("abort"), at.out], [[], [], []])
+
+    def test_an_exclusive_transfer_that_may_have_run_is_aborted_not_declined(self):
+        of, port = scheduler({"repeats": "exclusive"})
+        one = transfer(of, 1)
+        of.dispatch(one, node(of), 0)
+        of.returned(100, answer(1, Outcome.RESET))
+        self.assertEqual([port.of("abort"), port.of("decline")], [[(1,)], []])
+
+    def test_an_exclusive_transfer_that_never_ran_may_go_again(self):
+        of, _ = scheduler({"repeats": "exclusive"})
+        at, one = node(of), transfer(of, 1)
+        of.dispatch(one, at, 0)
+        of.returned(100, answer(1, Outcome.TURNED_AWAY))
+        self.assertEqual((one.phase, of.repeat_wait(one, at, 100)), (Phase.HELD, 0))
+
+    def test_a_ticketed_transfer_keeps_to_its_group_and_window(self):
+        for group, cell, zone, now, lawful in (("cell", 0, 1, 5, True), ("cell", 1, 0, 5, False),
+                                               ("zone", 1, 0, 5, True), ("zone", 0, 1, 5, False),
+                                               ("all", 1, 1, 5, True), ("all", 0, 0, 20_000, False)):
+            of, _ = scheduler({"repeats": "ticketed", "group": group})
+            one, other = transfer(of, 1, ends=90_000), node(of, 8, cell=cell, zone=zone)
+            of.dispatch(one, node(of), 0)
+            one.dispatches[0].outcome = Outcome.TIMED_OUT
+            self.assertEqual(of.repeat_wait(one, other, now) == 0, lawful, (group, cell, zone, now))
+
+    def test_no_second_copy_where_copies_are_not_allowed(self):
+        of, _ = scheduler(may_copy=False)
+        at, one = node(of), transfer(of, 1)
+        of.dispatch(one, at, 0)
+        self.assertEqual(of.repeat_wait(one, at, 5), NEVER)
+
+    def test_a_further_dispatch_goes_only_where_there_is_credit(self):
+        of, _ = scheduler()
+        at, one = node(of), transfer(of, 1)
+        of.dispatch(one, at, 0)
+        at.credit = 0
+        self.assertEqual(of.repeat_wait(one, at, 5), NEVER)
+
+    def test_further_dispatches_stay_within_their_budget_even_before_the_first(self):
+        of, _ = scheduler(further_window=50_000, further_ratio=0.15)
+        at, one = node(of), transfer(of, 1)
+        of.dispatch(one, at, 0)
+        self.assertGreater(of.repeat_wait(one, at, 5), 0)
+        of.taken_at.extend([5] * 6)
+        self.assertEqual(of.repeat_wait(one, at, 5), 0)
+
+    def test_a_node_that_drains_or_is_gone_gives_back_what_it_holds(self):
+        for readiness in (Readiness.DRAINING, Readiness.GONE):
+            of, _ = scheduler()
+            at, one = node(of), transfer(of, 1)
+            of.hold(one, at, 0)
+            of.listed(5, News.CHANGES, [line(7, readiness=readiness)])
+            self.assertEqual((of.wait_for(one, at, 5), of.unplaced[-1], at.extents), (NEVER, one, []))
+
+    def test_a_node_missing_from_a_whole_list_is_barred(self):
+        of, _ = scheduler()
+        at = node(of)
+        of.listed(5, News.WHOLE, [line(8)])
+        self.assertIs(at.health, Health.BARRED)
+
+    def test_a_failed_watch_is_asked_for_again_within_the_stated_time(self):
+        of, port = scheduler()
+        for _ in range(9):
+            of.listed(0, News.FAILED, [])
+            self.assertTrue(0 < port.of("wake")[-1][0] <= 50_000)
+            of.woken(1, "ask")
+        self.assertEqual(len(port.of("watch")), 10)
+
+    def test_a_cold_node_gets_this_gateways_part_and_more_as_it_warms(self):
+        for now, units, lawful in ((0, 5.0, True), (0, 6.0, False), (50_000, 12.0, True), (50_000, 13.0, False),
+                                   (100_001, 99.0, True)):
+            of, _ = scheduler()
+            one = transfer(of, 1, units=units)
+            self.assertEqual(of.cold_wait(one, node(of, since=1), now) == 0, lawful, (now, units))
+
+    def test_where_a_cold_part_is_below_one_unit_gateways_take_turns(self):
+        turns = {}
+        for index in range(100):
+            of, _ = scheduler(gateways=100, index=index)  # all together bear ten units, grown by the turn's time
+            at, one = node(of, since=1), transfer(of, 1)
+            for turn in range(6):
+                if of.cold_wait(one, at, 1 + turn * 15_003) == 0:
+                    turns.setdefault(turn, []).append(index)
+                self.assertGreater(of.cold_wait(one, at, 1 + turn * 15_003 + 2_500), 0, "a turn is over")
+        self.assertEqual([len(turns[turn]) for turn in range(6)], [5, 5, 8, 10, 12, 14])
+        self.assertEqual(turns[0], [7, 8, 9, 10, 11])
+
+    def test_in_its_turn_a_gateway_sends_a_usual_transfers_units_and_no_more(self):
+        of, _ = scheduler(gateways=100, index=7)
+        at, one = node(of, since=1), transfer(of, 1)
+        self.assertGreater(of.cold_wait(transfer(of, 2, units=3.0), at, 5), 0)
+        of.dispatch(one, at, 5)
+        of.learn(at.out[0], answer(1, Outcome.SATISFIED), 600)  # what it answered is not given back within a turn
+        self.assertGreater(of.cold_wait(transfer(of, 3, units=1.0), at, 600), 0)
+
+    def test_a_node_that_starts_a_moment_from_now_is_cold_too(self):
+        for warm_after in (0, 100_000):
+            of, _ = scheduler(gateways=100, index=50, warm_after=warm_after)
+            self.assertGreater(of.cold_wait(transfer(of, 1), node(of, since=3), 1), 0)
+
+    def test_a_restarted_gateway_takes_its_turn_for_spent(self):
+        of, _ = scheduler(gateways=100, index=7)
+        of.listed(5, News.CACHED, [line(7, since=1)])
+        self.assertGreater(of.cold_wait(transfer(of, 1), of.nodes[7], 6), 0)
+
+    def test_what_a_cold_node_answered_may_be_sent_to_it_again(self):
+        of, _ = scheduler()
+        at, one = node(of, since=1), transfer(of, 1, units=5.0)
+        of.dispatch(one, at, 1)
+        self.assertGreater(of.cold_wait(transfer(of, 2), at, 500), 0)
+        of.learn(at.out[0], answer(1, Outcome.SATISFIED), 600)
+        self.assertEqual(of.cold_wait(transfer(of, 3), at, 600), 0)
+
+    def test_small_transfers_to_a_cold_node_weigh_as_usual_ones(self):
+        """Each is as much of a load there, and answers of small ones tell of little work."""
+        of, _ = scheduler()  # this gateway's part is five units, a usual transfer two
+        at = node(of, since=1)
+        for number in range(1, 40):
+            one = transfer(of, number, units=1.0)
+            if of.cold_wait(one, at, 10 * number):
+                break
+            of.dispatch(one, at, 10 * number)
+            of.learn(at.out[-1], answer(number, Outcome.SATISFIED), 10 * number + 5)
+        self.assertEqual(number, 5)
+
+    def test_a_follower_that_a_cold_node_answered_gives_back_less(self):
+        given = []
+        for extent in (5, 6):
+            of, _ = scheduler()
+            at = node(of, since=1)
+            for number, named in ((1, 5), (2, extent)):
+                of.dispatch(transfer(of, number, extent=named), at, 10)
+                of.learn(at.out[-1], answer(number, Outcome.SATISFIED), 20)
+            given.append(at.sends[-1][1])
+        self.assertEqual(given, [-1.0, -2.0])
+
+    def test_a_restarted_gateway_takes_a_cold_nodes_part_for_spent(self):
+        of, _ = scheduler()
+        of.listed(1000, News.CACHED, [line(7, since=900)])
+        self.assertGreater(of.cold_wait(transfer(of, 1), of.nodes[7], 1000), 0)
+
+    def test_one_key_runs_in_order_and_rests_after_an_unsure_end(self):
+        of, _ = scheduler({"in_order": True})
+        at = node(of)
+        one, two = transfer(of, 1, extent=5), transfer(of, 2, extent=5)
+        self.assertEqual([of.key_wait(one, 0), of.key_wait(two, 0) > 0], [0, True])
+        of.dispatch(one, at, 0)
+        of.abandoned(10, 1)
+        self.assertGreater(of.key_wait(two, 10), 0)
+        of.returned(20, answer(1, Outcome.TIMED_OUT))
+        self.assertEqual(of.key_wait(two, 20), 3000)
+
+    def test_a_told_part_of_a_limit_holds_until_its_end_and_then_the_other(self):
+        of, _ = scheduler(plan={"limit_rate": 10.0, "limit_store": 20.0})
+        one = transfer(of, 1)
+        of.part(0, "limit", 1, 0.5, 4001, 0.25)
+        self.assertEqual(of.limit_wait(one, 0), 4001)  # 2 units at 5 a second
+        self.assertEqual(of.limit_wait(one, 4000), 0)
+        of.part(4000, "limit", 1, 0.5, 4000, 0.25)  # over already
+        one.volume.limit.level = 0.0
+        self.assertEqual(of.limit_wait(one, 4000), 8001)
+
+    def test_what_filled_over_the_end_of_a_part_fills_at_the_smaller(self):
+        of, _ = scheduler(plan={"limit_rate": 10.0, "limit_store": 20.0})
+        one = transfer(of, 1)
+        of.part(0, "limit", 1, 0.1, 10_000, 1.0)
+        of.limit_wait(one, 20_000)
+        self.assertAlmostEqual(one.volume.limit.level, 2.0)
+
+    def test_a_larger_part_brings_no_more_of_what_was_before_it(self):
+        of, _ = scheduler(plan={"limit_rate": 10.0, "limit_store": 20.0})
+        one = transfer(of, 1)
+        of.part(0, "limit", 1, 0.1, 99_000, 0.1)
+        of.part(10_000, "limit", 1, 1.0, 99_000, 0.1)
+        self.assertAlmostEqual(one.volume.limit.level, 1.0)
+        of.part(10_000, "limit", 1, None, 0, 0.0)
+        self.assertEqual(of.parts, {})
+
+    def test_a_part_outlives_its_volume(self):
+        of, _ = scheduler(plan={"limit_rate": 10.0, "limit_store": 20.0})
+        one = transfer(of, 1)
+        of.part(0, "limit", 1, 0.1, 1 << 50, 0.1)
+        one.volume.used_at, one.volume.limit.level = 0, 99.0
+        one.volume.reserve.level = 1e9
+        of.forget_idle(1 << 40)
+        self.assertIn(1, of.volumes)
+
+    def test_a_told_part_of_a_cold_budget(self):
+        of, _ = scheduler(gateways=100, index=50)
+        cold, one = node(of, since=1), transfer(of, 1)
+        self.assertGreater(of.cold_wait(one, cold, 2), 0)
+        of.part(0, "cold", 7, 0.5, 1 << 40, 0.01)
+        self.assertEqual(of.cold_wait(one, cold, 2), 0)
+
+    def test_a_told_part_of_a_reserve_takes_the_place_of_the_estimate(self):
+        of, _ = scheduler(plan={"reserve_rate": 100.0})
+        of.part(0, "reserve", 1, 0.9, 1 << 40, 0.5)
+        one = transfer(of, 1, now=10_000)
+        self.assertGreater(one.volume.reserve.level, 90.0)
+
+    def test_the_limit_store_starts_empty_and_is_charged_once(self):
+        of, _ = scheduler(plan={"limit_rate": 10.0, "limit_store": 20.0})
+        at, one = node(of), transfer(of, 1)
+        self.assertGreater(of.limit_wait(one, 0), 0)
+        self.assertEqual(of.limit_wait(one, 2000), 0)
+        of.dispatch(one, at, 2000)
+        self.assertAlmostEqual(one.volume.limit.level, 0.0)
+
+    def test_a_store_fills_to_its_most(self):
+        store = Store(1.0, 0)
+        self.assertEqual([store.fill(5_000, 4.0, 10.0), store.fill(90_000, 4.0, 10.0)], [3.0, 10.0])
+
+
+if __name__ == "__main__":
+    unittest.main()
