--- a/milletsill/settings/decide.py
+++ b/milletsill/settings/decide.py
@@ -5,10 +5,11 @@
 """
 from __future__ import annotations
 
-from ipaddress import ip_address
 from typing import Any
 
+from milletsill.settings.addresses import check_address, check_reached
 from milletsill.settings.channels import check_channels
+from milletsill.settings.exports import check_flows, check_trace
 from milletsill.settings.load import Report
 
 # (field, least, most) of each message; a fault names the field, the figure and the range.
@@ -89,13 +90,6 @@
                     report.add(under + path + (field,), f"{field} {value:g} is not from {least:g} to {most:g}")
 
 
-def check_address(text: str, path: tuple[str, ...], report: Report) -> None:
-    """host:port with a port from 0 to 65535."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or int(port) > 65_535:
-        report.add(path, f"{text!r} is not host:port")
-
-
 def check_logging(file: Any, report: Report, under: tuple[str, ...]) -> None:
     if file.logging.level not in LEVELS:
         report.add(under + ("logging", "level"), f"level {file.logging.level!r} is not one of {', '.join(LEVELS)}")
@@ -105,9 +99,6 @@
                        f"report {field!r} is not one of {', '.join(REPORT_FIELDS)}")
 
 
-LEVELS_OF_METERING, TRANSPORTS, PROTOCOLS = ("commands", "flows", "sampled"), ("tcp", "udp"), ("ipfix", "netflow9")
-
-
 def check_lending(lending: Any, path: tuple[str, ...], report: Report) -> None:
     """Spans that leave room for an ask and its answer."""
     for field, least, most in (("longest_s", 1, 60), ("drift_permille", 0, 100), ("floor", 0.01, 0.9)):
@@ -184,67 +175,6 @@
                                            f"{fleet.exchange_s:g} s")
 
 
-def check_reached(text: str, path: tuple[str, ...], report: Report) -> None:
-    """An IPv4 address and a port that others can be told."""
-    check_address(text, path, report)
-    host, _, port = text.rpartition(":")
-    if not is_ip(host) or ":" in host:
-        report.add(path, f"{host!r} is not an IPv4 address")
-    elif port.isdecimal() and not int(port):
-        report.add(path, "port 0 cannot be told to other gateways")
-
-
-SYNCS = ("blocks", "files", "never")
-
-
-def check_trace(file: Any, report: Report, under: tuple[str, ...]) -> None:
-    """Traces: bounds that fit each other."""
-    if not file.HasField("trace"):
-        return
-    trace, here = file.trace, under + ("trace",)
-    if not trace.folder:
-        report.add(here + ("folder",), "no folder for traces")
-    if trace.sync not in SYNCS:
-        report.add(here + ("sync",), f"sync {trace.sync!r} is not one of {', '.join(SYNCS)}")
-    if trace.total_bytes < 2 * trace.file_bytes:
-        report.add(here + ("total_bytes",), f"{trace.total_bytes} bytes in all hold no two files of {trace.file_bytes}")
-    if trace.block_s > trace.file_s:
-        report.add(here + ("block_s",), f"blocks of {trace.block_s:g} s in files of {trace.file_s:g} s")
-
-
-def check_flows(file: Any, report: Report, under: tuple[str, ...]) -> None:
-    """Collectors, and figures of export that contradict each other."""
-    if not file.HasField("flows"):
-        return
-    flows, here = file.flows, under + ("flows",)
-    if not flows.collector:
-        report.add(here, "flow export without a collector")
-    if flows.closest not in LEVELS_OF_METERING:
-        report.add(here + ("closest",), f"closest {flows.closest!r} is not one of {', '.join(LEVELS_OF_METERING)}")
-    if flows.idle_s > flows.active_s:
-        report.add(here + ("idle_s",), f"an idle time-out of {flows.idle_s:g} s past the active one of "
-                                       f"{flows.active_s:g} s")
-    for place, each in enumerate(flows.collector):
-        one = here + ("collector", str(place))
-        check_address(each.address, one + ("address",), report)
-        for field, words in (("transport", TRANSPORTS), ("protocol", PROTOCOLS)):
-            if getattr(each, field) not in words:
-                report.add(one + (field,), f"{field} {getattr(each, field)!r} is not one of {', '.join(words)}")
-        if each.protocol == "netflow9" and each.transport != "udp":
-            report.add(one + ("transport",), "netflow9 goes over udp alone")
-        if each.transport == "udp" and not is_ip(each.address.rpartition(":")[0]):
-            report.add(one + ("address",), f"a collector over udp needs an IP address, not {each.address!r}")
-        if not 100 <= each.most_queued <= 10_000_000:
-            report.add(one + ("most_queued",), f"most_queued {each.most_queued} is not from 100 to 10000000")
-
-
-def is_ip(text: str) -> bool:
-    try:
-        return bool(ip_address(text))
-    except ValueError:
-        return False
-
-
 def check_names(held: Any, what: str, report: Report, under: tuple[str, ...]) -> set[str]:
     """Names are there and differ; all of them."""
     seen: set[str] = set()
