--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -6,7 +6,6 @@
 from twisted.internet import defer
 from twisted.trial.unittest import TestCase
 
-from milletsill.edge.channels import Channels
 from milletsill.files import channels as wire
 from milletsill.files import packets
 from milletsill.files.extensions import Terms
