--- /dev/null
+++ b/milletsill/lab/health_day.py
@@ -0,0 +1,234 @@
+"""Days with ill boxes on a clock of their own: the real modules, observers, rows and judges over modelled boxes.
+
+Three ways to know: `alone` (each gateway by itself), `shared` (fleet/health) and `truth` (a table of the true state, told at once:
+the best possible). All three play the same traffic, drawn before the day. In `shared` rows reach a few judges, each of which
+speaks for its part of the gateways, after delays as `lab.health_spread` measures them; all else is the code of the product.
+"""
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+from typing import Any
+
+from google.protobuf import text_format
+
+from milletsill.fleet.health.decide import CALM_PUBLISH, LASTS, SECOND, Judge, Order, Verdict
+from milletsill.fleet.health.observe import Observer
+from milletsill.fleet.health.rows import Rows
+from milletsill.fleet.plane import Member, Standing, View
+from milletsill.interface import Answer, Arrival, Outcome
+from milletsill.lab.clockwork import Box, Fleet, Gateway, Transfer
+from milletsill.settings.milletsill_pb2 import Scenario
+
+PERIOD, JUDGES, NEAR, FAR = 3000, 5, 1000, 6000  # a row's way to a judge takes between the last two
+NONE = Outcome.ERROR
+
+SCENARIO = """
+name: "health" edges: 1
+gateway {{ name: "edge" gateways: {gateways} registry {{ address: "127.0.0.1:1" }}
+  rules {{ further_free: 3 further_ratio: 0.3 further_window_ms: 5000 key_rest_ms: 500 cold_units: 40 warm_after_s: 1 }}
+  reports {{ field: "queue" field: "busy" field: "inflight" }}
+  plan {{ name: "standard" usual_rate: 40 reserve_rate: 40 }}
+  category {{ name: "read" target_ms: 300 patience_ms: 1500 utility: 3 late_utility: 0.2 }}
+  category {{ name: "write" target_ms: 400 patience_ms: 3000 utility: 2 late_utility: 0.2 write: true
+             repeats: "ticketed" group: "cell" repeat_window_ms: 7500 }}
+  category {{ name: "export" target_ms: 2000 patience_ms: 6000 utility: 1 late_utility: 0.1 }}
+  {volumes} route {{ category: "read" }} }}
+kind {{ name: "box" cores: 2 slots: 8 queue: 200 cold_s: 0 remembers: 4 seek: 0.5 cancel: "queued" }}
+box {{ count: {boxes} kind: "box" }}
+traffic {{ category: "read" operation: "read" per_s: 60 work_ms: 34 units: 2 run: 2 }}
+traffic {{ category: "write" operation: "write" per_s: 20 work_ms: 45 units: 2 run: 2 }}
+traffic {{ category: "write" operation: "new" per_s: 12 work_ms: 45 units: 2 }}
+traffic {{ category: "export" operation: "read" per_s: 8 work_ms: 64 units: 5 }}
+"""
+
+
+def scenario_of(gateways: int, boxes: int, cell: int) -> Any:
+    """`cell` boxes in each cell."""
+    cells = boxes // cell
+    volumes = " ".join(f'volume {{ name: "v{each}" root: "/v{each}" plan: "standard" cell: [{each % cells}, '
+                       f'{(each + 1) % cells}, {(each + 2) % cells}] }}' for each in range(cells))
+    return text_format.Parse(SCENARIO.format(gateways=gateways, boxes=boxes, volumes=volumes), Scenario())
+
+
+class Ill:
+    """What is wrong with a box: `slow` divides its speed, `fails` is the share that comes to nothing, `still` stops it."""
+
+    def __init__(self, slow: float = 1.0, fails: float = 0.0, still: bool = False) -> None:
+        self.slow, self.fails, self.still = slow, fails, still
+
+    def truth(self, load: float) -> tuple[float, float]:
+        """Strain, and the part of the gateways that had best send, for a box loaded like that."""
+        if self.still:
+            return 4.0, 0.0
+        return min(self.slow - 1 + 3 * self.fails, 4.0), min(0.8 / (load * self.slow), 1.0)
+
+
+KINDS = {"slow 2": Ill(slow=2), "slow 5": Ill(slow=5), "slow 20": Ill(slow=20), "fails a third": Ill(fails=1 / 3),
+         "still": Ill(still=True), "calm": Ill(), "surge": Ill()}
+LOAD = 0.45
+
+
+class Ailing(Box):
+    """A box that may fail a share of its work."""
+
+    fails = 0.0
+
+    def finish(self, jobs: list[Any]) -> None:
+        for each in jobs:
+            if each.what is not None:
+                lost = self.fails and self.chance.random() < self.fails
+                self.fleet.at(self.fleet.now + 5, each.what, NONE if lost else Outcome.SATISFIED)
+
+
+class Knowing(Gateway):
+    """A gateway that tells an observer what it hears. `lies`: of some boxes it says the opposite."""
+
+    observer: Observer | None = None
+
+    def returned(self, transfer: Transfer, number: int, node: int, sent: int, outcome: Outcome, done: list[bool]) -> None:
+        if self.observer is not None and not done[0]:
+            report = self.fleet.boxes[node].report() if outcome is Outcome.SATISFIED else {}
+            answer = Answer(transfer.arrival.id, number, node, outcome, False, self.fleet.now - sent, None, 0, report)
+            self.observer.answer(self.fleet.now, transfer.arrival, answer)
+        super().returned(transfer, number, node, sent, outcome, done)
+
+    def take(self, arrival: Arrival, work: float, path: str, operation: str) -> None:
+        if operation == "new":
+            arrival = replace(arrival, cell=None)
+        super().take(arrival, work, path, operation)
+
+
+class Day(Fleet):
+    """One day in one of the three ways."""
+
+    def __init__(self, ill: str, way: str, seed: int, gateways: int = 150, boxes: int = 44, rate: float = 580.0, cell: int = 2,
+                 begins: float = 8, ends: float = 22, lasts: float = 30, liars: float = 0.0, most_part: float = 0.34) -> None:
+        super().__init__(scenario_of(gateways, boxes, cell), gateways, rate, seed)
+        self.boxes = [Ailing(self, each.engine.kind, seed * 1000 + number) for number, each in enumerate(self.boxes)]
+        self.entries = [replace(each, cell=each.node // cell) for each in self.entries]
+        self.ill, self.way, self.seed, self.liars = ill, way, seed, liars
+        self.begins, self.ends, self.lasts = int(begins * SECOND), int(ends * SECOND), int(lasts * SECOND)
+        self.sick = sorted(Random(seed + 7).sample(range(boxes), boxes // 8)) if ill not in ("calm", "surge") else []
+        self.cells = {each.node: each.cell for each in self.entries}
+        self.worth = self.got = 0.0
+        self.calls: list[tuple[int, int, int, Verdict]] = []  # when, judge, box, verdict
+        for each in self.gateways:
+            each.__class__ = Knowing
+            each.told = self.told  # type: ignore[method-assign]
+        self.others = Random(seed + 11)
+        self.at(self.begins, self.fall)
+        self.at(self.ends, self.mend)
+        if way == "shared":
+            self.share(most_part)
+        if way == "truth":
+            self.order = self.order_of()
+            self.at(self.begins, self.tell_truth)
+
+    def order_of(self) -> Order:
+        view = View(1, [Member(str(each), "", 1, Standing.ALIVE) for each in range(len(self.gateways))])
+        order = Order()
+        order.see(lambda name: map(int, view.chosen(name, len(self.gateways))))
+        return order
+
+    # Troubles.
+
+    def fall(self) -> None:
+        ill = KINDS[self.ill]
+        if self.ill == "surge":
+            self.rate *= 2.0
+        for each in self.sick:
+            box = self.boxes[each]
+            box.engine.speed.slow, box.fails = ill.slow, ill.fails
+            box.engine.speed.still_until = self.ends / SECOND if ill.still else 0.0
+
+    def mend(self) -> None:
+        if self.ill == "surge":
+            self.rate /= 2.0
+        for each in self.sick:
+            self.boxes[each].finish(self.boxes[each].engine.advance(self.now / SECOND))
+            self.boxes[each].engine.speed.slow, self.boxes[each].fails = 1.0, 0.0
+
+    # What a day is worth.
+
+    def told(self, now: int, transfer: Transfer, final: str) -> None:
+        if not self.begins <= transfer.began < self.ends + 4 * SECOND:
+            return
+        category = self.gateways[0].facts["categories"][transfer.arrival.category]
+        worth = category["utility"] * transfer.arrival.units
+        self.worth += worth
+        if final == "satisfied":
+            late = now - transfer.began > category["target_time"]
+            self.got += worth * (category["late_utility"] if late else 1.0)
+
+    # Truth.
+
+    def tell_truth(self) -> None:
+        if self.now < self.ends:
+            strain, part = KINDS[self.ill].truth(LOAD)
+            for box in self.sick:
+                places = self.order(box)
+                for number, each in enumerate(self.gateways):
+                    each.module.advised(self.now, box, strain, places[number] >= part * len(places), min(self.now + 4000, self.ends))
+                    each.settle_soon()
+            self.at(self.now + PERIOD, self.tell_truth)
+
+    # Sharing.
+
+    def share(self, most_part: float) -> None:
+        self.copies = [Rows(-1 - each, 1, 4096, 4096) for each in range(JUDGES)]
+        self.judges = [Judge(most_part) for _ in range(JUDGES)]
+        self.order = self.order_of()
+        self.false = Random(self.seed + 5).sample(range(len(self.gateways)), round(self.liars * len(self.gateways)))
+        self.slandered = Random(self.seed + 13).sample([each for each in self.cells if each not in self.sick],
+                                                       max(len(self.sick), 5))
+        for number, each in enumerate(self.gateways):
+            each.observer = Observer(each.facts)
+            each.observer.list(self.entries)
+            each.own = Rows(number, 1, 2, 4096)
+            each.turn = number
+            self.at(self.others.randrange(PERIOD), self.publish, number)
+        for each in range(JUDGES):
+            self.at(PERIOD + each * PERIOD // JUDGES, self.judge, each)
+
+    def publish(self, number: int) -> None:
+        gateway = self.gateways[number]
+        gateway.turn += 1
+        lies = number in self.false
+        if gateway.observer.ill or gateway.turn % CALM_PUBLISH == 0 or lies:
+            words = gateway.observer.words(self.now)
+            if lies:
+                words = self.lie(words)
+            if words:
+                news = gateway.own.write(words)
+                for rows in self.copies:
+                    self.at(self.now + self.others.randrange(NEAR, FAR), rows.merge, news)
+        self.at(self.now + PERIOD, self.publish, number)
+
+    def lie(self, words: dict[int, Any]) -> dict[int, Any]:
+        """In concert: the same well boxes are ill, the ill ones are well."""
+        from milletsill.fleet.health.rows import Word
+        for box in self.slandered:
+            words[box] = Word(0, self.now, 8.0, 1.0, 1.0, 0.0, 0.0)
+        for box in self.sick:
+            words[box] = Word(0, self.now, 8.0, 0.0, 0.0, 8.0, 0.0)
+        return words
+
+    def judge(self, number: int) -> None:
+        judge = self.judges[number]
+        for each in judge.look(self.copies[number], len(self.gateways), self.order, self.cells, self.now):
+            self.calls.append((self.now, number, each.box, each.new))
+        for place in range(number, len(self.gateways), JUDGES):
+            gateway = self.gateways[place]
+            for box in judge.boxes:
+                if judge.boxes[box].verdict is not Verdict.STEADY:
+                    strain, away = judge.advice(box, self.order(box)[place], len(self.gateways))
+                    gateway.module.advised(self.now, box, strain, away, self.now + LASTS * PERIOD)
+                    gateway.settle_soon()
+        self.at(self.now + PERIOD, self.judge, number)
+
+    def play(self) -> float:
+        """The share of what the day was worth, from the trouble's start until 4 s after its end."""
+        self.start()
+        self.run(self.lasts)
+        return self.got / max(self.worth, 1e-9)
