--- a/milletsill/fleet/health/decide.py
+++ b/milletsill/fleet/health/decide.py
@@ -24,22 +24,24 @@
 LASTS = 4  # periods that advice lasts when it is not renewed
 # Voices: one origin has at most one on each box.
 TRIM = 0.05  # of the gateways: the worst words of so many do not count
-FEWEST, THIRD = 2.5, 1 / 3  # voices for a finding; the trimmed are at most this part of them
+FEWEST, FEWEST_ILL, MOST_TRIM = 2.5, 0.6, 0.2  # voices for a finding, on a box that few try; the trimmed are at most this part of them
 SPREAD_FREE, SPREAD_NONE = 0.3, 0.6  # past the usual, an origin's ill share that starts to cost it its voice, and all of it
-FATIGUE, IDLE_ILL = 20 * SECOND, 0.5  # over this an origin's ill words are held against the usual, plus so many
+FATIGUE, IDLE_ILL = 20 * SECOND, 0.2  # over this an origin's ill words are held against the usual, plus so many
 # Findings: to be called, and to be called no longer.
-ILL_LOST, WELL_LOST, FAILS_LOST = 0.25, 0.1, 0.7
-ILL_PACE, WELL_PACE = 0.6, 0.3  # log2
-PACED, PACE_TAU = 4.0, 3 * SECOND  # voices with a pace that count; a box's pace is smoothed over this
+ILL_LOST, WELL_LOST, FAILS_LOST = 0.2, 0.08, 0.5
+ILL_PACE, WELL_PACE = 0.5, 0.25  # log2
+PACED, PACE_TAU, LOST_TAU = 4.0, 2 * SECOND, 4 * SECOND  # voices with a pace that count; what a box's are smoothed over
+WARM = 3 * SECOND  # of a judge, until it calls
 CONFIRMED = 2  # looks in a row
 # Load: part of the gateways that may send. It sinks while most of what a box gets is wasted, and rises while little is.
 SINK_WASTE, RISE_WASTE, SINK, SINK_FAILING, RISE = 0.5, 0.25, 0.8, 0.5, 0.03
-RAMP, RAMP_STEP = 1.2, 0.02  # of a box that is well again
+RAMP, RAMP_STEP = 1.35, 0.02  # of a box that is well again
 STRAINED = 0.3  # waste of the middle box past which a slow one keeps its load: the others could not bear it
-PROBES, FEWEST_PROBERS = 3.0, 3  # a second on a failing box, in all
-MOST_STRAIN, LOST_STRAIN = 4.0, 3.0  # advice against a node, in shortest target times
+PROBES, FEWEST_PROBERS = 3.0, 3  # a second on all ill boxes, by all gateways; gateways for one box at least
+MOST_STRAIN, LOST_STRAIN, TRIED = 4.0, 3.0, 0.0  # advice against a node, in shortest target times
 
 Verdict = Enum("Verdict", "STEADY DEGRADED FAILING RECOVERING")
+CALLED = (Verdict.DEGRADED, Verdict.FAILING)
 # LOST: most comes to nothing. ILL: much does, or it is slower than its load says. WELL: neither, by a margin. WHOLE: WELL, and
 # all send again. DOUBTED: too many are ill at once.
 # SILENT: nobody of those who may try it says anything.
@@ -82,18 +84,21 @@
     waste: float = 0.0
     pace: float = 0.0
     paced: float = 0.0
+    raw: float = 0.0  # lost, nothing trimmed
 
 
 @dataclass(slots=True)
 class Held:
-    """What a judge holds of one box: who may send by `part`, of the gateways in its order."""
+    """What a judge holds of one box: of the gateways in its order, `part` may send and `open` do so as if it were well."""
 
     verdict: Verdict = Verdict.STEADY
     part: float = 1.0
+    open: float = 1.0
     seems: Finding = Finding.WELL
     times: int = 0
     sum: Sum = field(default_factory=Sum)
     pace: float = 0.0  # smoothed, less what all have
+    lost: float = 0.0  # smoothed, nothing trimmed
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,7 +133,7 @@
         self.most_part = most_part
         self.boxes: dict[int, Held] = {}
         self.ills: dict[int, float] = {}  # smoothed, by origin
-        self.last = 0
+        self.last, self.began = 0, -1
         self.rate = 0.0  # answers a second of the middle gateway from one box
         self.doubted = 0  # boxes whose ill findings were not believed at the last look
 
@@ -144,9 +149,15 @@
         for box, held in self.boxes.items():
             held.sum = self.add(voices.get(box, []), members, held.part, order, box)
         common = self.common()
-        new = 1 - exp(-span / PACE_TAU)
         for held in self.boxes.values():
-            held.pace += new * (held.sum.pace - common - held.pace) if held.sum.paced >= PACED else 0.0
+            if held.sum.paced >= PACED:
+                held.pace += (1 - exp(-span / PACE_TAU)) * (held.sum.pace - common - held.pace)
+            if held.sum.voices > FAINT:
+                held.lost += (1 - exp(-span / LOST_TAU)) * (held.sum.raw - held.lost)
+        if self.began < 0:
+            self.began = now
+        if now - self.began < WARM:  # guards against the few rows that come first; harm: it learns alone until then
+            return []
         found = {box: self.find(held) for box, held in self.boxes.items()}
         self.doubt(found, cells)
         strained = median([each.sum.waste for each in self.boxes.values()] or [0.0]) > STRAINED
@@ -160,7 +171,7 @@
             for box, word in row.words.items():
                 age = now - word.at
                 if age < 4 * TAU and box in cells:
-                    left = exp(-max(age, 0) / TAU)
+                    left = exp(-max(age, 0) / (TAU if self.boxes[box].verdict is Verdict.STEADY else TAU / 2))
                     if word.seen * left > FAINT:
                         found.setdefault(box, []).append(Voice(row.origin, min(word.seen * left, 1.0), word.lost, word.waste,
                                                                min(word.paced * left, 1.0), word.pace))
@@ -202,12 +213,12 @@
         whole = sum(each.weight for each in voices)
         if whole <= 0:
             return Sum()
-        trim = min(max(TRIM * members * part, 1.0 if members > 2 else 0.0), whole * THIRD)
+        trim = min(max(TRIM * members * part, 1.0 if members > 2 else 0.0), whole * MOST_TRIM)
         rest = whole - trim
         return Sum(whole, max(sum(each.weight * each.lost for each in voices) - trim, 0.0) / rest,
                    max(sum(each.weight * each.waste for each in voices) - trim, 0.0) / rest,
                    weighted_median([(each.pace, each.paced) for each in voices if each.paced > 0]),
-                   sum(each.paced for each in voices))
+                   sum(each.paced for each in voices), sum(each.weight * each.lost for each in voices) / whole)
 
     def common(self) -> float:
         """The pace of the middle box: what all have is not a box's."""
@@ -219,21 +230,21 @@
         pace = held.pace
         if all_of.voices <= FAINT:
             finding = Finding.SILENT
-        elif all_of.voices < (FEWEST if held.part >= 1 else FEWEST / 2):
+        elif all_of.voices < (FEWEST if held.verdict not in CALLED else FEWEST_ILL):
             finding = Finding.UNSURE
         elif all_of.lost >= FAILS_LOST:
             finding = Finding.LOST
-        elif all_of.lost >= ILL_LOST or pace >= ILL_PACE:
+        elif max(all_of.lost, held.lost) >= ILL_LOST or pace >= ILL_PACE:
             finding = Finding.ILL
-        elif all_of.lost <= WELL_LOST and pace <= WELL_PACE:
+        elif max(all_of.lost, 0.0 if held.verdict is Verdict.FAILING else held.lost) <= WELL_LOST and pace <= WELL_PACE:
             finding = Finding.WELL
         else:
             finding = Finding.UNSURE
         held.times = held.times + 1 if finding is held.seems else 1
         held.seems = finding
-        if finding in (Finding.LOST, Finding.ILL) and held.times < CONFIRMED:
+        if finding is Finding.ILL and held.times < CONFIRMED:
             return Finding.UNSURE
-        if finding in (Finding.WELL, Finding.SILENT, Finding.UNSURE) and held.part >= 1 and (
+        if finding in (Finding.WELL, Finding.SILENT, Finding.UNSURE) and held.part >= 1 and held.open >= 1 and (
                 finding is not Finding.UNSURE or held.verdict is Verdict.RECOVERING):
             return Finding.WHOLE
         return finding
@@ -242,16 +253,15 @@
         """Guards the rest of the fleet against verdicts on too many at once: of a cell the less ill are not called, and past
         `most_part` of all none is believed, for the fault is elsewhere. Harm: many boxes that are truly ill go uncalled, and
         each gateway learns alone as without the others."""
-        called = (Verdict.DEGRADED, Verdict.FAILING)
         ill = [box for box, each in found.items() if each in (Finding.LOST, Finding.ILL)
-               or each is Finding.UNSURE and self.boxes[box].verdict in called]
+               or each is Finding.UNSURE and self.boxes[box].verdict in CALLED]
         sizes: dict[int, int] = {}
         for cell in cells.values():
             sizes[cell] = sizes.get(cell, 0) + 1
         taken: dict[int, int] = {}
         self.doubted = 0
         spent = len(ill) > max(self.most_part * len(cells), 1.0)
-        ill.sort(key=lambda box: (self.boxes[box].verdict not in called, -self.boxes[box].sum.lost, box))
+        ill.sort(key=lambda box: (self.boxes[box].verdict not in CALLED, -self.boxes[box].sum.lost, box))
         for box in ill:
             cell = cells[box]
             taken[cell] = taken.get(cell, 0) + 1
@@ -263,26 +273,35 @@
         """Read the table and act."""
         old = held.verdict
         held.verdict, effect = TABLE.get((old, finding), (old, ""))
-        least = min(max(PROBES / max(self.rate, 1e-9), FEWEST_PROBERS) / max(members, 1), 1.0)
+        ill = max(sum(each.verdict in CALLED for each in self.boxes.values()), 1)
+        least = min(max(PROBES / ill / max(self.rate, 1e-9), FEWEST_PROBERS) / max(members, 1), 1.0)
         if effect == "sink":
             held.part = max(held.part * SINK_FAILING, least)
         elif effect == "ease" and held.sum.waste > SINK_WASTE and not strained:
             held.part = max(held.part * SINK, least)
         elif effect == "ease" and held.sum.waste < RISE_WASTE:
             held.part = min(held.part + RISE, 1.0)
+        if effect in ("sink", "ease"):
+            held.open = least
         elif effect == "ramp":
             held.part = min(held.part * RAMP + RAMP_STEP, 1.0)
+            held.open = min(held.open * RAMP + RAMP_STEP, held.part)
         if old is held.verdict:
             return None
+        if old is Verdict.FAILING or held.verdict is Verdict.RECOVERING:
+            held.lost = held.sum.lost  # what was is over
         cause = (f"{finding.name.lower()}: {held.sum.voices:.1f} voices, {held.sum.lost:.2f} lost, {held.sum.waste:.2f} of no "
                  f"use, pace {2 ** held.pace:.1f} of the usual")
         return Turn(box, old, held.verdict, cause)
 
     def advice(self, box: int, place: int, members: int) -> tuple[float, bool] | None:
-        """What speaks against a box, in shortest target times, and whether this gateway keeps away; None for nothing."""
+        """What speaks against a box, in shortest target times, and whether this gateway keeps away; None for nothing. Those
+        chosen to try it, and later those for whom it is well again, are drawn to it."""
         held = self.boxes.get(box)
         if held is None or held.verdict is Verdict.STEADY:
             return None
+        if admitted(place, members, held.open):
+            return TRIED, False
         ill = LOST_STRAIN * held.sum.lost + max(2 ** held.pace - 1, 0.0)
         strain = MOST_STRAIN if held.verdict is Verdict.FAILING else min(ill, MOST_STRAIN)
         return strain, not admitted(place, members, held.part)
--- a/milletsill/interface.py
+++ b/milletsill/interface.py
@@ -149,4 +149,8 @@
         """Another part than the even one of a whole: `limit` or `reserve` of a volume, `cold` budget of a node; `share` until
         `ends`, then `after`; a share of None is the even part again."""
 
+    def advised(self, now: int, id: int, strain: float, away: bool, until: int) -> None:
+        """What other gateways make of a node, in shortest target times of strain; `away`: this one better sends it nothing. It
+        ends at `until` where it is not said again; nothing that is safe rests on it."""
+
     def settle(self, now: int) -> None: ...
--- a/milletsill/lab/baselines.py
+++ b/milletsill/lab/baselines.py
@@ -29,6 +29,9 @@
     def part(self, now: int, what: str, id: int, share: float | None, ends: int, after: float) -> None:
         """Knows no rules."""
 
+    def advised(self, now: int, id: int, strain: float, away: bool, until: int) -> None:
+        """Hears no advice."""
+
     def listed(self, now: int, news: News, entries: Sequence[Listed]) -> None:
         if news is News.FAILED:
             return self.port.wake(now + self.facts["ask_within"] // 4, "ask")
