--- a/milletsill/edge/door.py
+++ b/milletsill/edge/door.py
@@ -1,20 +1,18 @@
 """The clients' door: SFTP version 3 packets straight over TCP, bounded on every side."""
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from twisted.internet.protocol import Factory, Protocol
 
 from milletsill.edge.commands import Opened, Running
 from milletsill.edge.decide import BadPath, Door, Knock, Spot, fullness, knock
+from milletsill.edge.seam import Around
 from milletsill.files import extensions, packets
 from milletsill.files.extensions import Terms
 from milletsill.files.framing import Broken, Deframer
 from milletsill.files.wire import Attrs, Malformed, Name
 
-if TYPE_CHECKING:
-    from milletsill.edge.service import Edge
-
 DIRECTORY = Attrs(mode=0o040755)
 BY_HANDLE = (packets.Read, packets.Write, packets.Fstat, packets.Fsetstat, packets.Readdir)
 
@@ -22,11 +20,12 @@
 class Connection(Protocol):
     """One client."""
 
-    def __init__(self, edge: Edge) -> None:
+    def __init__(self, edge: Around) -> None:
         self.edge, self.door = edge, Door.FRESH
         self.deframer = Deframer(edge.file.door.most_packet)
         self.out: dict[int, Running] = {}
         self.handles: dict[bytes, Opened] = {}
+        self.channels: dict[bytes, Any] = {}  # handles of channels, where the gateway keeps any
         self.handle_count, self.unread, self.reading = 0, False, False
         self.octets = 0  # of the packet at hand
         self.full_since: int | None = None
@@ -98,7 +97,7 @@
         if effect == "pause":
             self.full_since = self.edge.now()
         if effect == "version":
-            self.reply(packets.Version(packets.VERSION_SPOKEN, extensions.offered()))
+            self.reply(packets.Version(packets.VERSION_SPOKEN, extensions.offered(*self.edge.extensions)))
         elif effect == "pause":
             self.transport.pauseProducing()
         elif effect == "resume":
@@ -111,6 +110,7 @@
                 each.abandon()
                 self.meter(each, 0)
             self.handles.clear()
+            self.channels.clear()
             if effect == "cut":
                 self.transport.abortConnection()
             elif effect == "close":
@@ -182,7 +182,7 @@
         if isinstance(packet, packets.Realpath):
             return packets.Names(id, (Name(path := edge.canonical(packet.path or "/"), path, Attrs()),))
         if isinstance(packet, packets.Close):
-            gone = self.handles.pop(packet.handle, None)
+            gone = self.handles.pop(packet.handle, None) or self.channels.pop(packet.handle, None)
             return packets.Status(id, packets.OK if gone else packets.FAILURE, "" if gone else "no such handle")
         if isinstance(packet, packets.Extended):
             return self.extended(packet, terms)
@@ -197,6 +197,8 @@
         if packet.name == extensions.LIMITS:
             most = self.edge.atlas.most_bytes
             return extensions.put_limits(packet.id, door.most_packet, most, most, door.most_handles)
+        if packet.name in self.edge.extensions:
+            return self.edge.channels.command(self, packet)
         if packet.name != extensions.FSYNC:
             return packets.Status(packet.id, packets.UNSUPPORTED, f"unknown extension {packet.name[:40]!r}")
         opened = self.handles.get(extensions.read_fsync(packet))
@@ -294,7 +296,7 @@
 
     noisy = False
 
-    def __init__(self, edge: Edge) -> None:
+    def __init__(self, edge: Around) -> None:
         self.edge = edge
 
     def buildProtocol(self, addr: Any) -> Connection:
--- a/milletsill/edge/service.py
+++ b/milletsill/edge/service.py
@@ -14,9 +14,10 @@
                                     canonical, pass_on, taken_since)
 from milletsill.edge.door import Clients, Connection
 from milletsill.edge.host import Ended, Host, Make
-from milletsill.edge.identity import next_incarnation
-from milletsill.edge.logs import logger
+from milletsill.edge.identity import keep, next_incarnation
+from milletsill.logs import logger
 from milletsill.edge.metrics import Figures
+from milletsill.errors import Fault
 from milletsill.files.extensions import Order
 from milletsill.interface import Arrival, Listed, News
 from milletsill.links.pool import Pool, Sending
@@ -54,7 +55,7 @@
         seed = file.seed if file.HasField("seed") else random.SystemRandom().getrandbits(63)
         self.follower = Follower(reactor, now, file.registry, given["warm_after"],
                                  os.path.join(file.state_dir, "boxes.json"), self.listed, self.moved,
-                                 lambda text: self.remark("list", reason=text), file.name)
+                                 lambda text: self.remark("list", reason=text), file.name, random.Random(f"{seed} list").uniform)
         self.traces = self.tracer(given, seed) if file.HasField("trace") else None
         if self.traces is not None:
             make = self.traces.around(make)
@@ -62,6 +63,9 @@
                          lambda text: self.remark("module", reason=text), self.figures.note)
         self.flows = self.exporter(seed) if file.HasField("flows") else None
         self.parts = self.planned(given, seed) if file.HasField("planner") else None
+        self.fleet = self.among_others(seed) if file.HasField("fleet") else None
+        self.extensions: tuple[str, ...] = ()  # of the door, beside those that always stand
+        self.channels = None
         self.ports: list[Any] = []
         self.stopped: list[Callable[[], None]] = []
         self.look_call: Any = None
@@ -86,10 +90,28 @@
         return Parts(self.reactor, self.now, self.file, given, seed + 2, self.incarnation, self.host, self.remark,
                      self.figures.registry)
 
+    def among_others(self, seed: int) -> Any:
+        """The fleet's view; none of its code is loaded where the file does not ask for it."""
+        from milletsill.fleet.service import Fleet
+        return Fleet(self.reactor, self.now, self.file, seed + 3, self.incarnation, self.remark,
+                     lambda event, **values: self.log.info(event, **values),
+                     self.keep_run, self.figures.registry)
+
+    def keep_run(self, run: int) -> None:
+        """The fleet knew a later run than this one; the next start goes past both."""
+        complaint = keep(os.path.join(self.file.state_dir, "incarnation"), run)
+        if complaint:
+            self.remark("incarnation_not_kept", reason=complaint)
+
     # Life.
 
     def start(self) -> None:
         """Read the last list, open the doors."""
+        if self.fleet is not None:
+            try:
+                self.fleet.start()
+            except Fault as error:
+                return self.cannot(error)
         if self.flows is not None:
             self.flows.start()
         if self.traces is not None:
@@ -126,7 +148,11 @@
             self.open()
         elif effect == "drain":
             self.log.info("draining", held=self.host.held)
+            if self.fleet is not None:
+                self.fleet.leave()
             self.close_ports()
+            if self.channels is not None:
+                self.channels.drain()
             self.overdue_call = self.reactor.callLater(self.file.door.drain_s, self.step, Event.OVERDUE)
             self.emptied()
         elif effect == "stop":
@@ -140,6 +166,12 @@
             host, _, port = self.file.metrics.rpartition(":")
             self.listen(host, int(port), self.figures.page(), "metrics_listening")
 
+    def cannot(self, error: Fault) -> None:
+        """The start is over before it began."""
+        self.log.error("cannot_listen", **error.said())
+        self.process, self.failed = Process.STOPPED, True
+        self.stop()
+
     def listen(self, host: str, port: int, factory: Any, word: str) -> None:
         def up(got: Any) -> None:
             self.ports.append(got)
@@ -160,15 +192,15 @@
         """Another file for what a running gateway can change: bounds of the door, volumes, routes, logs. What the
         module was told at the start stands until a restart."""
         if facts.facts_of(file) != self.host.facts or file.name != self.file.name or file.listen != self.file.listen or (
-                file.trace != self.file.trace):
-            return self.remark("file_refused", reason="plans, categories, rules, name, address or traces need a restart")
+                file.trace != self.file.trace or file.fleet != self.file.fleet):
+            return self.remark("file_refused", reason="plans, categories, rules, name, address, traces or fleet need a restart")
         self.file, self.atlas, self.margin = file, facts.atlas_of(file), facts.at_least(file.door.answer_margin_ms)
         self.answer_log = AnswerLog(file.logging.answers_per_s)
         self.log = logger(file.logging.level, file.logging.json, gateway=file.name)
         self.log.info("reloaded", volumes=len(file.volume), routes=len(file.route))
 
     def emptied(self) -> None:
-        if self.process is Process.DRAINING and not self.host.held:
+        if self.process is Process.DRAINING and not self.host.held and not (self.channels is not None and self.channels.held):
             self.reactor.callLater(0, self.step, Event.EMPTY)
 
     def close_ports(self) -> None:
@@ -182,6 +214,8 @@
         self.log.info("stopped", held=self.host.held)
         self.close_ports()
         self.follower.stop()
+        if self.channels is not None:
+            self.channels.stop()
         for client in list(self.clients):
             client.transport.loseConnection()
         self.host.stop()
@@ -193,6 +227,8 @@
             self.traces.stop()
         if self.parts is not None:
             self.parts.stop()
+        if self.fleet is not None:
+            self.fleet.stop()
         for call in (self.look_call, self.overdue_call, self.beat_call):
             if call is not None and call.active():
                 call.cancel()
@@ -242,10 +278,15 @@
         pool = self.pools.get(node)
         if pool is None:
             return None
+        gate = cargo.gate
+        if gate is not None:
+            if not gate.leaves():
+                return None
+            ended = gate.watched(ended)
         left = max((arrival.ends - self.now()) // 10, 1)
         return pool.dispatch(Order(self.file.name, self.incarnation, arrival.id, number, arrival.units, arrival.extent, left,
                                    cargo.ticket, arrival.volume, arrival.gateways, cargo.category, cargo.mark,
-                                   cargo.command), ended)
+                                   cargo.command), ended, gate)
 
     # The clients.
 
