--- a/milletsill/fleet/channels/contracts/ways.py
+++ b/milletsill/fleet/channels/contracts/ways.py
@@ -17,6 +17,7 @@
 MOST_FORWARDS, MOST_HEARD = 20_000, 20_000  # words out, and words of others that are on hand or were answered
 SILENT_CALLS = 2     # calls without a sign of life until the keeper counts as away
 MOST_HOPS = 3
+AWAY = 30_000        # tenths of a millisecond for which one that could not be reached is not asked again, unless it says something
 MARGIN = 100         # tenths of a millisecond that the way back may take
 
 
@@ -32,14 +33,15 @@
 
 
 class Ways:
-    """`own` handles a word here; `call` is how long a word of life may take, in tenths of a millisecond. `volume` finds a
+    """`own` handles another gateway's word here, `keep` one of ours that this gateway is to keep itself; `call` is how long a word of life may take, in tenths of a millisecond. `volume` finds a
     volume by name."""
 
-    def __init__(self, reactor: Any, now: Callable[[], int], plane: Plane, call: int, own: Callable[[Word, int], None],
+    def __init__(self, reactor: Any, now: Callable[[], int], plane: Plane, call: int, own: Callable[[Word, str], None],
                  keep: Callable[[Word], None], volume: Callable[[str], Any], count: Callable[[str], None]) -> None:
         self.reactor, self.now, self.plane, self.call = reactor, now, plane, call
         self.own, self.keep, self.volume, self.count = own, keep, volume, count
         self.out: dict[int, Forward] = {}
+        self.silent: dict[str, int] = {}  # since when a member could not be reached
         self.ids = 0
         # Words of others: None while they are on hand, then the reply.
         self.others: OrderedDict[tuple[str, int, int], bytes | None] = OrderedDict()
@@ -55,6 +57,14 @@
         self.count("forwarded")
         self.tell(forward)
 
+    def reachable(self, member: str) -> bool:
+        """Guards against a client that waits again and again for one that is gone, while the view still has it. Harm: a keeper
+        that was cut off for a moment is passed over for a while; the registers say who may keep."""
+        since = self.silent.get(member)
+        if since is not None and self.now() - since >= AWAY:
+            del self.silent[member]
+        return member not in self.silent
+
     def tell(self, forward: Forward) -> None:
         now, word = self.now(), forward.word
         left = word.ends - MARGIN - now
@@ -78,6 +88,8 @@
         """Its keeper cannot be reached: this gateway tries to be it; the registers say whether it may."""
         self.drop(forward)
         self.count("keeper_away")
+        forward.word.away += (forward.to,)
+        self.silent[forward.to] = self.now()
         self.keep(forward.word)
 
     def over(self, forward: Forward) -> None:
@@ -104,6 +116,8 @@
         if reply.HasField("keeper"):
             if reply.keeper == self.plane.name:
                 return self.keep(forward.word)
+            if reply.keeper in forward.word.away:
+                return forward.word.answered(Elsewhere(reply.keeper, reply.pause))
             return self.forward(forward.word, reply.keeper, forward.hops + 1)
         try:
             answer = extensions.dressed(reply.answer, 0)
@@ -116,6 +130,7 @@
     def heard(self, member: str, run: int, body: bytes) -> None:
         """What another gateway says; what makes no sense is dropped, its teller tries elsewhere in time."""
         envelope = read_envelope(body)
+        self.silent.pop(member, None)
         if envelope is None:
             return
         if envelope.HasField("reply") and envelope.reply.IsInitialized():
@@ -137,11 +152,11 @@
         while len(self.others) > MOST_HEARD:
             self.others.popitem(last=False)
         self.say(member, self.still(ask.id))
-        self.own(word, ask.hops)
+        self.own(word, member)
 
     def answered(self, key: tuple[str, int, int], packet: Any) -> None:
         member, _, id = key
-        envelope = Envelope(reply=Reply(id=id, keeper=packet.who) if isinstance(packet, Elsewhere)
+        envelope = Envelope(reply=Reply(id=id, keeper=packet.who, pause=packet.pause) if isinstance(packet, Elsewhere)
                             else Reply(id=id, answer=bare(packet)))
         body = put_envelope(envelope)
         if key in self.others:
