--- a/milletsill/fleet/channels/contracts/ways.py
+++ b/milletsill/fleet/channels/contracts/ways.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from random import SystemRandom
 from typing import Any, Callable
 
 from milletsill.files import channels as wire
@@ -42,7 +43,9 @@
         self.own, self.keep, self.volume, self.count = own, keep, volume, count
         self.out: dict[int, Forward] = {}
         self.silent: dict[str, int] = {}  # since when a member could not be reached
-        self.ids = 0
+        # Guards against a gateway that starts again under a run that it had before (its state_dir lost, or an older copy): with the
+        # same numbers again it was told the remembered replies of other words. Harm: none, 63 bits of chance.
+        self.ids = SystemRandom().getrandbits(62)
         # Words of others: None while they are on hand, then the reply.
         self.others: OrderedDict[tuple[str, int, int], bytes | None] = OrderedDict()
 
