--- a/benchmarks/contracts.py
+++ b/benchmarks/contracts.py
@@ -238,6 +238,7 @@
                     sink.write(text_format.MessageToString(file))
                 started.append(subprocess.Popen([sys.executable, "-m", "milletsill", "edge", path], stdout=open(f"{folder}/log", "a")))
             await_doors(doors)
+            time.sleep(4)  # until all views have all
             view = View(1, [Member(f"g{each}", "", 1, Standing.ALIVE) for each in range(given.gateways)])
             asyncio.run(measured(given, doors, started[1:], view))
         finally:
--- a/milletsill/edge/commands.py
+++ b/milletsill/edge/commands.py
@@ -64,7 +64,8 @@
         self.mark = f"{volume.number}/{terms.mark}" if terms.mark else edge.mark()
         self.gate, self.repeat = gate, terms.tries > 0
         if gate is not None:
-            self.mark, self.ends, self.repeat = gate.ticket, min(self.ends, gate.ends), self.repeat or gate.again
+            # Its end is the office's or its ticket's, which says nothing of when its client first tried.
+            self.mark, self.ends, self.repeat = gate.ticket, min(self.ends, gate.ends), False
         self.course, self.leg = Course.PLAIN, Leg.HOME
         self.spot: Spot | None = None
         self.legs, self.done_before, self.turn = 0, False, 0
--- a/milletsill/fleet/channels/contracts/ways.py
+++ b/milletsill/fleet/channels/contracts/ways.py
@@ -10,7 +10,7 @@
 from milletsill.files.extensions import bare
 from milletsill.files.wire import Malformed
 from milletsill.fleet.channels.contracts.codec import put_envelope, read_envelope
-from milletsill.fleet.channels.contracts.record_pb2 import Envelope, Reply
+from milletsill.fleet.channels.contracts.record_pb2 import Ask, Envelope, Reply
 from milletsill.fleet.channels.contracts.words import Elsewhere, Look, Open, Word, put_word, read_word
 from milletsill.fleet.plane import Kind, Plane
 
@@ -24,12 +24,13 @@
 class Forward:
     """A word that another gateway has, or may have."""
 
-    __slots__ = ("id", "word", "to", "told", "heard", "hops", "alarm")
+    __slots__ = ("id", "word", "to", "heard", "hops", "alarm", "held")
 
     def __init__(self, id: int, word: Word, to: str, now: int, hops: int) -> None:
         self.id, self.word, self.to, self.hops = id, word, to, hops
-        self.told = self.heard = now
+        self.heard = now
         self.alarm: Any = None
+        self.held = False  # the other has said that it is on it
 
 
 class Ways:
@@ -70,10 +71,11 @@
         left = word.ends - MARGIN - now
         if left <= 0:
             return self.over(forward)
-        ask = put_word(word, forward.id, max(left // 10, 1), forward.hops)
+        left_ms = max(left // 10, 1)
+        ask = (Ask(id=forward.id, volume="", channel="", left=left_ms) if forward.held  # it has the rest
+               else put_word(word, forward.id, left_ms, forward.hops))
         if not self.plane.tell(forward.to, Kind.CHANNEL, put_envelope(Envelope(ask=ask))):
             return self.away(forward)
-        forward.told = now
         forward.alarm = self.reactor.callLater(min(self.call, left) / 10_000, self.again, forward)
 
     def again(self, forward: Forward) -> None:
@@ -111,6 +113,7 @@
             return
         forward.heard = self.now()
         if reply.held:
+            forward.held = True
             return
         self.drop(forward)
         if reply.HasField("keeper"):
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -203,6 +203,14 @@
         self.assertEqual(rig.traces(), [])
 
 
+class Without(TestCase):
+    async def test_a_gateway_without_channels_offers_none(self):
+        rig = Rig(self)
+        client = await rig.client(await rig.edge())
+        answer = await client.command(wire.put_channel(0, wire.Opening("/h", "boat")))
+        self.assertEqual((answer.code, rig.edges[0].channels), (packets.UNSUPPORTED, None))
+
+
 class Files(TestCase):
     def test_what_a_file_may_say(self):
         rig = Fleet(self)
