--- a/milletsill/edge/channels.py
+++ b/milletsill/edge/channels.py
@@ -293,7 +293,7 @@
         spot = Spot(edge.atlas.home(word.volume, what.path), what.path)
         by_handle = hasattr(what.command, "handle") or isinstance(what.command, packets.Extended)
         opened = Opened(word.volume, what.path, spot) if by_handle else None
-        gate = Gone(self.offices, term, wire.put_ticket(word.volume.number, word.channel, gone.number, gone.turn), ends, gone.again)
+        gate = Gone(self.offices, term, wire.put_ticket(word.volume.name, word.channel, gone.number, gone.turn), ends, gone.again)
         terms = Terms(0, what.terms.tries, what.terms.mark)
 
         def answered(packet: Any) -> None:
--- a/milletsill/files/channels.py
+++ b/milletsill/files/channels.py
@@ -40,17 +40,19 @@
     x-stopped-N             stands behind N, whose end is unsure, until the client says (SAY) what became of it
     x-contract              contradicts what is declared; the message says which and what to do. Nothing was done
 
-At a disk box a numbered dispatch's ticket is `VOLUME@CHANNEL@NUMBER.TURN#LEG.0`: VOLUME the volume's number, TURN 0 until a
-client says `again`. `read_ticket` takes it apart.
+At a disk box a numbered dispatch's ticket is `VOLUME@CHANNEL@NUMBER.TURN#LEG.0`: VOLUME the xxhash (64 bits, decimal) of the volume's
+name, the same at gateways whose files list volumes in another order; TURN 0 until a client says `again`. `read_ticket` takes it apart.
 """
 from __future__ import annotations
 
 import re
 from dataclasses import dataclass
 
+import xxhash
+
 from milletsill.files.extensions import Terms, bare, dressed, put_terms, read_terms
 from milletsill.files.packets import FAILURE, Answer, Command, Extended, ExtendedReply, Status
-from milletsill.files.wire import U32, U64, Malformed, Reader, put_raw, put_text
+from milletsill.files.wire import U32, U64, Malformed, Reader, bytes_of, put_raw, put_text
 
 CHANNEL, NUMBERED = "channel@milletsill", "numbered@milletsill"
 OPEN, ASK, SAY = 1, 2, 3
@@ -254,13 +256,13 @@
 
 # --- Tickets.
 
-def put_ticket(volume: int, channel: str, number: int, turn: int) -> str:
-    """What all dispatches of one number share."""
-    return f"{volume}@{channel}@{number}.{turn}"
+def put_ticket(volume: str, channel: str, number: int, turn: int) -> str:
+    """What all dispatches of one number share, whichever gateway lets them go."""
+    return f"{xxhash.xxh64_intdigest(bytes_of(volume))}@{channel}@{number}.{turn}"
 
 
 def read_ticket(ticket: str) -> tuple[int, str, int, int] | None:
-    """Volume, channel, number and turn of a numbered dispatch's ticket; None for any other."""
+    """The hash of the volume's name, channel, number and turn of a numbered dispatch's ticket; None for any other."""
     head, _, tail = ticket.rpartition("#")[0].rpartition("@")
     volume, at, channel = head.partition("@")
     number, dot, turn = tail.partition(".")
--- a/tests/test_channels_wire.py
+++ b/tests/test_channels_wire.py
@@ -42,8 +42,8 @@
         self.assertIsNone(channels.read_sign("en"))
 
     def test_tickets(self) -> None:
-        ticket = channels.put_ticket(3, "boat@7", 41, 1) + "#HOME.0"
-        self.assertEqual(channels.read_ticket(ticket), (3, "boat@7", 41, 1))
+        ticket = channels.put_ticket("suva", "boat@7", 41, 1) + "#HOME.0"
+        self.assertEqual(channels.read_ticket(ticket), (0x8c5e85c2b9286dee, "boat@7", 41, 1))
         for other in ("3/mark#HOME.0", "gate.1.4#HOME.0", "", "3@boat#HOME.0"):
             self.assertIsNone(channels.read_ticket(other))
 
