--- a/milletsill/edge/commands.py
+++ b/milletsill/edge/commands.py
@@ -64,8 +64,7 @@
         self.mark = f"{volume.number}/{terms.mark}" if terms.mark else edge.mark()
         self.gate, self.repeat = gate, terms.tries > 0
         if gate is not None:
-            # Its end may be its office's: the module must not reckon from that when a first try was made, and take the target
-            # time for past. Harm: a number that is said again gets its target time anew.
+            # Its end is the office's or its ticket's, which says nothing of when its client first tried.
             self.mark, self.ends, self.repeat = gate.ticket, min(self.ends, gate.ends), False
         self.course, self.leg = Course.PLAIN, Leg.HOME
         self.spot: Spot | None = None
--- a/milletsill/fleet/channels/contracts/ways.py
+++ b/milletsill/fleet/channels/contracts/ways.py
@@ -11,8 +11,8 @@
 from milletsill.files.extensions import bare
 from milletsill.files.wire import Malformed
 from milletsill.fleet.channels.contracts.codec import put_envelope, read_envelope
-from milletsill.fleet.channels.contracts.record_pb2 import Envelope, Reply
-from milletsill.fleet.channels.contracts.words import Elsewhere, Look, Open, Word, put_word, read_word
+from milletsill.fleet.channels.contracts.record_pb2 import Ask, Envelope, Reply
+from milletsill.fleet.channels.contracts.words import Elsewhere, Look, Open, Say, Transfer, Word, put_word, read_word
 from milletsill.fleet.plane import Kind, Plane
 
 MOST_FORWARDS, MOST_HEARD = 20_000, 20_000  # words out, and words of others that are on hand or were answered
@@ -25,12 +25,24 @@
 class Forward:
     """A word that another gateway has, or may have."""
 
-    __slots__ = ("id", "word", "to", "told", "heard", "hops", "alarm")
+    __slots__ = ("id", "word", "to", "heard", "hops", "alarm", "held")
 
     def __init__(self, id: int, word: Word, to: str, now: int, hops: int) -> None:
         self.id, self.word, self.to, self.hops = id, word, to, hops
-        self.told = self.heard = now
+        self.heard = now
         self.alarm: Any = None
+        self.held = False  # the other has said that it is on it
+
+
+def doubted(answered: Callable[[Any], None]) -> Callable[[Any], None]:
+    """Guards against an untrue decline: a keeper that fell silent may have done the word, or do it yet. Harm: a client that could
+    have been told that nothing was done asks again."""
+    def answer(packet: Any) -> None:
+        sign = wire.read_sign(getattr(packet, "language", ""))
+        if sign is not None and sign.word in ("declined", "claim-lost"):
+            packet = wire.put_sign(0, "aborted", "aborted: a keeper that fell silent may have done it")
+        answered(packet)
+    return answer
 
 
 class Ways:
@@ -73,10 +85,11 @@
         left = word.ends - MARGIN - now
         if left <= 0:
             return self.over(forward)
-        ask = put_word(word, forward.id, max(left // 10, 1), forward.hops)
+        left_ms = max(left // 10, 1)
+        ask = (Ask(id=forward.id, volume="", channel="", left=left_ms) if forward.held  # it has the rest
+               else put_word(word, forward.id, left_ms, forward.hops))
         if not self.plane.tell(forward.to, Kind.CHANNEL, put_envelope(Envelope(ask=ask))):
             return self.away(forward)
-        forward.told = now
         forward.alarm = self.reactor.callLater(min(self.call, left) / 10_000, self.again, forward)
 
     def again(self, forward: Forward) -> None:
@@ -91,9 +104,12 @@
         """Its keeper cannot be reached: this gateway tries to be it; the registers say whether it may."""
         self.drop(forward)
         self.count("keeper_away")
-        forward.word.away += (forward.to,)
+        word = forward.word
+        word.away += (forward.to,)
         self.silent[forward.to] = self.now()
-        self.keep(forward.word)
+        if forward.reached and isinstance(word.what, (Transfer, Say)):
+            word.answered = doubted(word.answered)
+        self.keep(word)
 
     def over(self, forward: Forward) -> None:
         """The client's patience ends: what another gateway may have done with it nobody knows here."""
@@ -114,6 +130,7 @@
             return
         forward.heard = self.now()
         if reply.held:
+            forward.held = True
             return
         self.drop(forward)
         if reply.HasField("keeper"):
