--- a/milletsill/edge/channels.py
+++ b/milletsill/edge/channels.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from random import SystemRandom
 from typing import Any, Callable
 
 import xxhash
@@ -90,7 +91,9 @@
                              keeping.most_channels, self, edge.remark, self.count)
         self.ways = Ways(edge.reactor, edge.now, plane, round(keeping.call_ms * 10), self.forwarded, self.keeper.word,
                          self.volume, self.count)
-        self.handles = 0
+        # Handles and the marks of words begin by chance. Guards against a gateway that starts again under a run that it had before:
+        # its OPEN would pass for an earlier one. Harm: none.
+        self.handles = SystemRandom().getrandbits(62)
         self.look_calls: list[Any] = []  # the next look, and where it goes down the next look at what is left
 
     def start(self) -> None:
--- a/milletsill/fleet/channels/contracts/ways.py
+++ b/milletsill/fleet/channels/contracts/ways.py
@@ -46,8 +46,8 @@
 
 
 class Ways:
-    """`own` handles another gateway's word here, `keep` one of ours that this gateway is to keep itself; `call` is how long a word of life may take, in tenths of a millisecond. `volume` finds a
-    volume by name."""
+    """`own` handles another gateway's word here, `keep` one of ours that this gateway is to keep itself; `call` is how long a sign of
+    life may take, in tenths of a millisecond. `volume` finds a volume by name."""
 
     def __init__(self, reactor: Any, now: Callable[[], int], plane: Plane, call: int, own: Callable[[Word, str], None],
                  keep: Callable[[Word], None], volume: Callable[[str], Any], count: Callable[[str], None]) -> None:
