--- a/milletsill/fleet/channels/contracts/ways.py
+++ b/milletsill/fleet/channels/contracts/ways.py
@@ -107,7 +107,7 @@
         word = forward.word
         word.away += (forward.to,)
         self.silent[forward.to] = self.now()
-        if forward.reached and isinstance(word.what, (Transfer, Say)):
+        if forward.alarm is not None and isinstance(word.what, (Transfer, Say)):  # it was told
             word.answered = doubted(word.answered)
         self.keep(word)
 
