--- a/milletsill/lab/audit_fleet.py
+++ b/milletsill/lab/audit_fleet.py
@@ -74,24 +74,23 @@
     return next((row[0] for row in told.views.get(name, ()) if row[0] >= at), at)
 
 
-def read_weather(out: str, names: Sequence[str], start: float, told: Told) -> Weather:
+def read_weather(out: str, names: Sequence[str], start: float, told: Told, troubles: Sequence[dict[str, Any]]) -> Weather:
     """From what the run did to processes, and from the relay's own record."""
     down: dict[str, list[Span]] = defaultdict(list)
     marks, network = [(start, "the day's start")], []
-    with open(f"{out}/troubles.json", encoding="utf-8") as source:
-        for each in json.load(source):
-            marks.append((each["at"], f"{each['fault']} of {', '.join(each['on'])}"))
-            until = each["at"] + each["for_s"]
-            if each["fault"] in DOWN:
-                for name in each["on"]:
-                    down[name].append((each["at"], back_at(told, name, until)))
-                last = max(down[name][-1][1] for name in each["on"])
-                marks.append((last, f"{', '.join(each['on'])} back after {each['fault']}"))
-            elif each["fault"] == "balancer_roll":
-                for place, name in enumerate(each["on"]):
-                    at = each["at"] + each["for_s"] * place / len(each["on"])
-                    down[name].append((at, back_at(told, name, at + each["extra"])))
-                marks.append((max(down[name][-1][1] for name in each["on"]), "balancer_roll over"))
+    for each in troubles:
+        marks.append((each["at"], f"{each['fault']} of {', '.join(each['on'])}"))
+        until = each["at"] + each["for_s"]
+        if each["fault"] in DOWN:
+            for name in each["on"]:
+                down[name].append((each["at"], back_at(told, name, until)))
+            last = max(down[name][-1][1] for name in each["on"])
+            marks.append((last, f"{', '.join(each['on'])} back after {each['fault']}"))
+        elif each["fault"] == "balancer_roll":
+            for place, name in enumerate(each["on"]):
+                at = each["at"] + each["for_s"] * place / len(each["on"])
+                down[name].append((at, back_at(told, name, at + each["extra"])))
+            marks.append((max(down[name][-1][1] for name in each["on"]), "balancer_roll over"))
     began: dict[tuple[str, float], tuple[float, frozenset[str]]] = {}
     for at, _, direction, _, data in entries(f"{out}/relay.rec"):
         note = json.loads(data) if direction == 2 else {}
--- a/milletsill/lab/run.py
+++ b/milletsill/lab/run.py
@@ -20,7 +20,8 @@
 
 from milletsill.lab.audit import audit, gather
 from milletsill.lab.audit_contracts import audit_contracts, figures
-from milletsill.lab.audit_fleet import agreements, false_deaths, read_logs, read_weather, traffic
+from milletsill.lab.audit_fleet import (Told, Weather, agree, agreements, false_deaths, read_logs, read_weather,
+                                        traffic)
 from milletsill.lab.processes import LAB, Group, PlannerPart, Processes, free_ports
 from milletsill.lab.relay import inside, outside
 from milletsill.lab.report import broken, report
@@ -29,9 +30,9 @@
 from milletsill.settings.milletsill_pb2 import GatewayFile, Scenario
 
 __all__ = ["Run", "broken", "report"]
-READY_WITHIN, LEAD, ENDS_WITHIN = 60.0, 1.0, 60.0  # seconds
+READY_WITHIN, LEAD, ENDS_WITHIN, SETTLES_WITHIN = 60.0, 1.0, 60.0, 20.0  # seconds
 JOINED_THROUGH = 3  # gateways whose addresses the others' files have
-STALE = ("*.rec", "*.log", "load.json", "channels.json", "*.ready", "start", "stops.json", "troubles.json", "traces/*.mtrace")
+STALE = ("*.rec", "*.log", "load.json", "channels.json", "*.ready", "start", "stops.json", "traces/*.mtrace")
 
 
 class Run:
@@ -150,9 +151,26 @@
             self.troubles.play(now)
             self.troubles.stops += self.starved.look(now, self.groups)
             time.sleep(0.01)
-        self.ended = time.monotonic()
+        for number, name in enumerate(self.names):  # one that was killed late may still be starting
+            self.wait_for(ports[1 + number], name)
+        self.ended = self.settled()
         return self.finish(clients, stand, collector)
 
+    def settled(self) -> float:
+        """When the day may end: the views agree, or there was time enough for it."""
+        ends = time.monotonic() + SETTLES_WITHIN
+        while self.fleet_port and time.monotonic() < ends:
+            told, weather = self.logged()
+            if agree(told, weather, self.names, time.monotonic()):
+                break
+            time.sleep(0.25)
+        return time.monotonic()
+
+    def logged(self) -> tuple[Told, Weather]:
+        """What the gateways' logs say by now, and what was done to them."""
+        told = read_logs(self.out, [each.name for each in self.groups], time.time() - time.monotonic())
+        return told, read_weather(self.out, self.names, self.start, told, self.troubles.told)
+
     def begin(self) -> float:
         """Tell all that wait for it when the day starts, on the monotonic clock."""
         start = self.start = time.monotonic() + LEAD
@@ -209,8 +227,6 @@
             result = json.load(source)
         with open(f"{self.out}/stops.json", "w", encoding="utf-8") as sink:
             json.dump(self.troubles.stops, sink)
-        with open(f"{self.out}/troubles.json", "w", encoding="utf-8") as sink:
-            json.dump(self.troubles.told, sink)
         evidence = gather(self.out, len(glob.glob(f"{self.out}/box-*.rec")))
         result["flows"] = self.heard(collector, evidence)
         result.update(exits=exits, faults=self.tracebacks(), breaches=audit(evidence, self.scenario),
@@ -227,8 +243,7 @@
         """What the gateways' logs say of views, and the audit of contracts with the clients that have channels."""
         found: dict[str, Any] = {}
         if self.fleet_port:
-            told = read_logs(self.out, [each.name for each in self.groups], time.time() - time.monotonic())
-            weather = read_weather(self.out, self.names, self.start, told)
+            told, weather = self.logged()
             rows = agreements(told, weather, self.names, self.ended)
             found = {"views": rows, "views_agree": rows[-1][2] is not None, "start": self.start, "traffic": traffic(self.out),
                      "false_deaths": false_deaths(told, weather)}
