--- a/milletsill/fleet/channels/contracts/ways.py
+++ b/milletsill/fleet/channels/contracts/ways.py
@@ -25,13 +25,13 @@
 class Forward:
     """A word that another gateway has, or may have."""
 
-    __slots__ = ("id", "word", "to", "heard", "hops", "alarm", "held", "reached")
+    __slots__ = ("id", "word", "to", "heard", "hops", "alarm", "held")
 
     def __init__(self, id: int, word: Word, to: str, now: int, hops: int) -> None:
         self.id, self.word, self.to, self.hops = id, word, to, hops
         self.heard = now
         self.alarm: Any = None
-        self.held = self.reached = False  # the other has said that it is on it; it may have heard of it
+        self.held = False  # the other has said that it is on it
 
 
 def doubted(answered: Callable[[Any], None]) -> Callable[[Any], None]:
@@ -90,7 +90,6 @@
                else put_word(word, forward.id, left_ms, forward.hops))
         if not self.plane.tell(forward.to, Kind.CHANNEL, put_envelope(Envelope(ask=ask))):
             return self.away(forward)
-        forward.reached = True
         forward.alarm = self.reactor.callLater(min(self.call, left) / 10_000, self.again, forward)
 
     def again(self, forward: Forward) -> None:
