--- a/milletsill/fleet/channels/registers/codec.py
+++ b/milletsill/fleet/channels/registers/codec.py
@@ -50,8 +50,16 @@
     return value
 
 
+def named(text: str) -> bool:
+    """Whether it can be a channel's name: UTF-8, not empty, not too long."""
+    try:
+        return 0 < len(text.encode()) <= MOST_NAME
+    except UnicodeEncodeError:
+        return False
+
+
 def name(text: str) -> str:
-    if not 0 < len(text.encode("utf-8", "surrogateescape")) <= MOST_NAME:
+    if not named(text):
         raise Unreadable(f"a name of {len(text)} characters, {MOST_NAME} bytes at most")
     return text
 
--- a/milletsill/fleet/channels/registers/desk.py
+++ b/milletsill/fleet/channels/registers/desk.py
@@ -20,6 +20,7 @@
 
 BATCH, MOST_WAITING = 1000, 20_000  # calls of one round; calls that wait
 LOOK = 500  # records that one round of forgetting looks at
+ALL = 10  # of so many questions one goes to all gateways, the others to the registers
 AGAIN = 10_000  # after a full disk, in tenths of a millisecond
 SAY_EVERY = 100_000
 ORDER = ".go-on"  # a file beside the register's: an operator's order to go on with what there is
@@ -36,7 +37,7 @@
 
 
 class Desk:
-    """`send` gets answers for a member; `ask` sends a Hello to all, `tell` asks a register for a page."""
+    """`send` gets answers for a member; `ask` sends a Hello to the registers or to everybody, `tell` asks a register for a page."""
 
     def __init__(self, now: Callable[[], int], name: str, others: Sequence[str], span: Span, most: int, silent: int, path: str,
                  chance: int, terms: int, in_thread: In, remark: Callable[..., None], registry: Any, most_pages: int = 0) -> None:
@@ -53,10 +54,10 @@
         self.waiting: list[tuple[str, Call]] = []
         self.busy = self.stopped = False
         self.full_until = 0
-        self.cursor = ""
+        self.cursor, self.looks = "", 0
         self.said_at: dict[str, int] = {}
         self.send: Callable[[str, list[Answer]], None] = lambda member, answers: None
-        self.ask: Callable[[], None] = lambda: None
+        self.ask: Callable[[bool], None] = lambda everybody: None
         self.tell: Callable[[str, str], None] = lambda member, after: None
 
     # Life.
@@ -99,8 +100,9 @@
         if joining is None or self.stopped:
             return
         self.turn(joining.step(self.now()))
-        if joining.state in (Standing.JOINING, Standing.WAITING):
-            self.ask()
+        self.looks += 1
+        if joining.state is Standing.JOINING:
+            self.ask(self.looks % ALL == 1)
         elif joining.state is Standing.GATHERING:
             for each in self.others:
                 if each not in joining.told:
--- a/milletsill/fleet/channels/registers/service.py
+++ b/milletsill/fleet/channels/registers/service.py
@@ -92,8 +92,8 @@
     def take(self, channel: str, then: Took) -> None:
         """Become the channel's keeper, or renew; `then` gets a Term, or a fault whose `pause` says when to come back."""
         place = self.places.get(channel)
-        if not 0 < len(channel.encode("utf-8", "replace")) <= MOST_NAME:
-            return self.soon(then, TooMany(f"a channel's name of {len(channel)} characters", "channels"))
+        if not codec.named(channel):
+            return self.soon(then, TooMany(f"a channel's name is UTF-8 of 1 to {MOST_NAME} bytes", "channels"))
         if len(self.open) >= MOST_OPEN or (place is None and len(self.places) >= self.most) or (
                 place is not None and len(place.takers) >= MOST_CALLBACKS):
             return self.soon(then, TooMany("too many channels or calls under way", "channels", self.span.call))
@@ -348,8 +348,8 @@
         for part in codec.parted([codec.put_answer(each) for each in answers]):
             self.tell(member, answers=wire.Answers(own=own, answer=part))
 
-    def hello(self) -> None:
-        for each in self.plane.view.by_name:
+    def hello(self, everybody: bool) -> None:
+        for each in self.plane.view.by_name if everybody else self.names:
             if each != self.plane.name:
                 self.tell(each, hello=wire.Hello())
 
--- a/milletsill/fleet/channels/registers/standing.py
+++ b/milletsill/fleet/channels/registers/standing.py
@@ -79,7 +79,7 @@
         self.state = Standing.WAITING if doubted else Standing.JOINING
         self.waits = born + span.rest()  # until then, where it lacks something
         self.clean: set[str] = set()  # registers that know nothing later
-        self.known_age = own.age
+        self.known_age, self.by_order = own.age, False
         self.records: dict[str, Record] = {}
         self.floor = 0
         self.after: dict[str, str] = {}  # of those that tell: the channel they have come to
@@ -94,6 +94,8 @@
         if known is not None:
             self.known_age = max(self.known_age, known.age)
         if later(known, self.own):
+            if self.by_order:
+                return Turn.ANEW  # an operator has said to go on, so it goes on as later than that
             if self.state is Standing.WHOLE:
                 self.waits = now + self.span.rest()
             return self.word(Word.LATER)
@@ -131,6 +133,7 @@
 
     def ordered(self) -> Turn:
         """An operator's order to go on with what there is."""
+        self.by_order = True
         return self.word(Word.ORDERED)
 
     def back(self, again: int) -> None:
--- a/tests/test_registers.py
+++ b/tests/test_registers.py
@@ -28,7 +28,7 @@
 
 class TheModel(unittest.TestCase):
     def test_every_order_of_events_keeps_what_is_promised(self):
-        for moves, most in ((model.events, 2500), (model.rounds, 2500)):
+        for moves, most in ((model.events, 4000), (model.rounds, 4000)):
             for how in ("nothing", "written", "unsure"):
                 count, depth, found = model.explore(how, 12, most, moves)
                 self.assertIsNone(found)
@@ -245,8 +245,8 @@
     def start(self, name, **values):
         self.planes[name] = Wire(name, self)
         given = {"silent": 36_000_000, **self.values, **values}
-        self.offices[name] = Offices(self.clock, self.now, self.planes[name], ("r0", "r1", "r2"), 20_000, 5, 3_000,
-                                     given.pop("most", 1000), self.path(name), 1,
+        self.offices[name] = Offices(self.clock, self.now, self.planes[name], given.pop("names", ("r0", "r1", "r2")),
+                                     given.pop("office", 20_000), 5, 3_000, given.pop("most", 1000), self.path(name), 1,
                                      lambda line, **said: self.lines.append((name, said.get("error", line))), CollectorRegistry(),
                                      worker=Thread(self.clock), **given)
 
@@ -392,6 +392,7 @@
         got = net.take("y", "c3")
         self.assertIsInstance(got, Term)
         self.assertGreater(got.ballot.round, term.ballot.round)  # the floor
+        self.assertIsInstance(net.take("y", "\udc80"), errors.TooMany)
         net.offices["x"].heard("y", 1, b"Rnonsense")
         self.assertIn(("x", "Unreadable"), net.lines)
         heard = []
@@ -400,6 +401,26 @@
         self.assertEqual(heard, [("y", 1, b"Cours")])
         self.assertEqual(net.offices["x"].keeper_of("c1"), net.offices["y"].keeper_of("c1"))
 
+    def test_other_terms_are_declined_and_other_registers_need_an_order(self):
+        net = self.net()
+        net.write("x", net.take("x"), b"1")
+        net.stop("y")
+        net.start("y", office=30_000)
+        self.assertIsInstance(net.take("y"), errors.NoMajority)
+        self.assertIn(("r0", "TermsDiffer"), net.lines)
+        net.stop("r0")
+        net.start("r0", names=("r0", "r1", "x"))
+        net.go(3)
+        self.assertIn(("r0", "RegistersChanged"), net.lines)
+        self.assertFalse(net.offices["r0"].desk.whole())
+        net.stop("r0")
+        Path(net.path("r0") + ".go-on").touch()
+        net.start("r0", names=("r0", "r1", "x"))
+        net.go(0.1)
+        self.assertIn(("r0", "register_ordered"), net.lines)
+        self.assertTrue(net.offices["r0"].desk.whole())
+        self.assertFalse(os.path.exists(net.path("r0") + ".go-on"))
+
     def test_an_older_state_shows_while_the_register_runs(self):
         net = self.net()
         net.write("x", net.take("x"), b"1")
