--- a/benchmarks/channels.py
+++ b/benchmarks/registers.py
@@ -1,6 +1,6 @@
 """What registers and offices bear: gateways in their own processes, with the fleet's plane between them and registers on disk.
 
-    python -m benchmarks.channels [--gateways 7 --registers 3 --channels 20 --seconds 8 --value 200]
+    python -m benchmarks.registers [--gateways 7 --registers 3 --channels 20 --seconds 8 --value 200]
 
 Each gateway keeps so many channels and writes each one's record again as soon as the last write is at a majority. Loopback; the
 registers' files are in a temporary folder, or in --folder, and each commit is synced there.
@@ -123,7 +123,7 @@
         return gateway(given)
     with tempfile.TemporaryDirectory(dir=given.folder) as folder:
         ports = ",".join(map(str, free_ports(given.gateways)))
-        command = [sys.executable, "-m", "benchmarks.channels", *(word for name in ("gateways", "registers", "channels", "seconds", "value")
+        command = [sys.executable, "-m", "benchmarks.registers", *(word for name in ("gateways", "registers", "channels", "seconds", "value")
                                                                   for word in (f"--{name}", str(getattr(given, name))))]
         command += ["--folder", folder, "--ports", ports] + (["--loud"] if given.loud else [])
         running = [subprocess.Popen([*command, "--child", str(each)], stdout=subprocess.PIPE) for each in range(given.gateways)]
