--- a/milletsill/fleet/channels/registers/codec.py
+++ b/milletsill/fleet/channels/registers/codec.py
@@ -6,11 +6,11 @@
 import xxhash
 from google.protobuf.message import DecodeError
 
-from milletsill.errors import Fault
 from milletsill.fleet.channels.registers import registers_pb2 as wire
 from milletsill.fleet.channels.registers.decide import (MOST_NAME, MOST_VALUE, Answer, Ask, Ballot, Call, Record, Say, Span, Stamp, UNKNOWN,
                                                         UNWRITTEN)
 from milletsill.fleet.channels.registers.standing import Identity, Page
+from milletsill.fleet.frames.codec import Unreadable
 
 MARK, VERSION, MOST_FRAME, PER_FRAME = b"R", 1, 1 << 19, 2000
 FRAME_BYTES = 200_000  # calls or answers are parted into frames of about so many
@@ -18,12 +18,6 @@
 ASKS, SAYS = {each.value: each for each in Ask}, {each.value: each for each in Say}
 
 
-class Unreadable(Fault):
-    """A body that is no frame of ours."""
-
-    remedy = "see that all gateways run versions of the program that know each other's frames"
-
-
 def terms(names: Iterable[str], span: Span) -> int:
     """A digest of what must be the same at all gateways: the registers' names and the spans."""
     return xxhash.xxh64_intdigest(repr((sorted(names), *span)).encode("utf-8", "surrogateescape"))
