--- a/tests/test_registers.py
+++ b/tests/test_registers.py
@@ -12,7 +12,7 @@
 from prometheus_client import CollectorRegistry
 from twisted.internet.task import Clock
 
-from milletsill.fleet.channels import errors, model
+from milletsill.fleet.channels import errors, model, mutants
 from milletsill.fleet.channels.registers import codec, registers_pb2 as wire
 from milletsill.fleet.channels.registers.decide import (UNWRITTEN, Answer, Ask, Ballot, Call, Office, Record, Say, Span, Stamp, loaded,
                                                         register)
@@ -24,13 +24,11 @@
 
 SPAN = Span()
 A, B = Ballot(5, "a", 1), Ballot(6, "b", 2)
-# With each guard out the model must go wrong; the seed is where it was seen first, so that the search begins there.
-SEEDS = {"copies are no votes": 106, "others are asked first": 67, "promises are told too": 65, "terms from the send": 16}
 
 
 class TheModel(unittest.TestCase):
     def test_every_order_of_events_keeps_what_is_promised(self):
-        for moves, most in ((model.events, 2500), (model.rounds, 2500)):
+        for moves, most in ((model.events, 3000), (model.rounds, 3000)):
             for how in ("nothing", "written", "unsure"):
                 count, depth, found = model.explore(how, 12, most, moves)
                 self.assertIsNone(found)
@@ -44,10 +42,9 @@
         self.assertGreater(written, 50)  # it did come to something
 
     def test_it_goes_wrong_without_each_guard(self):
-        for guard in model.MUTANTS:
-            with self.subTest(guard), model.without(guard):
-                first = SEEDS.get(guard, 0)
-                self.assertTrue(any(model.walk(3, 3, 600, seed)[1] for seed in range(first, first + 60)))
+        for guard in mutants.MUTANTS:
+            with self.subTest(guard), mutants.without(guard):
+                self.assertIsNotNone(model.wrong(40, first=mutants.FOUND[guard]))
 
 
 class OneCall(unittest.TestCase):
@@ -248,8 +245,8 @@
     def start(self, name, **values):
         self.planes[name] = Wire(name, self)
         given = {"silent": 36_000_000, **self.values, **values}
-        self.offices[name] = Offices(self.clock, self.now, self.planes[name], ("r0", "r1", "r2"), 20_000, 5, 3_000,
-                                     given.pop("most", 1000), self.path(name), 1,
+        self.offices[name] = Offices(self.clock, self.now, self.planes[name], given.pop("names", ("r0", "r1", "r2")),
+                                     given.pop("office", 20_000), 5, 3_000, given.pop("most", 1000), self.path(name), 1,
                                      lambda line, **said: self.lines.append((name, said.get("error", line))), CollectorRegistry(),
                                      worker=Thread(self.clock), **given)
 
@@ -395,6 +392,7 @@
         got = net.take("y", "c3")
         self.assertIsInstance(got, Term)
         self.assertGreater(got.ballot.round, term.ballot.round)  # the floor
+        self.assertIsInstance(net.take("y", "\udc80"), errors.TooMany)
         net.offices["x"].heard("y", 1, b"Rnonsense")
         self.assertIn(("x", "Unreadable"), net.lines)
         heard = []
@@ -403,6 +401,26 @@
         self.assertEqual(heard, [("y", 1, b"Cours")])
         self.assertEqual(net.offices["x"].keeper_of("c1"), net.offices["y"].keeper_of("c1"))
 
+    def test_other_terms_are_declined_and_other_registers_need_an_order(self):
+        net = self.net()
+        net.write("x", net.take("x"), b"1")
+        net.stop("y")
+        net.start("y", office=30_000)
+        self.assertIsInstance(net.take("y"), errors.NoMajority)
+        self.assertIn(("r0", "TermsDiffer"), net.lines)
+        net.stop("r0")
+        net.start("r0", names=("r0", "r1", "x"))
+        net.go(3)
+        self.assertIn(("r0", "RegistersChanged"), net.lines)
+        self.assertFalse(net.offices["r0"].desk.whole())
+        net.stop("r0")
+        Path(net.path("r0") + ".go-on").touch()
+        net.start("r0", names=("r0", "r1", "x"))
+        net.go(0.1)
+        self.assertIn(("r0", "register_ordered"), net.lines)
+        self.assertTrue(net.offices["r0"].desk.whole())
+        self.assertFalse(os.path.exists(net.path("r0") + ".go-on"))
+
     def test_an_older_state_shows_while_the_register_runs(self):
         net = self.net()
         net.write("x", net.take("x"), b"1")
