--- a/milletsill/lab/plants.py
+++ b/milletsill/lab/plants.py
@@ -16,5 +16,11 @@
     return plant
 
 
+def every() -> None:
+    for each in (each for name, each in PLANTS.items() if name != "all"):
+        each()
+
+
 PLANTS: dict[str, Callable[[], None]] = {
-    "each-in-order": gate("EACH_IN_ORDER"), "newest": gate("NEWEST"), "by-extent": gate("BY_EXTENT"), "batches": gate("BATCHES")}
+    "each-in-order": gate("EACH_IN_ORDER"), "newest": gate("NEWEST"), "by-extent": gate("BY_EXTENT"), "batches": gate("BATCHES"),
+    "all": every}
