--- a/milletsill/edge/service.py
+++ b/milletsill/edge/service.py
@@ -100,7 +100,7 @@
 
     def channelled(self, seed: int) -> Any:
         """Contracts on the order of channels; none of their code is loaded where the file does not ask for it."""
-        from milletsill.fleet.channels.edge import EXTENSIONS, channels_of
+        from milletsill.edge.channels import EXTENSIONS, channels_of
         self.extensions = EXTENSIONS
         return channels_of(self, seed + 4)
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 from prometheus_client import CollectorRegistry
 from twisted.internet import reactor, threads
-from twisted.internet.task import Clock
+from twisted.internet.task import Clock, LoopingCall
 from twisted.trial.unittest import TestCase
 
 from milletsill.cli.main import main
@@ -280,14 +280,11 @@
             client = await rig.client(each)
             await client.open("/h/b")
         seen = []
-
-        def look():
-            seen.append([self.parts(each) if ("limit", 1) in each.parts.edge.holdings else 333_333 for each in edges])
-            if len(seen) < 90:
-                reactor.callLater(0.05, look)
-
-        look()
+        looking = LoopingCall(lambda: seen.append([self.parts(each) if ("limit", 1) in each.parts.edge.holdings else 333_333
+                                                   for each in edges]))
+        looking.start(0.05)
         count = await self.flood(rig, edges[0], 4.5)
+        looking.stop()
         self.assertTrue(all(sum(each) <= 1_000_000 for each in seen))
         self.assertGreater(max(each[0] for each in seen), 600_000)
         self.assertGreater(count, 1.3 * 20 * 4.5)  # an even part is 20 a second
