--- a/milletsill/planner/edge.py
+++ b/milletsill/planner/edge.py
@@ -18,6 +18,7 @@
 from milletsill.planner.decide.link import Link, Said, dial_after, link_step
 from milletsill.planner.decide.terms import GUARD, SECOND, WHOLE, Thing
 from milletsill.planner.decide.wants import Demand, want_of, wanted
+from milletsill.planner.faults import PlannerAway, PlannerOld, PlannerRefuses
 from milletsill.planner.plan_pb2 import Asks, Hello, Refused
 from milletsill.planner.service import span_of
 
@@ -184,7 +185,7 @@
                 version=VERSION, name=self.file.name, incarnation=self.edge.incarnation, epoch=self.edge.epoch,
                 longest=terms.longest, drift=terms.drift, floor=int(terms.floor * 1e6))))
         elif effect == "refuse" and line is not None:
-            self.remark("planner", reason="an older planner than one that was heard; refused")
+            self.remark("planner", **PlannerOld("an older planner than one that was heard", self.file.planner.address).said())
             line.transport.write(encoded(refused=Refused(reason="a newer planner was heard", epoch=self.edge.epoch)))
             line.transport.loseConnection()
         elif effect == "cut" and line is not None:
@@ -206,7 +207,7 @@
 
     def not_up(self, failure: Any) -> None:
         if self.failures == 0:
-            self.remark("planner", reason=f"not reached: {failure.getErrorMessage()}")
+            self.remark("planner", **PlannerAway(failure.getErrorMessage(), self.file.planner.address).said())
         self.failures += 1
         self.later("dial", dial_after(self.failures, self.chance.random()) / SECOND, self.dial)
 
@@ -232,7 +233,7 @@
             for each in frame.grants.given:
                 self.take(get_grant(each))
         elif what == "refused":
-            self.remark("planner", reason=f"refused: {frame.refused.reason[:200]}")
+            self.remark("planner", **PlannerRefuses(frame.refused.reason[:200], self.file.planner.address).said())
             self.step(Said.REFUSED, line)
 
     def take(self, grant: Any) -> None:
--- /dev/null
+++ b/milletsill/planner/faults.py
@@ -0,0 +1,34 @@
+"""What can go wrong between a planner and its edges, by type. Without a planner each edge goes on with its even parts."""
+from __future__ import annotations
+
+from milletsill.errors import Fault
+
+
+class PlannerAway(Fault):
+    """The planner is not reached."""
+
+    remedy = "see that the planner runs and that planner.address is its own; parts are even until it is back"
+
+
+class PlannerOld(Fault):
+    """A planner that is older than one that this edge has heard."""
+
+    remedy = "stop the older of the two, or see that its state_dir was not put back; it is given nothing"
+
+
+class PlannerRefuses(Fault):
+    """The planner does not take this edge."""
+
+    remedy = "as it says: one name or run for two edges, other terms of lending, another version, too many edges, a newer planner"
+
+
+class OtherTerms(Fault):
+    """An edge whose terms of lending are not the planner's."""
+
+    remedy = "give `lending` the same values in the planner block of that edge and in the planner's file, then restart the one that was wrong"
+
+
+class Superseded(Fault):
+    """An edge knows a newer planner, so this one ends."""
+
+    remedy = "see that one planner runs; if this was the right one, stop the other and start this again"
--- a/milletsill/planner/service.py
+++ b/milletsill/planner/service.py
@@ -21,6 +21,7 @@
 from milletsill.planner.codec import Frames, BadFrame, encoded, get_ask, put_grant
 from milletsill.planner.decide.granting import Planner
 from milletsill.planner.decide.terms import SECOND, Span
+from milletsill.planner.faults import OtherTerms, Superseded
 from milletsill.planner.plan_pb2 import Grants, Refused, Told, Welcome
 from milletsill.planner.store import EpochUnkept, next_epoch
 
@@ -189,7 +190,7 @@
         if hello.version != codec.VERSION:
             return link.refuse(f"version {hello.version}, {codec.VERSION} is spoken")
         if (hello.longest, hello.drift, hello.floor) != (self.span.longest, self.span.drift, int(self.span.floor * 1e6)):
-            self.remark("other_terms", edge=hello.name)
+            self.remark("other_terms", **OtherTerms("its terms of lending are others", hello.name[:64]).said())
             return link.refuse("other terms of lending")
         if not 0 < len(hello.name) <= 64 or hello.name not in self.by_name and len(self.by_name) >= self.file.most_edges:
             return link.refuse("no such name, or too many edges")
@@ -224,7 +225,8 @@
         itself."""
         link.refuse("an edge knows a newer planner", epoch)
         if not self.superseded:
-            self.log.error("superseded", epoch=self.planner.epoch, newer=epoch, by=link.name or "a hello")
+            self.log.error("superseded", **Superseded("a newer planner was heard", link.name or "a hello").said(),
+                           epoch=self.planner.epoch, newer=epoch)
         self.superseded = max(self.superseded, epoch)
         self.failed = True
         self.reactor.callLater(0, self.stop)
--- a/milletsill/platform/gateway.py
+++ b/milletsill/platform/gateway.py
@@ -10,7 +10,7 @@
 from milletsill.http1.reader import Message
 from milletsill.interface import Arrival, News
 from milletsill.platform.asks import BadAsk, Cargo, Categories, cargo_of
-from milletsill.platform.configuration import Deployment
+from milletsill.platform.configuration import Deployment, RefusedPlace
 from milletsill.platform.decide import (ANSWER_MARGIN, UNTOLD_DIAL, UNTOLD_IDLE, Event, Octets, Process, leave_within,
                                         pass_on, shares_of)
 from milletsill.platform.discovery import Follower
@@ -112,7 +112,7 @@
         """Another configuration: discovery's address moves; what the module was told at its start stands."""
         self.follower.move(deployment.discovery)
         if deployment.facts != self.deployment.facts or deployment.listen != self.deployment.listen:
-            self.remark("configuration", reason="settings or address differ: they need a restart")
+            self.remark("configuration", **RefusedPlace("settings or address are not those of the start").said())
         self.log.info("reloaded", discovery="%s:%d" % deployment.discovery)
 
     def look(self, since: int) -> None:
--- a/milletsill/platform/nodes.py
+++ b/milletsill/platform/nodes.py
@@ -96,5 +96,5 @@
         try:
             places.append(place_of(entry, zones, clock))
         except BadEntry as error:
-            remark(f"an entry was left out: {error}")
+            remark(f"an entry was left out: {error.line()}")
     return News(whole(value, "version", 1 << 63), value.get("full") is True, tuple(places))
--- a/milletsill/trace/writer.py
+++ b/milletsill/trace/writer.py
@@ -11,6 +11,7 @@
 from collections import deque
 from typing import Any, Callable
 
+from milletsill.errors import Unkept
 from milletsill.trace import format
 from milletsill.trace.decide import (MOST_AGE, MOST_ROWS, SECOND, Shed, Stores, Tracing, Word, block_ends, file_ends,
                                      retry_after, step, room, to_delete)
@@ -19,6 +20,12 @@
 LOOK, SUFFIX = 0.1, ".mtrace"
 
 
+class TraceUnkept(Unkept):
+    """A trace that the disk does not take."""
+
+    remedy = "make room or mend the disk of trace.folder; traffic goes on, and tracing in a new file once it is taken again"
+
+
 class Writer:
     """One gateway's traces in one folder. `about` goes into each file's header; `remark` gets one line for the log, from
     the writer's thread; `now` is the gateway's clock."""
@@ -129,7 +136,7 @@
             call()
         except OSError as error:
             if not self.failures:
-                self.remark(f"tracing stops: {self.folder}: {error.strerror or error}")
+                self.remark(f"tracing stops: {TraceUnkept(error.strerror or str(error), self.folder).line()}")
             self.word(Word.FAILED)
 
     def open(self) -> None:
