--- a/milletsill/planner/faults.py
+++ b/milletsill/planner/faults.py
@@ -25,7 +25,8 @@
 class OtherTerms(Fault):
     """An edge whose terms of lending are not the planner's."""
 
-    remedy = "give `lending` the same values in the planner block of that edge and in the planner's file, then restart the one that was wrong"
+    remedy = ("give `lending` the same values in the planner block of that edge and in the planner's file, then restart the one that "
+              "was wrong")
 
 
 class Superseded(Fault):
