--- a/milletsill/fleet/members/decide.py
+++ b/milletsill/fleet/members/decide.py
@@ -20,15 +20,16 @@
 BEAT = 1000              # between ticks
 LATE = 1000              # a tick that is later than this: this gateway stood still
 RING = 2                 # successors by hash that each gateway probes, beside one of all in turn: nobody waits for a probe
-DOUBT_SHARE = 2.6        # of the probe span: without a sign of life for so long, a member is told to be suspect
+DOUBT_SHARE = 2.4        # of the probe span: without a sign of life for so long, a member is told to be suspect
 ROUND_SHARE = 0.8        # of the probe span: between rounds of probes to one that is doubted
 LEAST_SHARE = 0.6        # of the suspicion span, where enough others suspect it too
 CONFIRMS = 2             # others that are enough
 MOST_WATCHES = 12        # members that one gateway doubts at a time; others doubt the rest
-HEARSAY_SHARE = 0.9      # of the suspicion span: one said to be gone, that I took for alive, has so long to answer me
+HEARSAY_SHARE = 0.7      # of the suspicion span: one said to be gone, that I took for alive, has so long to answer me
+FRESH_ANSWERS = 2        # answer spans that are left of a doubt, at least, once this gateway stood still
 HEARSAYS = 16            # members that are asked so in one beat
 STALE_SPANS = 3          # suspicion spans: a suspicion that nobody ended is looked into
-NEWS_EVERY, NEWS_TO = 2000, 3    # while there is news: so many are told, so often
+NEWS_EVERY, NEWS_TO = 1000, 3    # while there is news: so many are told, so often
 LEAVE_TO = 4             # times the logarithm of the fleet's size: so many are told of a leave at once
 SOON = 5000              # the next whole exchange, after one that found a difference
 LOST_PART = 3            # one whole exchange in so many goes to a member believed gone, or an address of the file
@@ -37,6 +38,7 @@
 OWN_TROUBLE, LOOKED_AT, LEAST_TARGETS = 0.67, 8, 4  # part of the last so many probes, of so many members at least
 TROUBLE_TIMES = 3        # spans are this much longer for one that is its own trouble
 MOST_SCORE = 4           # of doubt in oneself; at the most all spans are twice as long
+JUST_WOKE = 2 * BEAT
 NEVER = -1
 RELAYS = 1024            # probes that others asked for, kept until answered
 TWIN_AFTER, TWIN_EVERY = 50_000, 300_000  # since the start; between words about it
@@ -101,6 +103,12 @@
     return Order.SAME if said[2] == held[2] else Order.NEWER if said[2] > held[2] else Order.OLDER
 
 
+def believed(named: bool, told: int, woke: int, terms: Terms) -> bool:
+    """Whether a death is believed unheard: somebody is named who suspected it, and it had the least span to refute that. What
+    is read right after this gateway stood still has lain there, suspicion and sentence alike."""
+    return named and (told >= terms.suspicion * LEAST_SHARE or woke <= JUST_WOKE)
+
+
 # A member that this gateway probes.
 
 # ASKED: a probe is out. THROUGH: others were asked to probe it too. DOUBTED: a round came to nothing; rounds follow each other.
@@ -155,6 +163,15 @@
     return Sign.ROUND if now - watch.round >= terms.probe * ROUND_SHARE else None
 
 
+def longer(watch: Watch, now: int, late: int, terms: Terms) -> None:
+    """This gateway stood still for `late`. What ends in a death counts the time it was awake alone; a doubt, which only ends in
+    a suspicion that can be refuted, has a new round to answer and goes on."""
+    watch.began = min(watch.began + late, now)
+    left = int(terms.probe * DOUBT_SHARE) - FRESH_ANSWERS * terms.answer
+    doubted = watch.stage is Stage.DOUBTED
+    watch.since = max(watch.since, min(watch.since + late, now - left)) if doubted else min(watch.since + late, now)
+
+
 def suspicion(most: int, confirms: int, wanted: int) -> float:
     """How long one that is suspect may refute it: less where others suspect it too, never less than the least."""
     if wanted <= 0:
--- a/milletsill/fleet/members/membership.py
+++ b/milletsill/fleet/members/membership.py
@@ -15,7 +15,7 @@
 from milletsill.fleet.frames.words import Message, Row, What
 from milletsill.fleet.members.decide import (BEAT, FORGET_EVERY, HEARSAYS, JOIN_EVERY, LATE, LEAVE_TO, LOOKED_AT, LOST_PART,
                                              MOST_WATCHES, NEVER, NEWS_EVERY, NEWS_TO, RELAYS, RING, SOON, STALE_SPANS, WATCH, Own, Sign,
-                                             Stage, Terms, Watch, due, score, times_longer, troubled, wanted_confirms)
+                                             Stage, Terms, Watch, due, longer, score, times_longer, troubled, wanted_confirms)
 from milletsill.fleet.members.effects import Effect, Said, Say, Send
 from milletsill.fleet.members.rolls import Rolls
 from milletsill.fleet.members.table import Known
@@ -80,11 +80,9 @@
         """This gateway stood still: what it did not hear says nothing of the others."""
         self.score = score(self.score, "stood")
         self.rolls.out.append(Say(Said.STOOD, span=late))
-        for name in self.rolls.table.suspects:
-            held = self.rolls.table.held[name]
-            held.since = min(held.since + late, now)
+        self.rolls.woke = now
         for watch in list(self.watches.values()):
-            watch.since, watch.began = min(watch.since + late, now), min(watch.began + late, now)
+            longer(watch, now, late, self.terms)
             self.sign(now, watch, Sign.STOOD)
 
     def look(self, now: int) -> None:
--- a/milletsill/fleet/members/rolls.py
+++ b/milletsill/fleet/members/rolls.py
@@ -3,7 +3,7 @@
 
 from milletsill.fleet.frames.codec import MOST_BY
 from milletsill.fleet.frames.words import Message, Row, What
-from milletsill.fleet.members.decide import (CHANGES, HELD, LEAST_SHARE, OWN, TWIN_AFTER, TWIN_EVERY, Own, Order, Terms, Word,
+from milletsill.fleet.members.decide import (CHANGES, HELD, OWN, TWIN_AFTER, TWIN_EVERY, Own, Order, Terms, Word, believed,
                                              order_of, word_of)
 from milletsill.fleet.members.effects import Changed, Claimed, Effect, Said, Say, Send
 from milletsill.fleet.members.table import Known, Table
@@ -16,7 +16,7 @@
 
     def __init__(self, name: str, address: str, run: int, nonce: int, terms: Terms, now: int) -> None:
         self.name, self.nonce, self.terms, self.started = name, nonce, terms, now
-        self.own, self.claimed, self.told_twin = Own.UP, None, now - TWIN_EVERY
+        self.own, self.claimed, self.told_twin, self.woke = Own.UP, None, now - TWIN_EVERY, now - TWIN_EVERY
         self.me = Known(Row(name, run, nonce, 0, Standing.ALIVE, address), now)
         self.table, self.spread, self.out = Table(terms.most_members), Spread(), list[Effect]()
         self.table.add(self.me)
@@ -39,8 +39,7 @@
         if action == "confirm":
             return self.confirm(held, row.by)
         if action == "sentence":
-            # One of whom a suspicion was told, and not refuted for the least span, is gone; else I ask it first.
-            told = bool(held.by) and now - held.since >= self.terms.suspicion * LEAST_SHARE
+            told = believed(bool(held.by), now - held.since, now - self.woke, self.terms)
             standing, action = (Standing.GONE, "gone") if told else (Standing.SUSPECT, "hearsay")
         before = held.standing
         held.run, held.nonce, held.turn = row.run, row.nonce, row.turn
