--- a/milletsill/cli/main.py
+++ b/milletsill/cli/main.py
@@ -4,28 +4,20 @@
 import json
 import os
 import sys
-from typing import Any, Callable
+from typing import Any
 
 import click
 from google.protobuf import text_format
 
+from milletsill.cli.files import taken
 from milletsill.cli.planner import ctl, plan
 from milletsill.cli.traces import trace
+from milletsill.errors import line_of
 from milletsill.settings.decide import check_gateway, check_scenario
-from milletsill.settings.load import Refused, load, text_from
+from milletsill.settings.load import RefusedFile, text_from
 from milletsill.settings.milletsill_pb2 import GatewayFile, Scenario
 
 
-def taken(file: str, made: Any, check: Callable[..., None]) -> Any:
-    """A checked file, or its faults on standard error and exit status 2."""
-    try:
-        return load(file, made, check)
-    except Refused as error:
-        for each in error.faults:
-            click.echo(str(each), err=True)
-        sys.exit(2)
-
-
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 def main() -> None:
     """A storage gateway: schedules a host's reads and writes over storage nodes."""
@@ -73,8 +65,10 @@
               help="Flow export: none, to a collector, to nobody, to one that never reads.")
 @click.option("--trace", "traced", is_flag=True, help="Each edge writes a trace, into OUT/traces.")
 @click.option("--planner", "planned", is_flag=True, help="With a planner; troubles of planners are played only then.")
+@click.option("--plant", default="", type=click.Choice(["", "each-in-order", "newest", "by-extent", "batches"]),
+              help="A fault planted in the gate of one contract: the audit has to find it.")
 def lab_run(scenario: str, out: str, modules: tuple[str, ...], per_process: int, seed: int | None, flows: str,
-            traced: bool, planned: bool) -> None:
+            traced: bool, planned: bool, plant: str) -> None:
     """Play SCENARIO and audit what crossed the sockets. Exit status 1 where a rule was broken by the module."""
     from milletsill.lab.run import Run, broken, report
     day = taken(scenario, Scenario, check_scenario)
@@ -85,7 +79,7 @@
         name = "" if module == "bd-edf" else module
         try:
             result = Run(day, os.path.join(out, module) if len(modules) > 1 else out, name, per_process,
-                         lambda text: click.echo(text, err=True), flows, traced, planned).play()
+                         lambda text: click.echo(text, err=True), flows, traced, planned, plant).play()
         except (RuntimeError, OSError) as error:
             click.echo(f"milletsill: {error}", err=True)
             sys.exit(1)
@@ -105,11 +99,11 @@
     try:
         given = json.loads(text_from(day))
         made = scenario_of(given, edges, boxes, seconds)
-    except Refused as error:
+    except RefusedFile as error:
         click.echo(str(error), err=True)
         sys.exit(2)
     except (BadDay, ValueError, RecursionError) as error:
-        click.echo(f"{day}: {' '.join(str(error).split())[:300]}", err=True)
+        click.echo(f"{day}: {line_of(error)}", err=True)
         sys.exit(2)
     click.echo(text_format.MessageToString(made), nl=False)
 
@@ -121,14 +115,17 @@
     import glob
 
     from milletsill.lab.audit import RULES, audit, gather
+    from milletsill.lab.audit_contracts import audit_contracts
     terms = taken(os.path.join(out, "scenario.textproto"), Scenario, check_scenario)
     try:
-        found = audit(gather(out, len(glob.glob(os.path.join(out, "box-*.rec")))), terms)
+        evidence = gather(out, len(glob.glob(os.path.join(out, "box-*.rec"))))
     except (OSError, ValueError) as error:
         click.echo(f"milletsill: {error}", err=True)
         sys.exit(2)
-    for rule, breaches in found.items():
-        click.echo(f"rule {rule}, {RULES[rule]}: {'kept' if not breaches else f'{len(breaches)} breaches'}")
+    found = {f"rule {rule}, {RULES[rule]}": held for rule, held in audit(evidence, terms).items()}
+    found.update((f"contract {name}", held) for name, held in audit_contracts(evidence, terms).items())
+    for name, breaches in found.items():
+        click.echo(f"{name}: {'kept' if not breaches else f'{len(breaches)} breaches'}")
         for each in breaches[:20]:
             click.echo("  " + "\n    ".join([each.text, *each.packets]))
     sys.exit(1 if any(found.values()) else 0)
@@ -190,7 +187,7 @@
 def flows_decode(file: str, within: tuple[str, ...]) -> None:
     """Decode FILE, IPFIX messages one behind the other (RFC 5655). Exit status 1 where it ends in the middle of one."""
     from milletsill.flows.collect import Collector, Session
-    from milletsill.flows.ipfix import Cutter, Malformed
+    from milletsill.flows.ipfix import Cutter, BadExport
     collector = Collector(lambda row: click.echo(json.dumps(row)), lambda text: click.echo(text, err=True),
                           prefixes(within))
     session, cutter, at = Session(None), Cutter(), 0
@@ -203,8 +200,8 @@
     except OSError as error:
         click.echo(f"{file}: {error.strerror}", err=True)
         sys.exit(2)
-    except Malformed as error:
-        click.echo(f"{file} at {at}: {error}", err=True)
+    except BadExport as error:
+        click.echo(error.at(f"{file} at {at}").line(), err=True)
         sys.exit(1)
     if cutter.held:
         click.echo(f"{file}: cut {len(cutter.held)} bytes into a message at {at}", err=True)
--- a/milletsill/edge/host.py
+++ b/milletsill/edge/host.py
@@ -10,8 +10,8 @@
 from typing import Any, Callable, Mapping, Protocol, Sequence
 
 from milletsill.edge.stalls import io_first
+from milletsill.errors import whereabouts
 from milletsill.interface import Answer, Arrival, Decisions, Facts, Listed, News, Outcome, Port
-from milletsill.wirehost.host import whereabouts
 
 NEVER = 1 << 60
 LONGEST_SLEEP = 60.0  # seconds; a timer for later is set again then
@@ -116,6 +116,11 @@
             self.tell(self.module.abandoned, transfer)
             self.settle_soon()
 
+    def end_all(self) -> None:
+        """The process is about to end: what has no final answer by now gets one."""
+        for live in list(self.live.values()):
+            self.overdue(live)
+
     def listed(self, news: News, entries: Sequence[Listed]) -> None:
         """News of the list."""
         self.tell(self.module.listed, news, entries)
--- a/milletsill/edge/service.py
+++ b/milletsill/edge/service.py
@@ -15,7 +15,7 @@
 from milletsill.edge.door import Clients, Connection
 from milletsill.edge.host import Ended, Host, Make
 from milletsill.edge.identity import keep, next_incarnation
-from milletsill.edge.logs import logger
+from milletsill.logs import logger
 from milletsill.edge.metrics import Figures
 from milletsill.errors import Fault
 from milletsill.files.extensions import Order
@@ -55,7 +55,7 @@
         seed = file.seed if file.HasField("seed") else random.SystemRandom().getrandbits(63)
         self.follower = Follower(reactor, now, file.registry, given["warm_after"],
                                  os.path.join(file.state_dir, "boxes.json"), self.listed, self.moved,
-                                 lambda text: self.remark("list", reason=text), file.name)
+                                 lambda text: self.remark("list", reason=text), file.name, random.Random(f"{seed} list").uniform)
         self.traces = self.tracer(given, seed) if file.HasField("trace") else None
         if self.traces is not None:
             make = self.traces.around(make)
@@ -64,6 +64,8 @@
         self.flows = self.exporter(seed) if file.HasField("flows") else None
         self.parts = self.planned(given, seed) if file.HasField("planner") else None
         self.fleet = self.among_others(seed) if file.HasField("fleet") else None
+        self.extensions: tuple[str, ...] = ()  # of the door, beside those that always stand
+        self.channels = self.channelled(seed) if self.fleet is not None and file.fleet.HasField("channels") else None
         self.ports: list[Any] = []
         self.stopped: list[Callable[[], None]] = []
         self.look_call: Any = None
@@ -95,6 +97,12 @@
                      lambda event, **values: self.log.info(event, **values),
                      self.keep_run, self.figures.registry)
 
+    def channelled(self, seed: int) -> Any:
+        """Contracts on the order of channels; none of their code is loaded where the file does not ask for it."""
+        from milletsill.edge.channels import EXTENSIONS, channels_of
+        self.extensions = EXTENSIONS
+        return channels_of(self, seed + 4)
+
     def keep_run(self, run: int) -> None:
         """The fleet knew a later run than this one; the next start goes past both."""
         complaint = keep(os.path.join(self.file.state_dir, "incarnation"), run)
@@ -110,6 +118,8 @@
                 self.fleet.start()
             except Fault as error:
                 return self.cannot(error)
+        if self.channels is not None:
+            self.channels.start()
         if self.flows is not None:
             self.flows.start()
         if self.traces is not None:
@@ -146,7 +156,9 @@
             self.open()
         elif effect == "drain":
             self.log.info("draining", held=self.host.held)
-            if self.fleet is not None:
+            if self.channels is not None:
+                self.channels.drain()  # the fleet is told of the leave when its offices are given up
+            elif self.fleet is not None:
                 self.fleet.leave()
             self.close_ports()
             self.overdue_call = self.reactor.callLater(self.file.door.drain_s, self.step, Event.OVERDUE)
@@ -196,7 +208,7 @@
         self.log.info("reloaded", volumes=len(file.volume), routes=len(file.route))
 
     def emptied(self) -> None:
-        if self.process is Process.DRAINING and not self.host.held:
+        if self.process is Process.DRAINING and not self.host.held and not (self.channels is not None and self.channels.held):
             self.reactor.callLater(0, self.step, Event.EMPTY)
 
     def close_ports(self) -> None:
@@ -210,6 +222,8 @@
         self.log.info("stopped", held=self.host.held)
         self.close_ports()
         self.follower.stop()
+        if self.channels is not None:
+            self.channels.stop()
         for client in list(self.clients):
             client.transport.loseConnection()
         self.host.stop()
@@ -272,10 +286,15 @@
         pool = self.pools.get(node)
         if pool is None:
             return None
+        gate = cargo.gate
+        if gate is not None:
+            if not gate.leaves():
+                return None
+            ended = gate.watched(ended)
         left = max((arrival.ends - self.now()) // 10, 1)
         return pool.dispatch(Order(self.file.name, self.incarnation, arrival.id, number, arrival.units, arrival.extent, left,
                                    cargo.ticket, arrival.volume, arrival.gateways, cargo.category, cargo.mark,
-                                   cargo.command), ended)
+                                   cargo.command), ended, gate)
 
     # The clients.
 
--- a/milletsill/links/pool.py
+++ b/milletsill/links/pool.py
@@ -9,10 +9,11 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory, Protocol
 
+from milletsill.errors import Malformed
 from milletsill.files import extensions, packets
 from milletsill.files.extensions import Order, Verdict
 from milletsill.files.framing import Deframer
-from milletsill.files.wire import Malformed
+from milletsill.files.wire import BadPacket
 from milletsill.interface import Outcome
 from milletsill.links.decide import Bounds, Load, Sign, Stage, Way, due, route, step
 
@@ -34,10 +35,10 @@
 class Sending:
     """One dispatch at the pool: where it is and whom to tell."""
 
-    __slots__ = ("pool", "order", "ended", "link", "id", "over", "since", "octets")
+    __slots__ = ("pool", "order", "ended", "link", "id", "over", "since", "octets", "gate")
 
-    def __init__(self, pool: Pool, order: Order, ended: Ended, now: int) -> None:
-        self.pool, self.order, self.ended, self.since = pool, order, ended, now
+    def __init__(self, pool: Pool, order: Order, ended: Ended, now: int, gate: Any = None) -> None:
+        self.pool, self.order, self.ended, self.since, self.gate = pool, order, ended, now, gate
         self.link: Link | None = None
         self.id, self.over, self.octets = 0, False, 0
 
@@ -78,7 +79,7 @@
             while (body := self.deframer.next()) is not None:
                 self.packet(packets.decode(body), len(body) + 4)
         except Malformed as error:
-            self.pool.remark(f"broken bytes from the box: {error}")
+            self.pool.remark(f"broken bytes from the box: {error.line()}")
             return self.sign(Sign.BROKEN)
         self.sign(Sign.WORD)
 
@@ -93,10 +94,10 @@
             self.beats = max(self.beats - 1, 0)
             return
         if not isinstance(packet, packets.ExtendedReply):
-            raise Malformed(f"{type(packet).__name__} where a verdict was due")
+            raise BadPacket(f"{type(packet).__name__} where a verdict was due")
         verdict = extensions.read_verdict(packet)
         if verdict.verdict in (extensions.DONE, extensions.ELSEWHERE) and verdict.answer is None:
-            raise Malformed("a verdict without the answer it speaks of")
+            raise BadPacket("a verdict without the answer it speaks of")
         if sending is not None:
             del self.out[packet.id]
             self.load.out = len(self.out)
@@ -196,9 +197,9 @@
         self.look_call: Any = None
         self.closed = False
 
-    def dispatch(self, order: Order, ended: Ended) -> Sending:
-        """Send a dispatch as the bounds allow; `ended` is told how it went."""
-        sending = Sending(self, order, ended, self.now())
+    def dispatch(self, order: Order, ended: Ended, gate: Any = None) -> Sending:
+        """Send a dispatch as the bounds allow; `ended` is told how it went. A `gate` is asked again where it had to wait."""
+        sending = Sending(self, order, ended, self.now(), gate)
         way, place = route([each.load for each in self.links], len(self.waiting), self.bounds)
         if self.closed:
             way = Way.REFUSE
@@ -257,7 +258,9 @@
             if way is not Way.USE:
                 return
             sending = self.waiting.pop(0)
-            if not sending.over:
+            if sending.gate is not None and not sending.over and not sending.gate.leaves():
+                self.unreach(sending)
+            elif not sending.over:
                 self.links[place].dispatch(sending)
 
     def withdraw(self, sending: Sending, outcome: Outcome = Outcome.CANCELLED) -> None:
--- a/milletsill/wirehost/host.py
+++ b/milletsill/wirehost/host.py
@@ -1,13 +1,13 @@
 """Hosts instances of the decision module: turns events into calls and calls into actions."""
 from __future__ import annotations
 
-import traceback
 from typing import Any, BinaryIO, Callable
 
+from milletsill.errors import whereabouts
 from milletsill.interface import Answer, Arrival, Listed, News
 from milletsill.policy import Scheduler
 from milletsill.wirehost import codec
-from milletsill.wirehost.codec import UNIT, Event, Malformed
+from milletsill.wirehost.codec import UNIT, Event, BadBatch
 
 LONGEST_TIMER = 70 * 60 * 1_000_000_000  # the wire takes timers of up to 71 minutes
 
@@ -67,11 +67,11 @@
             return
         module = self.module
         if module is None:
-            raise Malformed(f"{codec.NAMES[event.code]} for instance {self.number}, which was never born")
+            raise BadBatch(f"{codec.NAMES[event.code]} for instance {self.number}, which was never born")
         if event.code == codec.UPDATE:
             news = codec.pick(codec.NEWS, fields[0], "kind of Update")
             if news is not News.FAILED and fields[2] not in banks:
-                raise Malformed(f"Update names list {fields[2]}, which never came")
+                raise BadBatch(f"Update names list {fields[2]}, which never came")
             module.listed(now, news, () if news is News.FAILED else banks[fields[2]])
         elif event.code == codec.TAKEN:
             tid, key, sharers, category, plan, flags, shard, units, volume, ends = fields
@@ -91,13 +91,6 @@
         # NoteFrom answer what the module never asks for.
 
 
-def whereabouts(error: BaseException) -> str:
-    """The error and where it came from, on one line."""
-    frames = traceback.extract_tb(error.__traceback__)[-3:]
-    places = " < ".join(f"{frame.name}:{frame.lineno}" for frame in reversed(frames))
-    return f"{type(error).__name__}: {error} at {places}"
-
-
 class Host:
     """All instances of this process; they share nothing but the wire's numbered lists. `make` gives a new one."""
 
@@ -119,7 +112,7 @@
                 current = self.instances.get(number) or self.instances.setdefault(number, self.make(number))
                 heard[number], current.clock = current, batch.clock
             elif current is None:
-                raise Malformed(f"batch {batch.number}: {codec.NAMES[event.code]} before any Instance")
+                raise BadBatch(f"batch {batch.number}: {codec.NAMES[event.code]} before any Instance")
             elif event.code in (codec.CRASH, codec.BORN) and current.module is not None:
                 current = self.fresh(current, heard)
                 if event.code == codec.BORN:
@@ -139,7 +132,7 @@
         """Run the module; an exception in it is said on the wire."""
         try:
             call()
-        except Malformed:
+        except BadBatch:
             raise
         except Exception as error:
             instance.said.append(codec.text_action(3, whereabouts(error)))
