--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -1,6 +1,6 @@
 """How fast a fleet agrees on who is there, and what that costs: the machines of `fleet/members` on a simulated clock.
 
-    python -m benchmarks.fleet_view events   [--gateways 200 --seed 1]    joins, kills, cuts and their healing, loss
+    python -m benchmarks.fleet_view events   [--gateways 200 --seed 1 --only kill]    joins, kills, cuts and their healing, loss
     python -m benchmarks.fleet_view traffic  [--gateways 200 --seed 1]    packets and octets a second for each member, calm
     python -m benchmarks.fleet_view stalls   [--gateways 200 --seconds 600 --kills 10 --together]    false deaths, real kills
     python -m benchmarks.fleet_view processes [--gateways 12]             the same over real processes, see fleet_processes.py
@@ -30,38 +30,54 @@
     clock.run(clock.now + 10 * SECOND)
 
 
-def events(given: argparse.Namespace) -> None:
-    clock = FleetClock(given.seed)
-    clock.whole(given.gateways, 10 * SECOND)
-    print(f"simulated, {given.gateways} gateways, seed {given.seed}")
-    clock.start("new", join=["gateway-1", "gateway-2"])
-    settled(clock, "one joins")
-    clock.leave("gateway-3")
-    settled(clock, "one leaves")
-    clock.kill("gateway-5")
-    settled(clock, "one is killed")
-    clock.start("gateway-5", run=1, join=["gateway-1"])
-    settled(clock, "it is back with its state lost")
+def part_of(clock: FleetClock, what: str, given: argparse.Namespace) -> None:
+    """One kind of event, on a fleet that is calm and whole."""
     names = [each.name for each in clock.live()]
-    for span in given.cuts:
-        clock.cut(names[::2], names[1::2])
-        clock.run(clock.now + span * SECOND)
+    if what == "join":
+        clock.start("new", join=["gateway-1", "gateway-2"])
+        settled(clock, "one joins")
+        clock.leave("gateway-3")
+        settled(clock, "one leaves")
+    elif what == "kill":
+        clock.kill("gateway-5")
+        settled(clock, "one is killed")
+        clock.start("gateway-5", run=1, join=["gateway-1"])
+        settled(clock, "it is back with its state lost")
+    elif what == "halves":
+        for span in given.cuts:
+            clock.cut(names[::2], names[1::2])
+            clock.run(clock.now + span * SECOND)
+            clock.heal()
+            settled(clock, f"healed after {span} s in halves")
+    elif what == "one-way":
+        clock.cut(names[:len(names) // 10], names[len(names) // 10:], both=False)
+        clock.run(clock.now + 20 * SECOND)
         clock.heal()
-        settled(clock, f"healed after {span} s in halves")
-    clock.cut(names[:len(names) // 10], names[len(names) // 10:], both=False)
-    clock.run(clock.now + 20 * SECOND)
-    clock.heal()
-    settled(clock, "healed after 20 s, a tenth unheard")
-    clock.loss, false = 0.1, len(clock.false)
-    clock.run(clock.now + 60 * SECOND)
-    print(f"a minute of 10% loss: live ones declared gone {len(clock.false) - false}, right views {clock.right():.3f}")
-    clock.kill("gateway-7")
-    settled(clock, "one is killed, 10% loss")
-    clock.loss = 0.0
-    alive = [each.name for each in clock.live()]
-    for name in clock.chance.sample(alive, len(alive) * 3 // 10):
-        clock.kill(name)
-    settled(clock, "30% are killed at once")
+        settled(clock, "healed after 20 s, a tenth unheard")
+        clock.cut(names[:1], names[1:2], both=False)
+        clock.run(clock.now + 20 * SECOND)
+        print(f"20 s in which one does not hear one other: right views {clock.right():.3f}", flush=True)
+    elif what == "loss":
+        clock.loss, false = 0.1, len(clock.false)
+        clock.run(clock.now + 60 * SECOND)
+        print(f"a minute of 10% loss: live ones declared gone {len(clock.false) - false}, right views {clock.right():.3f}", flush=True)
+        clock.kill("gateway-7")
+        settled(clock, "one is killed, 10% loss")
+    elif what == "many":
+        for name in clock.chance.sample(names, len(names) * 3 // 10):
+            clock.kill(name)
+        settled(clock, "30% are killed at once")
+
+
+PARTS = ("join", "kill", "many", "halves", "one-way", "loss")
+
+
+def events(given: argparse.Namespace) -> None:
+    print(f"simulated, {given.gateways} gateways, seed {given.seed}")
+    for what in given.only or PARTS:
+        clock = FleetClock(given.seed)
+        clock.whole(given.gateways, 10 * SECOND)
+        part_of(clock, what, given)
 
 
 def traffic(given: argparse.Namespace) -> None:
@@ -137,6 +153,7 @@
     parser.add_argument("--seconds", type=int, default=600)
     parser.add_argument("--kills", type=int, default=10)
     parser.add_argument("--together", action="store_true")
+    parser.add_argument("--only", nargs="*", choices=PARTS)
     parser.add_argument("--cuts", type=int, nargs="*", default=[1, 10, 300])
     given = parser.parse_args()
     given.gateways = given.gateways or (12 if given.what == "processes" else 200)
--- a/milletsill/fleet/members/membership.py
+++ b/milletsill/fleet/members/membership.py
@@ -302,17 +302,13 @@
             found.append(Row(to.name, to.run, to.nonce, to.turn, to.standing, by=to.by or (self.name,)))
         if not spread.at:
             return tuple(found)
-        made: dict[str, Row] = {}
+        held = rolls.table.held
 
         def size(name: str) -> int:
-            known = rolls.table.held.get(name)
-            if known is None:
-                return 0
-            made[name] = known.row(now, full=False)
-            return row_room(made[name])
+            return held[name].short()[1] if name in held else 0
 
         room = head_room(self.terms.fleet, rolls.sender) - sum(map(row_room, found))
-        found += [made[name] for name in spread.take(room, bound(len(rolls.table.ring)), size) if name in made and name != first]
+        found += [held[name].short()[0] for name in spread.take(room, bound(len(rolls.table.ring)), size) if name in held and name != first]
         return tuple(found)
 
     def tell_all(self, now: int, address: str, answer: bool) -> None:
--- a/milletsill/fleet/members/rolls.py
+++ b/milletsill/fleet/members/rolls.py
@@ -27,9 +27,12 @@
 
     def merge(self, now: int, row: Row, news: bool = True) -> str:
         """Take what is said of one; the action of the table, '' where it changes nothing. `news`: pass it on."""
+        held = self.table.held.get(row.name)
+        if held is not None and row.turn == held.turn and row.nonce == held.nonce and row.run == held.run and (
+                row.standing is held.standing and row.by == held.by):
+            return ""  # most of what comes was known
         if row.name == self.name and (self.own is not Own.DISPLACED or row.nonce == self.nonce):
             return self.meant(now, row)
-        held = self.table.get(row.name)
         if held is None:
             return self.meet(now, row, news)
         order = order_of(held.key, (row.run, row.nonce, row.turn))
@@ -71,7 +74,7 @@
         found = tuple(dict.fromkeys(held.by + by))[:MOST_BY]
         if len(found) == len(held.by):
             return ""
-        held.by = found
+        held.by, held.news = found, None
         self.spread.add(held.name)
         return "confirm"
 
@@ -125,7 +128,7 @@
             return ""
         self.own = own
         if effect == "refute":
-            self.me.turn = row.turn + 1
+            self.me.turn, self.me.news = row.turn + 1, None
             self.out.append(Say(Said.REFUTED))
         if effect == "lost":
             self.out.append(Say(Said.LOST_STATE, row.address, row.run))
--- a/milletsill/fleet/members/table.py
+++ b/milletsill/fleet/members/table.py
@@ -6,6 +6,7 @@
 
 import xxhash
 
+from milletsill.fleet.frames.codec import row_room
 from milletsill.fleet.frames.words import Row
 from milletsill.fleet.plane import PRESENT, Member, Standing
 
@@ -13,11 +14,12 @@
 class Known:
     """One member; `since` when its standing began here, `by` who suspects it, `place` its hash on the ring."""
 
-    __slots__ = ("name", "address", "run", "nonce", "turn", "standing", "by", "since", "mark", "place")
+    __slots__ = ("name", "address", "run", "nonce", "turn", "standing", "by", "since", "mark", "place", "news")
 
     def __init__(self, row: Row, now: int) -> None:
         self.name, self.address, self.run, self.nonce, self.turn = row.name, row.address, row.run, row.nonce, row.turn
         self.standing, self.by, self.since = row.standing, row.by, now - row.age
+        self.news: tuple[Row, int] | None = None  # as it rides on datagrams, and the octets it takes there
         self.mark, self.place = 0, xxhash.xxh64_intdigest(row.name.encode("utf-8", "surrogateescape"))
 
     @property
@@ -32,6 +34,13 @@
                    max(now - self.since, 0) if full and standing not in PRESENT else 0,
                    self.by if standing is Standing.SUSPECT else ())
 
+    def short(self) -> tuple[Row, int]:
+        """Its row as news, and the room that takes; made once for each change."""
+        if self.news is None:
+            row = self.row(0, full=False)
+            self.news = row, row_room(row)
+        return self.news
+
     def member(self) -> Member:
         return Member(self.name, self.address, self.run, self.standing)
 
@@ -70,7 +79,7 @@
 
     def sort(self, known: Known, before: Standing | None) -> None:
         """After each change of a member: where it belongs."""
-        name, present = known.name, known.standing in PRESENT
+        name, present, known.news = known.name, known.standing in PRESENT, None
         if known.mark:
             self.mark ^= known.mark
         elif present:
--- a/milletsill/lab/fleet_clock.py
+++ b/milletsill/lab/fleet_clock.py
@@ -7,6 +7,7 @@
 
 import heapq
 from collections import Counter
+from copy import copy
 from random import Random
 from typing import Any, Callable, Iterable, Sequence
 
@@ -160,12 +161,16 @@
         names = [f"gateway-{each}" for each in range(count)]
         for name in names:
             self.start(name, join=self.chance.sample(names, min(3, count)))
-        rows = [each.member.rolls.sender for each in self.stands.values()]
-        for stand in self.stands.values():
-            for row in rows:
-                stand.member.rolls.merge(self.now, row, False)
-            stand.member.rolls.spread.drop(stand.name)
-            stand.act(stand.member.taken())
+        known = {name: stand.member.rolls.me for name, stand in self.stands.items()}
+        mark, ring = 0, sorted((each.place, name) for name, each in known.items())
+        for each in known.values():
+            mark ^= each.mark
+        for name, stand in self.stands.items():
+            table = stand.member.rolls.table
+            table.held = {other: each if other == name else copy(each) for other, each in known.items()}
+            table.ring, table.mark = list(ring), mark
+            stand.member.rolls.spread.drop(name)
+            stand.version += 1
         self.run(self.now + settle)
 
     def kill(self, name: str) -> None:
