--- a/milletsill/fleet/channels/mutants.py
+++ b/milletsill/fleet/channels/mutants.py
@@ -163,7 +163,7 @@
     "drift at the keeper": 5, "terms from the send": 24, "a majority": 0, "written again": 0, "copies are no votes": 0,
     "the latest write is read": 3, "offices of a former self": 4, "a call's end": 0, "one renewal's answers": 13,
     "no ballot twice": 0, "starts differ": 3, "the floor of what is forgotten": 18, "others' word of later things": 4,
-    "others are asked first": 108, "enough others tell": 2, "the rest before catching up": 68,
+    "others are asked first": 93, "enough others tell": 2, "the rest before catching up": 68,
     "what others tell is taken": 8, "what is written again is not new": 1, "all know the age": 18,
     "promises are told too": 0}
 
--- a/milletsill/fleet/channels/registers/codec.py
+++ b/milletsill/fleet/channels/registers/codec.py
@@ -102,6 +102,8 @@
         made.stamp_index, made.value = answer.stamp.index, answer.value
     if answer.told:
         made.told = True
+    if answer.fresh:
+        made.fresh = True
     if answer.aged != UNKNOWN:
         made.aged = answer.aged
     if answer.say is not Say.YES:
@@ -116,7 +118,7 @@
     stamp = Stamp(get_ballot(answer.stamp), number(answer.stamp_index)) if answer.HasField("stamp") else UNWRITTEN
     return Answer(ask, answer.channel, Ballot(answer.round, receiver, answer.nonce), answer.index, say, stamp, content(answer.value),
                   number(answer.aged) if answer.HasField("aged") else UNKNOWN, number(answer.known), number(answer.pause), answer.who,
-                  answer.told)
+                  answer.told, answer.fresh)
 
 
 def put_record(record: Record, channel: str = "") -> wire.Kept:
--- a/milletsill/fleet/channels/registers/decide.py
+++ b/milletsill/fleet/channels/registers/decide.py
@@ -75,6 +75,7 @@
     pause: int = 0
     who: str = ""
     told: bool = False
+    fresh: bool = False
 
 
 class Span(NamedTuple):
@@ -122,11 +123,12 @@
 
 class Office(NamedTuple):
     """What is only in memory: until when others are refused, whether its holder gave it up before, and since when the record's
-    value stands, on the register's clock; none where a former self took it."""
+    value stands, on the register's clock; none where a former self took it. `fresh`: it came with the write that it was new in."""
 
     until: int
     given_up: bool = False
     since: int | None = None
+    fresh: bool = False
 
 
 Rank = Enum("Rank", "LOWER SAME HIGHER PASSED")
@@ -184,25 +186,27 @@
     if deed is Deed.NOTHING:
         return Done(record, office, None)
     if deed is Deed.GIVE_UP:
-        return Done(record, Office(now, True, office.since if office is not None else None), None)
+        return Done(record, (office or Office(now))._replace(until=now, given_up=True), None)
     if deed in (Deed.SAY_LOWER, Deed.SAY_HELD):
         known = floor if record is None else record.promised.round
         if deed is Deed.SAY_LOWER or record is None or office is None:
             return Done(record, office, Answer(*head, Say.LOWER, round=known))
         return Done(record, office, Answer(*head, Say.HELD, round=known, pause=office.until - now, who=record.promised.name))
-    since = office.since if office is not None else None
+    since, fresh = (office.since, office.fresh) if office is not None else (None, False)
     if deed is Deed.ACCEPT:
         stamp = Stamp(call.ballot, call.index)
         if record is None or record.stamp != stamp or record.told:
-            if record is None or record.told or record.value != call.value:  # what was there already is no younger for it
+            fresh = call.fresh and (record is None or record.value != call.value)
+            if record is None or record.value != call.value:  # what was there already is no younger for it
                 since = now if call.fresh else None
             record = Record(call.ballot, stamp, call.value, up)
-        return Done(record, Office(now + span.refused(), False, since), Answer(*head, Say.YES))
+        return Done(record, Office(now + span.refused(), False, since, fresh), Answer(*head, Say.YES))
     if deed is Deed.PROMISE:
         record = Record(call.ballot, UNWRITTEN, b"", up) if record is None else record._replace(promised=call.ballot, touched=up)
     assert record is not None
     aged = 0 if record.stamp == UNWRITTEN else UNKNOWN if since is None else now - since
-    return Done(record, Office(now + span.refused(), False, since), Answer(*head, Say.YES, record.stamp, record.value, aged, told=record.told))
+    answer = Answer(*head, Say.YES, record.stamp, record.value, aged, told=record.told, fresh=fresh)
+    return Done(record, Office(now + span.refused(), False, since, fresh), answer)
 
 
 def loaded(born: int, span: Span) -> Office:
--- a/milletsill/fleet/channels/registers/seat.py
+++ b/milletsill/fleet/channels/registers/seat.py
@@ -75,11 +75,16 @@
 
 
 def aged(answers: Sequence[Answer], value: bytes) -> int | None:
-    """For how long the value has surely stood at the most. Only where all of the majority have it and know since when: one of
-    them took it before anybody acted on it, and the others may have taken it much later."""
-    if any(each.aged == UNKNOWN or each.value != value for each in answers):
+    """For how long the value has surely stood at the most. One of the majority that was read took it before anybody acted on it,
+    others may have taken it much later. Where the latest write is the one that it was new in, that one has this very write.
+    Where it was written again, that one may have gone on to another value meanwhile, so all must have it."""
+    best = newest(answers)
+    have = [each for each in answers if each.stamp == best.stamp]
+    if not any(each.fresh for each in have):
+        have = list(answers)
+    if any(each.aged == UNKNOWN or each.value != value for each in have):
         return None
-    return max(each.aged for each in answers)
+    return max(each.aged for each in have)
 
 
 def term_end(poll: Poll, now: int, span: Span) -> int:
