--- a/milletsill/fleet/channels/registers/service.py
+++ b/milletsill/fleet/channels/registers/service.py
@@ -17,43 +17,16 @@
 from milletsill.fleet.channels.registers.metrics import Figures
 from milletsill.fleet.channels.registers.seat import Effect, Poll, Seat, Seated, rounds_used
 from milletsill.fleet.channels.registers.standing import BEAT, HELLO, Identity, later
+from milletsill.fleet.channels.registers.terms import Place, Term, Took, Wrote
 from milletsill.fleet.channels.registers.thread import Worker
 from milletsill.fleet.plane import Kind, Plane
 
-Took = Callable[["Term | Fault"], None]
-Wrote = Callable[["Fault | None"], None]
 TICK = 200  # between looks at calls whose span is over
 MOST_OPEN, MOST_CALLBACKS, MOST_REGISTERS = 20_000, 256, 31  # calls under way; of one channel; registers whose identity is kept
-FORGET = 600_000  # a seat that lapsed so long ago goes
+FORGET, SWEEP = 600_000, 2000  # a seat that lapsed so long ago goes; seats that one look goes through
 SENDS = (Effect.ASK, Effect.ASK_HIGHER, Effect.MEND, Effect.RENEW, Effect.WRITE)
 
 
-class Term:
-    """An office of one channel: `value` is what was accepted last, `ends` on this gateway's clock; `age` is for how long the value
-    has stood at the most when the office was taken, None where nobody can tell. `busy` is for the holder to set: the office is
-    renewed by itself while it is."""
-
-    __slots__ = ("channel", "ballot", "ends", "value", "age", "busy", "over", "seat")
-
-    def __init__(self, channel: str, seat: Seat, age: int | None) -> None:
-        self.channel, self.seat, self.age = channel, seat, age
-        self.ballot, self.ends, self.value = seat.ballot, seat.ends, seat.value
-        self.busy = self.over = False
-
-
-class Place:
-    """One channel here: its seat, and who waits for what."""
-
-    __slots__ = ("seat", "term", "takers", "writing", "queued")
-
-    def __init__(self, seat: Seat) -> None:
-        self.seat = seat
-        self.term: Term | None = None
-        self.takers: list[Took] = []
-        self.writing: list[Wrote] = []
-        self.queued: list[Wrote] = []
-
-
 class Offices:
     """Times in tenths of a millisecond, `drift` in parts of a thousand. `most` channels here and at a register each; a register
     forgets a channel that was `silent` for so long. `others` is called with what arrives for Kind.CHANNEL and is not for here."""
@@ -67,6 +40,9 @@
         self.nonce, self.chance = SystemRandom().getrandbits(64), Random(seed)
         self.figures = Figures(registry_of_metrics)
         self.places: dict[str, Place] = {}
+        self.busy: set[Term] = set()
+        self.swept: list[str] = []
+        self.counted = 0
         self.open: deque[tuple[int, Poll, Seat]] = deque()  # by when their span is over
         self.halves: deque[tuple[int, Poll, Seat]] = deque()
         self.outbox: dict[str, list[Call]] = {}
@@ -170,7 +146,8 @@
     def seated(self, place: Place, anew: bool) -> None:
         seat = place.seat
         if anew or place.term is None:
-            place.term = Term(seat.channel, seat, None if seat.since is None else max(self.now() - seat.since, 0) if seat.value else 0)
+            place.term = Term(seat.channel, seat, None if seat.since is None else max(self.now() - seat.since, 0) if seat.value else 0,
+                              self.busy)
         place.term.ends = seat.ends
         self.told(place, place.term)
 
@@ -197,7 +174,8 @@
         seat = place.seat
         fault = self.fault(seat) if effect is Effect.LOSE else NotHeld("the office was given up", seat.channel)
         if place.term is not None:
-            place.term.over, place.term = True, None
+            place.term.end()
+            place.term = None
         if seat.gone is not None:
             self.post(seat.gone)
         self.told(place, fault)
@@ -373,20 +351,31 @@
             self.desk.look()
 
     def renew(self) -> None:
-        """Terms under which something is out, and seats that lapsed long ago."""
+        """Terms under which something is out are renewed; some seats are looked at, whether they lapsed long ago."""
         self.later("renew", int(self.span.office * RENEW / 4), self.renew)
-        now, held = self.now(), 0
-        for channel, place in list(self.places.items()):
-            seat, term = place.seat, place.term
-            held += seat.holds(now)
-            if term is not None and term.busy and seat.state is Seated.SEATED and now >= seat.ends - self.span.office * RENEW:
-                self.act(place, seat.take(now))
-            elif (term is None or not term.busy) and seat.poll is None and not place.takers and now >= seat.ends + FORGET:
-                if term is not None:
-                    term.over = True
-                self.rounds = rounds_used(self.rounds, seat)
-                del self.places[channel]
-        self.figures.held.set(held)
+        now = self.now()
+        for term in list(self.busy):
+            place = self.places.get(term.channel)
+            if place is not None and place.term is term and term.seat.state is Seated.SEATED and (
+                    now >= term.seat.ends - self.span.office * RENEW):
+                self.act(place, term.seat.take(now))
+        if not self.swept:
+            self.figures.held.set(self.counted)
+            self.swept, self.counted = list(self.places), 0
+        for channel in self.swept[-SWEEP:]:
+            if (place := self.places.get(channel)) is not None:
+                self.counted += place.seat.holds(now)
+                self.lapsed(place, now)
+        del self.swept[-SWEEP:]
+
+    def lapsed(self, place: Place, now: int) -> None:
+        """A seat that nobody has used for long goes; its rounds are not used again."""
+        seat, term = place.seat, place.term
+        if (term is None or not term.busy) and seat.poll is None and not place.takers and now >= seat.ends + FORGET:
+            if term is not None:
+                term.end()
+            self.rounds = rounds_used(self.rounds, seat)
+            del self.places[seat.channel]
 
     def soon(self, call: Callable[[Any], None], result: Any) -> None:
         if not self.stopped:
--- /dev/null
+++ b/milletsill/fleet/channels/registers/terms.py
@@ -0,0 +1,49 @@
+"""What `Offices` keeps of a channel: the term that its holder sees, and who waits for what."""
+from __future__ import annotations
+
+from typing import Callable, Union
+
+from milletsill.errors import Fault
+from milletsill.fleet.channels.registers.seat import Seat
+
+Took = Callable[[Union["Term", Fault]], None]
+Wrote = Callable[[Union[Fault, None]], None]
+
+
+class Term:
+    """An office of one channel: `value` is what was accepted last, `ends` on this gateway's clock; `age` is for how long the value
+    has stood at the most when the office was taken, None where nobody can tell. `busy` is for the holder to set: the office is
+    renewed by itself while it is."""
+
+    __slots__ = ("channel", "ballot", "ends", "value", "age", "over", "seat", "crowd")
+
+    def __init__(self, channel: str, seat: Seat, age: int | None, crowd: set[Term]) -> None:
+        self.channel, self.seat, self.age, self.crowd = channel, seat, age, crowd
+        self.ballot, self.ends, self.value = seat.ballot, seat.ends, seat.value
+        self.over = False
+
+    @property
+    def busy(self) -> bool:
+        return self in self.crowd
+
+    @busy.setter
+    def busy(self, busy: bool) -> None:
+        (self.crowd.add if busy and not self.over else self.crowd.discard)(self)
+
+    def end(self) -> None:
+        """It is over for good."""
+        self.over = True
+        self.crowd.discard(self)
+
+
+class Place:
+    """One channel here: its seat, and who waits for what."""
+
+    __slots__ = ("seat", "term", "takers", "writing", "queued")
+
+    def __init__(self, seat: Seat) -> None:
+        self.seat = seat
+        self.term: Term | None = None
+        self.takers: list[Took] = []
+        self.writing: list[Wrote] = []
+        self.queued: list[Wrote] = []
--- a/tests/test_registers.py
+++ b/tests/test_registers.py
@@ -16,7 +16,8 @@
 from milletsill.fleet.channels.registers import codec, registers_pb2 as wire
 from milletsill.fleet.channels.registers.decide import (UNWRITTEN, Answer, Ask, Ballot, Call, Office, Record, Say, Span, Stamp, loaded,
                                                         register)
-from milletsill.fleet.channels.registers.service import Offices, Term
+from milletsill.fleet.channels.registers.service import Offices
+from milletsill.fleet.channels.registers.terms import Term
 from milletsill.fleet.channels.registers.standing import Identity, Page
 from milletsill.fleet.channels.registers.store import Store
 from milletsill.fleet.channels.registers.thread import tried
