--- a/benchmarks/registers.py
+++ b/benchmarks/registers.py
@@ -2,8 +2,8 @@
 
     python -m benchmarks.registers [--gateways 7 --registers 3 --channels 20 --seconds 8 --value 200]
 
-Each gateway keeps so many channels and writes each one's record again as soon as the last write is at a majority. Loopback; the
-registers' files are in a temporary folder, or in --folder, and each commit is synced there.
+Each gateway keeps so many channels and writes each one's record again as soon as the last write is at a majority. With --kill the
+last one gets SIGKILL half way, and the one before it asks for its channels all the time. Loopback; the registers' files are in a temporary folder, or in --folder, and each commit is synced there.
 """
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import signal
 import socket
 import subprocess
 import sys
@@ -66,6 +67,7 @@
     took: list[float] = []
     faults: dict[str, int] = {}
     span = {"from": 0.0, "to": 0.0}
+    heirs: list[float] = []
 
     def begin() -> None:
         if len(fleet.view.members) < given.gateways:
@@ -75,8 +77,22 @@
         span["to"] = span["from"] + given.seconds
         for each in range(given.channels):
             reactor.callLater(1.0, take, f"{number}/{each}")
+        if given.kill and number == given.gateways - 2:
+            for each in range(given.channels):
+                reactor.callLater(3.5, heir, f"{given.gateways - 1}/{each}")
+        if given.kill and number == given.gateways - 1:
+            reactor.callLater(3.0 + given.seconds / 2, lambda: (print(json.dumps({"killed": time.monotonic()}), flush=True),
+                                                                os.kill(os.getpid(), signal.SIGKILL)))
         reactor.callLater(3.5 + given.seconds, end)
 
+    def heir(channel: str) -> None:
+        """Asks for another's channel until it has it, as late as it is told to come back."""
+        def got(term: Any) -> None:
+            if not isinstance(term, Fault):
+                return heirs.append(time.monotonic())
+            reactor.callLater(max(term.pause, 100) / SECOND, heir, channel)
+        offices.take(channel, got)
+
     def take(channel: str) -> None:
         offices.take(channel, lambda term: again(channel, term) if isinstance(term, Fault) else write(term))
 
@@ -100,7 +116,7 @@
 
     def end() -> None:
         commits = registry.get_sample_value("milletsill_register_commits_total")
-        print(json.dumps({"took": took, "faults": faults, "commits": commits}), flush=True)
+        print(json.dumps({"took": took, "faults": faults, "commits": commits, "heirs": heirs}), flush=True)
         offices.stop()
         fleet.stop()
         reactor.callLater(0.2, reactor.stop)
@@ -116,6 +132,7 @@
         parser.add_argument(f"--{name}", type=int, default=default)
     parser.add_argument("--folder")
     parser.add_argument("--loud", action="store_true")
+    parser.add_argument("--kill", action="store_true")
     parser.add_argument("--child", type=int, help=argparse.SUPPRESS)
     parser.add_argument("--ports", help=argparse.SUPPRESS)
     given = parser.parse_args()
@@ -125,7 +142,7 @@
         ports = ",".join(map(str, free_ports(given.gateways)))
         command = [sys.executable, "-m", "benchmarks.registers", *(word for name in ("gateways", "registers", "channels", "seconds", "value")
                                                                   for word in (f"--{name}", str(getattr(given, name))))]
-        command += ["--folder", folder, "--ports", ports] + (["--loud"] if given.loud else [])
+        command += ["--folder", folder, "--ports", ports] + ["--loud"] * given.loud + ["--kill"] * given.kill
         running = [subprocess.Popen([*command, "--child", str(each)], stdout=subprocess.PIPE) for each in range(given.gateways)]
         told = [json.loads(each.communicate()[0] or b"{}") for each in running]
     took = sorted(each for one in told for each in one.get("took", ()))
@@ -136,6 +153,11 @@
           f"{given.seconds} s")
     print(f"writes a second {len(took) / given.seconds:.0f}; a write took {1000 * took[len(took) // 2]:.1f} ms at the median, "
           f"{1000 * took[len(took) * 99 // 100]:.1f} at p99; commits at a register {sum(commits) / max(len(commits), 1):.0f}")
+    if given.kill:
+        killed = next(one["killed"] for one in told if "killed" in one)
+        heirs = sorted(each - killed for one in told for each in one.get("heirs", ()))
+        print(f"{len(heirs)} channels of the killed one were kept again after {heirs[0]:.2f} to {heirs[-1]:.2f} s"
+              if heirs else "the killed one's channels were not kept again")
     print(f"faults {[one.get('faults') for one in told if one.get('faults')] or 'none'}")
 
 
