--- a/milletsill/fleet/channels/registers/codec.py
+++ b/milletsill/fleet/channels/registers/codec.py
@@ -3,10 +3,11 @@
 
 from typing import Any, Iterable
 
+import xxhash
 from google.protobuf.message import DecodeError
 
 from milletsill.fleet.channels.registers import registers_pb2 as wire
-from milletsill.fleet.channels.registers.decide import (MOST_NAME, MOST_VALUE, Answer, Ask, Ballot, Call, Record, Say, Stamp, UNKNOWN,
+from milletsill.fleet.channels.registers.decide import (MOST_NAME, MOST_VALUE, Answer, Ask, Ballot, Call, Record, Say, Span, Stamp, UNKNOWN,
                                                         UNWRITTEN)
 from milletsill.fleet.channels.registers.standing import Identity, Page
 from milletsill.fleet.frames.codec import Unreadable
@@ -17,6 +18,11 @@
 ASKS, SAYS = {each.value: each for each in Ask}, {each.value: each for each in Say}
 
 
+def terms(names: Iterable[str], span: Span) -> int:
+    """A digest of what must be the same at all gateways: the registers' names and the spans."""
+    return xxhash.xxh64_intdigest(repr((sorted(names), *span)).encode("utf-8", "surrogateescape"))
+
+
 def encoded(**what: Any) -> bytes:
     """One body: `encoded(beat=Beat(...))`."""
     return MARK + wire.Frame(version=VERSION, **what).SerializeToString()
@@ -38,8 +44,16 @@
     return value
 
 
+def named(text: str) -> bool:
+    """Whether it can be a channel's name: UTF-8, not empty, not too long."""
+    try:
+        return 0 < len(text.encode()) <= MOST_NAME
+    except UnicodeEncodeError:
+        return False
+
+
 def name(text: str) -> str:
-    if not 0 < len(text.encode("utf-8", "surrogateescape")) <= MOST_NAME:
+    if not named(text):
         raise Unreadable(f"a name of {len(text)} characters, {MOST_NAME} bytes at most")
     return text
 
@@ -88,6 +102,8 @@
         made.stamp_index, made.value = answer.stamp.index, answer.value
     if answer.told:
         made.told = True
+    if answer.fresh:
+        made.fresh = True
     if answer.aged != UNKNOWN:
         made.aged = answer.aged
     if answer.say is not Say.YES:
@@ -102,7 +118,7 @@
     stamp = Stamp(get_ballot(answer.stamp), number(answer.stamp_index)) if answer.HasField("stamp") else UNWRITTEN
     return Answer(ask, answer.channel, Ballot(answer.round, receiver, answer.nonce), answer.index, say, stamp, content(answer.value),
                   number(answer.aged) if answer.HasField("aged") else UNKNOWN, number(answer.known), number(answer.pause), answer.who,
-                  answer.told)
+                  answer.told, answer.fresh)
 
 
 def put_record(record: Record, channel: str = "") -> wire.Kept:
