--- a/benchmarks/channels.py
+++ b/benchmarks/channels.py
@@ -3,7 +3,8 @@
     python -m benchmarks.channels [--gateways 7 --registers 3 --boxes 8 --seconds 8 --folder /tmp/x]
 
 Gateways are processes `python -m milletsill edge`, boxes and registry the laboratory's stand-ins in one more process, clients in this
-one; all on loopback. `plain`: without numbers; `home`: numbered, the client is with the channel's keeper; `away`: with another.
+one; all on loopback. `plain`: without numbers; `home`: numbered, the client is with the channel's keeper; `away`: with another;
+`four`: as home, four numbers told at a time.
 """
 from __future__ import annotations
 
@@ -98,7 +99,7 @@
     """One client that writes again and again, numbered or not."""
 
     def __init__(self, port: int, name: str, numbered: bool) -> None:
-        self.port, self.name, self.numbered, self.number = port, name, numbered, 0
+        self.port, self.name, self.numbered, self.number, self.at_once = port, name, numbered, 0, 1
         self.spans: list[float] = []
         self.done: list[float] = []
 
@@ -116,11 +117,12 @@
         flags = packets.READ_FLAG | packets.WRITE_FLAG | packets.CREATE_FLAG
         self.handle = (await self.client.ask(packets.Open(0, f"/v/{self.name}", flags, Attrs()))).handle
 
-    async def put(self) -> Any:
-        """One write of 400 bytes, and its answer."""
-        write = packets.Write(0, self.handle, self.number % 64 * 400, b"%-400d" % self.number)
+    async def put(self, after: int = 0) -> Any:
+        """One write of 400 bytes, and its answer; `after` so many others that are told at once."""
+        number = self.number + after
+        write = packets.Write(0, self.handle, number % 64 * 400, b"%-400d" % number)
         if self.numbered:
-            said = wire.Numbered(self.channel.handle, self.number, 0, False, Terms(3000), write)
+            said = wire.Numbered(self.channel.handle, number, 0, False, Terms(3000), write)
             return await self.client.ask(wire.put_numbered(0, said))
         return await self.client.ask(extensions.put_terms(Terms(3000), write))
 
@@ -128,12 +130,13 @@
         await asyncio.sleep(chance.uniform(0, every))
         while time.monotonic() < ends:
             began = time.monotonic()
-            answer = await self.put()
-            if answer.code == packets.OK:
-                self.spans.append(time.monotonic() - began)
-                self.done.append(time.monotonic())
-                self.number += 1
-            elif (found := wire.read_sign(answer.language)) and found.pause:
+            answers = await asyncio.gather(*[self.put(each) for each in range(self.at_once)])
+            answer = next((each for each in answers if each.code != packets.OK), answers[0])
+            done = sum(each.code == packets.OK for each in answers)
+            self.spans += [time.monotonic() - began] * done
+            self.done += [time.monotonic()] * done
+            self.number += done
+            if answer.code != packets.OK and (found := wire.read_sign(answer.language)) and found.pause:
                 await asyncio.sleep(found.pause / 1000)
             await asyncio.sleep(max(began + every * chance.uniform(0.5, 1.5) - time.monotonic(), 0))
 
@@ -191,9 +194,11 @@
     for group in kinds.values():
         await asyncio.gather(*[each.open(ends) for each in group])
     await phase("light", list(kinds.items()), given.seconds, 0.25, edges)
-    for kind in ("plain", "home", "away"):
+    for kind in ("plain", "home", "away", "four"):
         group = loads(kind, 12, doors, view)
         await asyncio.gather(*[each.open(ends + 60) for each in group])
+        for each in group:
+            each.at_once = 4 if kind == "four" else 1
         await phase("as fast as it goes", [(kind, group)], given.seconds, 0.0, edges)
         for each in group:
             each.client.writer.close()
--- a/milletsill/edge/channels.py
+++ b/milletsill/edge/channels.py
@@ -207,7 +207,7 @@
         patience = edge.host.facts["categories"][category]["patience"]
         own = what.terms.patience * 10 if isinstance(what, Transfer) else 0
         ends = came + min(patience, own or patience) - edge.margin
-        why = edge.refusal(ends)
+        why = edge.refusal(ends) or ("this gateway holds all that it may" if self.held >= edge.file.door.most_held else "")
         if why:
             return wire.put_sign(packet.id, "declined", f"declined: {why}", None, edge.host.facts["longest_pause"])
         standing = Standing(packet, volume, category, client.octets, came)
--- a/milletsill/fleet/channels/contracts/decide.py
+++ b/milletsill/fleet/channels/contracts/decide.py
@@ -14,6 +14,7 @@
 
 SPAN = 1024          # how far a number may be ahead of the lowest open one where holes stand open; a record's bound
 REMEMBERED = 256     # answers that a channel remembers, twice the most that may wait, so that no waiting client misses its own
+MOST_NUMBER = 1 << 63
 MOST_ASKERS = 4      # words that wait for one number's end
 MOST_PINNED = 64     # numbers that were overtaken and have not come back
 PAUSE = 1000         # what a decline without a better reason tells: a tenth of a second
@@ -119,7 +120,8 @@
     out = next((each for each, entry in line.entries.items() if each != number and entry.phase in UNDER_WAY), None)
     if out is not None:
         return out
-    newest = max((each for each, entry in line.entries.items() if entry.phase is Phase.WAITING), default=number)
+    ends = line.coming[0] if line.coming and number < line.coming[0] else MOST_NUMBER  # what waits for a change is no newer one yet
+    newest = max((each for each, entry in line.entries.items() if entry.phase is Phase.WAITING and each < ends), default=number)
     return newest if newest > number else None
 
 
--- a/milletsill/fleet/channels/contracts/ways.py
+++ b/milletsill/fleet/channels/contracts/ways.py
@@ -16,6 +16,7 @@
 from milletsill.fleet.plane import Kind, Plane
 
 MOST_FORWARDS, MOST_HEARD = 20_000, 20_000  # words out, and words of others that are on hand or were answered
+MOST_ON_HAND = 5000  # words of others that are not answered yet
 SILENT_CALLS = 2     # calls without a sign of life until the keeper counts as away
 MOST_HOPS = 3
 AWAY = 30_000        # tenths of a millisecond for which one that could not be reached is not asked again, unless it says something
@@ -58,6 +59,7 @@
         # Guards against a gateway that starts again under a run that it had before (its state_dir lost, or an older copy): with the
         # same numbers again it was told the remembered replies of other words. Harm: none, 63 bits of chance.
         self.ids = SystemRandom().getrandbits(62)
+        self.on_hand = 0
         # Words of others: None while they are on hand, then the reply.
         self.others: OrderedDict[tuple[str, int, int], bytes | None] = OrderedDict()
 
@@ -168,6 +170,10 @@
             word = read_word(ask, volume, f"{member}.{run}.{ask.id}", self.now(), lambda packet: self.answered(key, packet))
         except Malformed:
             return
+        if self.on_hand >= MOST_ON_HAND:
+            return self.say(member, put_envelope(Envelope(reply=Reply(id=ask.id, answer=bare(
+                wire.put_sign(0, "declined", "declined: its keeper has all the words that it may", None, self.call))))))
+        self.on_hand += 1
         self.others[key] = None
         while len(self.others) > MOST_HEARD:
             self.others.popitem(last=False)
@@ -175,6 +181,7 @@
         self.own(word, member)
 
     def answered(self, key: tuple[str, int, int], packet: Any) -> None:
+        self.on_hand -= 1
         member, _, id = key
         envelope = Envelope(reply=Reply(id=id, keeper=packet.who, pause=packet.pause) if isinstance(packet, Elsewhere)
                             else Reply(id=id, answer=bare(packet)))
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -184,6 +184,17 @@
             line.open(3, Declared(Contract("c", 1, Order.EACH_IN_ORDER)), "w", "o")
 
 
+    def test_from_the_newest_to_another_contract(self):
+        line = channel(Order.NEWEST)
+        come(line, 3)
+        line.open(3, Declared(Contract("c", 2, Order.EACH_IN_ORDER), 8), "y", "o")
+        said(line)
+        self.assertEqual((come(line, 9), come(line, 8), come(line, 5)), ([], [], []))
+        self.assertEqual(end(line, 3), ["a3 answer 3", "go 5"])  # not held up by what waits for the change
+        self.assertEqual(end(line, 5), ["a5 answer 5", "go 8"])
+        self.assertEqual((end(line, 8), line.contract.version), (["a8 answer 8", "go 9"], 2))
+
+
 class Records(unittest.TestCase):
     def test_out_and_in_again(self):
         line = channel(Order.BY_EXTENT)
