--- a/milletsill/edge/channels.py
+++ b/milletsill/edge/channels.py
@@ -18,7 +18,7 @@
 from milletsill.fleet.channels.contracts.decide import Book, Contract, Input, Order, Reach, Reaches, Unsure
 from milletsill.fleet.channels.contracts.gone import Gone
 from milletsill.fleet.channels.contracts.keeper import Keeper
-from milletsill.fleet.channels.contracts.line import LetGo
+from milletsill.fleet.channels.contracts.pieces import LetGo
 from milletsill.fleet.channels.contracts.ways import Ways
 from milletsill.fleet.channels.contracts.words import Elsewhere, Look, Open, Say, Transfer, Word
 from milletsill.fleet.plane import Kind
--- a/milletsill/fleet/channels/contracts/codec.py
+++ b/milletsill/fleet/channels/contracts/codec.py
@@ -5,7 +5,8 @@
 
 from milletsill.fleet.channels.contracts.decide import (MOST_PINNED, REMEMBERED, SPAN, Contract, Order, Phase, Reach, Reaches,
                                                         Unsure)
-from milletsill.fleet.channels.contracts.line import LONG_AGO, Closed, Entry, Line
+from milletsill.fleet.channels.contracts.line import Line
+from milletsill.fleet.channels.contracts.pieces import LONG_AGO, Closed, Entry
 from milletsill.fleet.channels.contracts.record_pb2 import ContractTerms, Envelope, Record
 from milletsill.fleet.channels.errors import RecordUnread
 
--- a/milletsill/fleet/channels/contracts/keeper.py
+++ b/milletsill/fleet/channels/contracts/keeper.py
@@ -10,7 +10,8 @@
 from milletsill.files import packets
 from milletsill.fleet.channels.contracts import codec
 from milletsill.fleet.channels.contracts.decide import PAUSE, Book, Input, Phase, Reaches
-from milletsill.fleet.channels.contracts.line import (LEFT_OUT, SETTLED, STAYED_UNSURE, Claimed, Coming, LetGo, Line, Tell)
+from milletsill.fleet.channels.contracts.line import Line
+from milletsill.fleet.channels.contracts.pieces import LEFT_OUT, SETTLED, STAYED_UNSURE, Claimed, Coming, LetGo, Tell
 from milletsill.fleet.channels.contracts.words import Elsewhere, Look, Open, Say, Transfer, Word
 from milletsill.fleet.channels.errors import (ChannelFault, ContractOlder, ContractRefused, ContractsContradict, NotKeeper,
                                               RecordUnread, TooMany)
--- a/milletsill/fleet/channels/contracts/sea.py
+++ b/milletsill/fleet/channels/contracts/sea.py
@@ -16,7 +16,7 @@
 from milletsill.fleet.channels.contracts.decide import Book, Contract, Input, Order, Reach, Reaches, Unsure
 from milletsill.fleet.channels.contracts.gone import Gone
 from milletsill.fleet.channels.contracts.keeper import Keeper
-from milletsill.fleet.channels.contracts.line import SETTLED, LetGo
+from milletsill.fleet.channels.contracts.pieces import SETTLED, LetGo
 from milletsill.fleet.channels.contracts.words import Elsewhere, Open, Transfer, Word
 from milletsill.fleet.channels.errors import NoMajority, NotKeeper, Outvoted
 
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -5,7 +5,8 @@
 
 from milletsill.fleet.channels.contracts import codec, model
 from milletsill.fleet.channels.contracts.decide import (REMEMBERED, Contract, Declared, Input, Order, Reach, Unsure)
-from milletsill.fleet.channels.contracts.line import Claimed, Coming, LetGo, Line, Tell
+from milletsill.fleet.channels.contracts.line import Line
+from milletsill.fleet.channels.contracts.pieces import Claimed, Coming, LetGo, Tell
 from milletsill.fleet.channels.errors import ContractOlder, ContractsContradict, RecordUnread
 
 REST, WINDOW, HOLE = 100, 5000, 1000
