--- a/milletsill/fleet/channels/registers/codec.py
+++ b/milletsill/fleet/channels/registers/codec.py
@@ -5,11 +5,11 @@
 
 from google.protobuf.message import DecodeError
 
-from milletsill.errors import Fault
 from milletsill.fleet.channels.registers import registers_pb2 as wire
 from milletsill.fleet.channels.registers.decide import (MOST_NAME, MOST_VALUE, Answer, Ask, Ballot, Call, Record, Say, Stamp, UNKNOWN,
                                                         UNWRITTEN)
 from milletsill.fleet.channels.registers.standing import Identity, Page
+from milletsill.fleet.frames.codec import Unreadable
 
 MARK, VERSION, MOST_FRAME, PER_FRAME = b"R", 1, 1 << 19, 2000
 FRAME_BYTES = 200_000  # calls or answers are parted into frames of about so many
@@ -17,12 +17,6 @@
 ASKS, SAYS = {each.value: each for each in Ask}, {each.value: each for each in Say}
 
 
-class Unreadable(Fault):
-    """A body that is no frame of ours."""
-
-    remedy = "see that all gateways run versions of the program that know each other's frames"
-
-
 def encoded(**what: Any) -> bytes:
     """One body: `encoded(beat=Beat(...))`."""
     return MARK + wire.Frame(version=VERSION, **what).SerializeToString()
@@ -75,9 +69,7 @@
 def put_call(call: Call) -> wire.Call:
     made = wire.Call(ask=call.ask.value, channel=call.channel, round=call.ballot.round, nonce=call.ballot.nonce, index=call.index)
     if call.ask is Ask.ACCEPT:
-        made.value = call.value
-        if call.aged != UNKNOWN:
-            made.aged = call.aged
+        made.value, made.fresh = call.value, call.fresh
     return made
 
 
@@ -85,7 +77,7 @@
     """None where it asks for what a later version may know."""
     ask = ASKS.get(call.ask)
     return None if ask is None else Call(ask, name(call.channel), Ballot(number(call.round), sender, call.nonce), number(call.index),
-                                         content(call.value), number(call.aged) if call.HasField("aged") else UNKNOWN)
+                                         content(call.value), call.fresh)
 
 
 def put_answer(answer: Answer) -> wire.Answer:
