--- a/milletsill/edge/host.py
+++ b/milletsill/edge/host.py
@@ -95,6 +95,7 @@
         self.settling, self.put_off, self.stopped = False, False, False
         self.settled, self.most_stale = 0, NEVER
         self.module = make(facts, seed, now(), self)
+        self.overheard: Callable[[int, Arrival, Answer], None] = lambda now, arrival, answer: None  # of each dispatch's end
 
     # Told by the edge.
 
@@ -131,6 +132,11 @@
         self.module.part(self.now(), what, id, share, ends, after)
         self.settle_soon()
 
+    def advised(self, node: int, strain: float, away: bool, until: int) -> None:
+        """What other gateways make of a node."""
+        self.tell(self.module.advised, node, strain, away, until)
+        self.settle_soon()
+
     # The Port.
 
     def send(self, transfer: int, node: int, timeout: int) -> None:
@@ -241,6 +247,7 @@
                         verdict.used if verdict else None, verdict.elsewhere if verdict else 0,
                         verdict.report if verdict else {})
         self.tell(self.module.returned, answer)
+        self.overheard(now, live.arrival, answer)
         if satisfied and verdict is not None:
             live.asker.satisfied(verdict)
         self.settle_soon()
--- a/milletsill/edge/service.py
+++ b/milletsill/edge/service.py
@@ -64,6 +64,7 @@
         self.flows = self.exporter(seed) if file.HasField("flows") else None
         self.parts = self.planned(given, seed) if file.HasField("planner") else None
         self.fleet = self.among_others(seed) if file.HasField("fleet") else None
+        self.health = self.sharing(seed) if self.fleet is not None and file.fleet.HasField("health") else None
         self.extensions: tuple[str, ...] = ()  # of the door, beside those that always stand
         self.channels = self.channelled(seed) if self.fleet is not None and file.fleet.HasField("channels") else None
         self.ports: list[Any] = []
@@ -97,6 +98,11 @@
                      lambda event, **values: self.log.info(event, **values),
                      self.keep_run, self.figures.registry)
 
+    def sharing(self, seed: int) -> Any:
+        """Health that is shared; none of its code is loaded where the file does not ask for it."""
+        from milletsill.fleet.health.edge import sharing_of
+        return sharing_of(self, seed + 5)
+
     def channelled(self, seed: int) -> Any:
         """Contracts on the order of channels; none of their code is loaded where the file does not ask for it."""
         from milletsill.edge.channels import EXTENSIONS, channels_of
@@ -118,6 +124,8 @@
                 self.fleet.start()
             except Fault as error:
                 return self.cannot(error)
+        if self.health is not None:
+            self.health.start()
         if self.channels is not None:
             self.channels.start()
         if self.flows is not None:
@@ -235,6 +243,8 @@
             self.traces.stop()
         if self.parts is not None:
             self.parts.stop()
+        if self.health is not None:
+            self.health.stop()
         if self.fleet is not None:
             self.fleet.stop()
         for call in (self.look_call, self.overdue_call, self.beat_call):
@@ -263,6 +273,8 @@
     def listed(self, news: News, entries: list[Listed]) -> None:
         self.figures.news.labels(news.value).inc()
         self.host.listed(news, entries)
+        if self.health is not None:
+            self.health.listed(news, entries)
         if self.parts is not None:
             self.parts.listed(entries)
 
--- a/milletsill/fleet/health/decide.py
+++ b/milletsill/fleet/health/decide.py
@@ -24,11 +24,11 @@
 LASTS = 4  # periods that advice lasts when it is not renewed
 # Voices: one origin has at most one on each box.
 TRIM = 0.05  # of the gateways: the worst words of so many do not count
-FEWEST, FEWEST_ILL, MOST_TRIM = 2.5, 0.6, 0.2  # voices for a finding, on a box that few try; the trimmed are at most this part of them
+FEWEST, FEWEST_ILL, MOST_TRIM = 2.5, 0.6, 0.2  # voices for a finding, on a box that few try; the trimmed are at most this part of them, or one
 SPREAD_FREE, SPREAD_NONE = 0.3, 0.6  # past the usual, an origin's ill share that starts to cost it its voice, and all of it
 FATIGUE, IDLE_ILL = 20 * SECOND, 0.2  # over this an origin's ill words are held against the usual, plus so many
 # Findings: to be called, and to be called no longer.
-ILL_LOST, WELL_LOST, FAILS_LOST = 0.2, 0.08, 0.5
+ILL_LOST, ILL_LONG, WELL_LOST, FAILS_LOST = 0.2, 0.12, 0.06, 0.5  # the second of what is smoothed
 ILL_PACE, WELL_PACE = 0.5, 0.25  # log2
 PACED, PACE_TAU, LOST_TAU = 4.0, 2 * SECOND, 4 * SECOND  # voices with a pace that count; what a box's are smoothed over
 WARM = 3 * SECOND  # of a judge, until it calls
@@ -84,7 +84,6 @@
     waste: float = 0.0
     pace: float = 0.0
     paced: float = 0.0
-    raw: float = 0.0  # lost, nothing trimmed
 
 
 @dataclass(slots=True)
@@ -98,7 +97,7 @@
     times: int = 0
     sum: Sum = field(default_factory=Sum)
     pace: float = 0.0  # smoothed, less what all have
-    lost: float = 0.0  # smoothed, nothing trimmed
+    lost: float = 0.0  # smoothed
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,7 +144,7 @@
             self.boxes.setdefault(box, Held())
         voices = self.gather(rows, cells, now)
         span, self.last = max(now - self.last, 0) if self.last else 0, now
-        self.weigh(voices, len(cells), span)
+        self.weigh(voices, span)
         for box, held in self.boxes.items():
             held.sum = self.add(voices.get(box, []), members, held.part, order, box)
         common = self.common()
@@ -153,7 +152,7 @@
             if held.sum.paced >= PACED:
                 held.pace += (1 - exp(-span / PACE_TAU)) * (held.sum.pace - common - held.pace)
             if held.sum.voices > FAINT:
-                held.lost += (1 - exp(-span / LOST_TAU)) * (held.sum.raw - held.lost)
+                held.lost += (1 - exp(-span / LOST_TAU)) * (held.sum.lost - held.lost)
         if self.began < 0:
             self.began = now
         if now - self.began < WARM:  # guards against the few rows that come first; harm: it learns alone until then
@@ -167,17 +166,20 @@
     def gather(self, rows: Rows, cells: Mapping[int, int], now: int) -> dict[int, list[Voice]]:
         """Words that have not faded, by box."""
         found: dict[int, list[Voice]] = {}
+        answers, since = [], now - 4 * TAU
+        spans = {box: TAU if held.verdict is Verdict.STEADY else TAU / 2 for box, held in self.boxes.items()}
         for row in rows.rows.values():
+            answers.append(sum(word.seen for word in row.words.values() if word.at >= now - TAU))
             for box, word in row.words.items():
-                age = now - word.at
-                if age < 4 * TAU and box in cells:
-                    left = exp(-max(age, 0) / (TAU if self.boxes[box].verdict is Verdict.STEADY else TAU / 2))
+                if word.at >= since and box in spans:
+                    left = exp(-max(now - word.at, 0) / spans[box])
                     if word.seen * left > FAINT:
                         found.setdefault(box, []).append(Voice(row.origin, min(word.seen * left, 1.0), word.lost, word.waste,
                                                                min(word.paced * left, 1.0), word.pace))
+        self.rate = median(answers or [0.0]) / (TAU / SECOND) / max(len(cells), 1)
         return found
 
-    def weigh(self, voices: dict[int, list[Voice]], boxes: int, span: int) -> None:
+    def weigh(self, voices: dict[int, list[Voice]], span: int) -> None:
         """Each origin's weight. Guards against a gateway that is sick itself (ill words on all it sees), one that claims to see
         more than others do, and those who speak ill of the same boxes without pause. Harm: a true word of such a one is
         weaker."""
@@ -191,7 +193,6 @@
             return
         usual_total = median(total.values())
         usual_share = median(ill[each] / total[each] for each in total)
-        self.rate = usual_total / (TAU / SECOND) / max(boxes, 1)
         new = 1 - exp(-span / FATIGUE)
         self.ills = {each: self.ills.get(each, 0.0) * (1 - new) + ill.get(each, 0.0) * new for each in total | self.ills
                      if each in total or self.ills.get(each, 0.0) > FAINT}
@@ -213,12 +214,12 @@
         whole = sum(each.weight for each in voices)
         if whole <= 0:
             return Sum()
-        trim = min(max(TRIM * members * part, 1.0 if members > 2 else 0.0), whole * MOST_TRIM)
+        trim = max(min(TRIM * members * part, whole * MOST_TRIM), min(1.0, whole / 3))
         rest = whole - trim
         return Sum(whole, max(sum(each.weight * each.lost for each in voices) - trim, 0.0) / rest,
                    max(sum(each.weight * each.waste for each in voices) - trim, 0.0) / rest,
                    weighted_median([(each.pace, each.paced) for each in voices if each.paced > 0]),
-                   sum(each.paced for each in voices), sum(each.weight * each.lost for each in voices) / whole)
+                   sum(each.paced for each in voices))
 
     def common(self) -> float:
         """The pace of the middle box: what all have is not a box's."""
@@ -234,7 +235,7 @@
             finding = Finding.UNSURE
         elif all_of.lost >= FAILS_LOST:
             finding = Finding.LOST
-        elif max(all_of.lost, held.lost) >= ILL_LOST or pace >= ILL_PACE:
+        elif all_of.lost >= ILL_LOST or held.lost >= ILL_LONG or pace >= ILL_PACE:
             finding = Finding.ILL
         elif max(all_of.lost, 0.0 if held.verdict is Verdict.FAILING else held.lost) <= WELL_LOST and pace <= WELL_PACE:
             finding = Finding.WELL
--- a/milletsill/fleet/health/rows.py
+++ b/milletsill/fleet/health/rows.py
@@ -64,6 +64,11 @@
         self.rows = {own: Row(own, run)}
         self.own, self.most_rows, self.most_boxes = self.rows[own], most_rows, most_boxes
 
+    def restart(self, run: int) -> None:
+        """Another run of this gateway: its row begins anew, so that what others have of an older one gives way."""
+        if run > self.own.run:
+            self.own = self.rows[self.own.origin] = Row(self.own.origin, run)
+
     def write(self, words: dict[int, Word]) -> Difference:
         """New words of this gateway; those of a box that it never told of and that find no room are left out."""
         row = self.own
@@ -98,6 +103,11 @@
             row.upto, newer = news.sequence, True
         return newer
 
+    def has(self, origin: int, run: int, sequence: int) -> bool:
+        """Whether all of a row up to a sequence is here."""
+        row = self.rows.get(origin)
+        return row is not None and (row.run, row.upto) >= (run, sequence)
+
     def after(self, origin: int, run: int, base: int) -> Difference | None:
         """What this gateway has of a row beyond what another knows; None for nothing."""
         row = self.rows.get(origin)
--- a/milletsill/fleet/health/spread.py
+++ b/milletsill/fleet/health/spread.py
@@ -5,7 +5,7 @@
 from __future__ import annotations
 
 from random import Random
-from typing import Callable, Sequence
+from typing import Callable, Iterable, Sequence
 
 from milletsill.fleet.health import codec
 from milletsill.fleet.health.decide import EXCHANGE, FAN, MOST_WAITING
@@ -31,30 +31,33 @@
     def round(self, now: int, others: Sequence[str]) -> None:
         """What is new to some; at times what is known to one."""
         if self.fresh and others:
-            bodies = list(codec.bodies(self.fresh, (), now))
-            for member in self.chance(others, min(FAN, len(others))):
-                self.send(member, bodies)
+            self.pass_on(self.chance(others, min(FAN, len(others))), self.fresh, (), now)
         self.fresh = []
         if others and now >= self.next_exchange:
             self.next_exchange = now + EXCHANGE
-            self.send(self.chance(others, 1)[0], list(codec.bodies((), self.rows.known(), now)))
+            self.pass_on(self.chance(others, 1), (), self.rows.known(), now)
 
-    def send(self, member: str, bodies: Sequence[bytes]) -> None:
-        for body in bodies:
-            self.octets += len(body)
-            self.tell(member, body)
+    def pass_on(self, members: Sequence[str], news: Iterable[Difference], known: Iterable[tuple[int, int, int]], now: int) -> None:
+        for body in codec.bodies(news, known, now):
+            for member in members:
+                self.octets += len(body)
+                self.tell(member, body)
 
     def hear(self, now: int, member: str, body: bytes, present: Callable[[int], bool]) -> None:
         """A frame of a member. RowRefused for what is none; words of those who are not in the view are left out."""
         frame = codec.decoded(body)
-        for each in frame.difference:
-            news = codec.get(each, now)
-            if present(news.origin) and self.rows.merge(news) and len(self.fresh) < MOST_WAITING:
-                self.fresh.append(news)
+        self.take((codec.get(each, now) for each in frame.difference
+                   if present(each.origin) and not self.rows.has(each.origin, each.run, each.sequence)))
         if frame.known:
             self.answer(now, member, {each.origin: (each.run, each.sequence) for each in frame.known})
 
+    def take(self, news: Iterable[Difference]) -> None:
+        """What is new goes on with the next round."""
+        for each in news:
+            if self.rows.merge(each) and len(self.fresh) < MOST_WAITING:
+                self.fresh.append(each)
+
     def answer(self, now: int, member: str, known: dict[int, tuple[int, int]]) -> None:
         """What a member lacks."""
         lacks = [self.rows.after(origin, *known.get(origin, (-1, 0))) for origin in self.rows.rows]
-        self.send(member, list(codec.bodies([each for each in lacks if each is not None], (), now)))
+        self.pass_on((member,), [each for each in lacks if each is not None], (), now)
--- a/milletsill/settings/decide.py
+++ b/milletsill/settings/decide.py
@@ -10,6 +10,7 @@
 from milletsill.settings.addresses import check_address, check_reached
 from milletsill.settings.channels import check_channels
 from milletsill.settings.exports import check_flows, check_trace
+from milletsill.settings.health import check_health
 from milletsill.settings.load import Report
 
 # (field, least, most) of each message; a fault names the field, the figure and the range.
@@ -75,6 +76,7 @@
     check_routes(file, report, under)
     check_against(file, report, under)
     check_channels(file, report, under)
+    check_health(file, report, under)
 
 
 def check_ranges(file: Any, report: Report, under: tuple[str, ...]) -> None:
--- a/milletsill/trace/decide.py
+++ b/milletsill/trace/decide.py
@@ -46,7 +46,7 @@
 # The least needed first: what can be told from the others, then what explains, then what decides. A replay needs all but the
 # first group; a summary needs arrivals, outcomes and answers.
 SHED_ORDER = (("wake", "settled", "remark", "fetch", "probe"), ("woken", "listing", "listed", "watch", "cancelled"),
-              ("dispatch", "outcome"), ("arrival", "abandoned", "part"),
+              ("dispatch", "outcome"), ("arrival", "abandoned", "part", "advised"),
               ("declined", "aborted", "satisfied", "command", "plan", "gap"))
 RANK = {name: rank for rank, names in enumerate(SHED_ORDER) for name in names}
 SHARES = (0.5, 0.7, 0.85, 0.95, 1.0)  # of the hand-over's bound, past which a group is no longer taken
--- a/milletsill/trace/format.py
+++ b/milletsill/trace/format.py
@@ -29,7 +29,7 @@
 from milletsill.trace.records import BLOCK_HEAD, BY_NUMBER, PLAIN, STEP, BlockHead, Kind, Row
 
 MAGIC, BLOCK, FOOTER, STORES, END = b"MTRACE\r\n", b"MBLK", b"MFTR", b"MSTO", b"MEND"
-MAJOR, MINOR = 1, 1
+MAJOR, MINOR = 1, 2
 HEAD, FOOTER_HEAD, TRAILER = Struct("<8sHHII"), Struct("<4sII"), Struct("<Q4s")
 ENTRY = Struct("<QIqq32s")
 FIELD, NAME_SIZE, NUMBER = Struct("<BB"), Struct("<H"), Struct("<I")
--- a/milletsill/trace/recorder.py
+++ b/milletsill/trace/recorder.py
@@ -118,6 +118,11 @@
         self.put("part", now, what, id, -1.0 if share is None else share, ends, after)
         self.module.part(now, what, id, share, ends, after)
 
+    def advised(self, now: int, id: int, strain: float, away: bool, until: int) -> None:
+        self.done.now = now
+        self.put("advised", now, id, strain, int(away), until)
+        self.module.advised(now, id, strain, away, until)
+
     def settle(self, now: int) -> None:
         self.done.now = now
         self.put("settled", now)
--- a/milletsill/trace/records.py
+++ b/milletsill/trace/records.py
@@ -75,6 +75,7 @@
     _kind(36, "fetch", ""),
     _kind(38, "part", "what:t id:p share:f ends:s after:f"),  # an input; share -1: the even part again
     _kind(37, "probe", "node:p"),
+    _kind(39, "advised", "node:p strain:f away:p until:s"),  # an input; since 1.2
 )
 BY_NUMBER = {each.number: each for each in KINDS}
 BY_NAME = {each.name: each for each in KINDS}
