--- a/milletsill/policy/__init__.py
+++ b/milletsill/policy/__init__.py
@@ -27,6 +27,8 @@
             node = node or self.nodes.setdefault(entry.node, Node(entry, max(FIRST_WINDOW, self.least)))
             node.cell, node.zone, node.since = entry.cell, entry.zone, entry.since
             node.size = entry.size if self.facts["sized"] and 0 < entry.size < NEVER else 1
+            for each in self.transfers.values() if fresh else ():  # guards rule 4: all that were held
+                each.gap *= each.cell not in (None, entry.cell)
             if fresh and now - self.born <= self.facts["cold_window"]:
                 node.sends.append((now, NEVER))  # guards rule 4: a former self may have spent its part
             ready = Sign.FRESH if fresh else Sign.READY
@@ -57,6 +59,8 @@
                 del self.volumes[volume.id]
                 if ("limit", volume.id) in self.parts or not volume.forgettable(now, self.largest):
                     self.volumes[volume.id], volume.used_at = volume, now
+            if now - self.last.get(cell := next(iter(self.last), None), now) > self.idle:
+                del self.last[cell]
             key = next(iter(self.keys), None)
             if key is not None and (line := self.keys.pop(key)).live(now):
                 self.keys[key] = line
@@ -73,6 +77,8 @@
         self.volumes[arrival.volume], volume.used_at = volume, now  # the least lately used stands first
         volume.gateways = max(volume.gateways, gateways)
         transfer = self.transfers[arrival.id] = Transfer(arrival, category, volume, units, self.clear, now)
+        transfer.gap = min(now - self.last.pop(transfer.cell, self.born), self.idle)
+        self.last[transfer.cell] = now
         rate = plan["reserve_rate"] * volume.gateways ** -PART  # an estimate: others' use of it is not known
         if ("reserve", volume.id) in self.parts:
             rate = plan["reserve_rate"] / self.parted("reserve", volume.id, volume.gateways, now, now)
--- a/milletsill/policy/limits.py
+++ b/milletsill/policy/limits.py
@@ -1,6 +1,6 @@
 """This gateway's parts of what all share: limits (rule 7) and surplus of volumes, cold nodes (rule 4)."""
 from milletsill.policy.records import Dispatch, Node, State, Transfer
-from milletsill.policy.tables import CROWDED, EASE, LEAST_SURPLUS, MOST_WINDOW, NEVER
+from milletsill.policy.tables import CROWDED, EASE, LEAST_SURPLUS, LOT, MOST_WINDOW, NEVER
 
 
 class Limits(State):
@@ -60,9 +60,10 @@
             node.sends.popleft()
         if age >= facts["warm_after"] or not facts["cold_multiple"] * facts["cold_window"]:
             return 0
-        part = self.bears(age) / self.parted("cold", node.id, facts["gateways"], now - span, now)
+        part = self.bears(age) * (1 - 1 / max(facts["cold_multiple"], 1))
+        part /= self.parted("cold", node.id, facts["gateways"], now - span, now)
         if part < 1 and ("cold", node.id) not in self.parts:
-            return self.turn_wait(transfer, node, max(age, 0), now)
+            return self.lot_wait(transfer, age, span)
         owed = sum(units for _, units in node.sends)
         weighs = max(transfer.units, facts["unit_mean"])
         if owed + weighs <= part or owed <= 0 and transfer.units <= part:
@@ -73,19 +74,16 @@
         """Units a cold node bears in any window of those who know its start; untold: one usual transfer."""
         facts, units = self.facts, self.facts["cold_units"] or self.facts["unit_mean"]
         grown = (1 / (facts["cold_from"] or 1.0) - 1) * max(age, 0) / max(facts["warm_after"], 1)
-        return units * (1 - 1 / max(facts["cold_multiple"], 1)) * (1 + grown)
+        return units * (1 + grown)
 
-    def turn_wait(self, transfer: Transfer, node: Node, age: int, now: int) -> int:
-        """Where an even part is below one unit, gateways take turns: each knows by the node's start and id
-        whose turn it is. Guards rule 4 against the chance that many send together, whatever is asked where;
-        a turn is open for a quarter of a window, and the pause behind it leaves a quarter for what is on its
-        way. Harm: a turn of one who holds nothing is lost to the others."""
-        facts, span = self.facts, self.facts["cold_window"] + 2
-        turn, past = divmod(age, span * 3 // 2)
-        bears = self.bears(turn * (span * 3 // 2) - span)
-        share = min(bears, max(facts["unit_mean"], 1))
-        takers = int(bears / share) if share else 0
-        mine = (self.index - node.id - turn * takers) % facts["gateways"] < takers
-        spent = sum(units for at, units in node.sends if at >= now - past and units > 0)
-        free = mine and past < span // 4 and spent + transfer.units <= share
-        return 0 if free else span * 3 // 2 - past
+    def lot_wait(self, transfer: Transfer, age: int, span: int) -> int:
+        """Where an even part is below one unit each transfer is drawn for once, with the odds of the even part
+        that filled since this gateway's last one for the cell: the mean over the fleet is LOT of what the node
+        may get, whatever comes where, and its spread is borne (design.md); large ones pay for their weight.
+        Guards rule 4. Harm: most of what is held there never goes."""
+        mean, gateways = self.facts["unit_mean"], self.facts["gateways"]
+        bears = self.bears(age - span) / mean
+        steep = (bears + 3 * bears ** 0.5 + 3) / (LOT * bears)
+        odds = LOT * bears / gateways * transfer.gap / span * steep ** min(1 - transfer.units / mean, 0)
+        transfer.lot = self.uniform(0, 1) if transfer.lot is None else transfer.lot
+        return 0 if transfer.lot < odds and not transfer.dispatches else span
--- a/milletsill/policy/records.py
+++ b/milletsill/policy/records.py
@@ -51,6 +51,8 @@
         self.target = self.tag = min(start + target_time, arrival.ends)
         self.utility = category["utility"] * volume.plan["price"]  # of a unit
         self.phase, self.reserved, self.spent, self.dispatches = Phase.HELD, True, False, list[Dispatch]()
+        self.gap = 0  # since its cell's last one
+        self.lot: float | None = None  # drawn where a cold node asks
         self.node: Node | None = None
         self.queue: Queue | None = None
 
@@ -119,7 +121,6 @@
         self.facts, self.port, self.born = facts, port, now
         chance = Random(seed)
         self.uniform, self.sample = chance.uniform, chance.sample
-        self.index = int(self.uniform(0, facts["gateways"])) if facts["index"] is None else facts["index"]
         # Where few gateways share a node, one out from each leaves most of it idle.
         self.least = max(TOGETHER / (facts["gateways"] + 1), LEAST_WINDOW)
         self.nodes, self.touched, self.volumes = dict[int, Node](), dict[int, Node](), dict[int, Volume]()
@@ -127,6 +128,7 @@
         self.transfers, self.outstanding = dict[int, Transfer](), dict[tuple[int, int], Dispatch]()
         self.unplaced, self.keys = list[Transfer](), defaultdict[int, Line](Line)
         self.taken_at, self.further_at = deque[int](), deque[int]()
+        self.last = dict[int | None, int]()  # by cell, when its last transfer came
         self.parts = dict[tuple[str, int], tuple[float, int, float]]()  # not even: share, its end, after
         self.asks, self.numbers, self.strain, self.clear = int(facts["list_on_request"]), 0, 0.0, 0.0
         self.shortest = max(min((each["target_time"] for each in facts["categories"]), default=1), 1)
--- a/milletsill/policy/tables.py
+++ b/milletsill/policy/tables.py
@@ -14,6 +14,7 @@
 UNSENT = 0.48  # of its client's time, until what was never dispatched is given up
 HEARD = 2  # waits of a lost dispatch, or shortest target times, within which its node was heard of late
 CREDITS, DRAWN, STRAIN = 4, 8, 1 / 4  # of a node; drawn for a new object; an answer's weight in the strain
+LOT = 0.4  # of what a cold node may get in a window: the mean of all draws
 ENDING_TICKS, ASK_AGAIN = 2, 1 / 8  # before a client gives up; share of the stated time until a failed watch
 CROWDED, EASE, LEAST_SURPLUS = 1 / 4, 0.7, 1 / 16  # a volume's surplus: a crowded answer's wait; its window
 IDLE, SWEPT = 16, 2  # longest patiences until what is idle is forgotten; records looked at with each transfer
