--- a/milletsill/policy/limits.py
+++ b/milletsill/policy/limits.py
@@ -77,7 +77,7 @@
         return units * (1 + grown)
 
     def lot_wait(self, transfer: Transfer, age: int, span: int) -> int:
-        """Where an even part is below one unit each transfer is drawn for once, with the odds of the part that
+        """Where an even part is below one unit each transfer is drawn for once, with odds of the part that
         filled since this gateway's last one for the cell: the mean over the fleet is LOT of what the node may
         get, whatever comes where, and its spread is borne (design.md); large ones pay for their weight.
         Guards rule 4. Harm: most of what is held there never goes."""
