--- a/milletsill/registry/decide.py
+++ b/milletsill/registry/decide.py
@@ -5,9 +5,10 @@
 """
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
-from typing import Any, Mapping
+from itertools import islice
+from typing import Any, Iterable, Mapping
 
 from milletsill.errors import Unfit
 from milletsill.interface import Listed, News, Readiness
@@ -35,22 +36,32 @@
 # A watch says nothing while nothing changes, so that a dead one looks like one with nothing to say. Where it is quiet the
 # registry is asked, now and then (drawn), for its newest change alone; after a call that failed less often.
 LOOK, MOST_PUT_OFF = (15_000, 25_000), 3  # tenths of a millisecond; doublings
+MOST_KEYS = 1 << 16  # keys that are kept in mind without a box
 SETTLED = 10_000  # news may be this much later by the watch than by a call
 
 
 @dataclass(frozen=True, slots=True)
 class Newest:
-    """What the registry says of its newest change and how many keys it holds, beside what the watch had brought by then."""
+    """What the registry says of its newest change, how many keys it holds and how far it is itself (a cluster's id, its revision),
+    beside what the watch had brought by then."""
 
     revision: int
     count: int
+    head: tuple[str, int]
     brought: int
 
 
-def missed(before: Newest, there: Newest, brought: int) -> bool:
-    """Whether the watch has missed something. Guards rule 3 against a watch whose other end is gone without a word. Harm: one
-    list more where the watch is only late. A key that went right after the watch's last word is found with the next change."""
-    return there.revision > brought or there.count != before.count and brought == before.brought
+def other_past(before: tuple[str, int], head: tuple[str, int]) -> bool:
+    """Whether the registry was restored from a backup since it told a list: it is of another cluster, or behind what it told. What
+    it does not say is no difference. Guards rule 3: changes up to the old revision would never be told. Harm: one list more where a
+    member of the registry is late."""
+    return 0 < head[1] < before[1] or bool(head[0] and before[0] and head[0] != before[0])
+
+
+def missed(there: Newest, cluster: str, brought: int, keys: int) -> bool:
+    """Whether the watch has missed something; `keys` as they are known here. Guards rule 3 against a watch whose other end is gone
+    without a word. Harm: one list more where the watch is only late."""
+    return there.revision > brought or there.count != keys and brought == there.brought or other_past((cluster, there.brought), there.head)
 
 
 STATES = {"ready": Readiness.READY, "draining": Readiness.DRAINING}
@@ -106,11 +117,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Told:
-    """One change: the key's box, or None where the key is gone, and the revision that made it."""
+    """One change: the key's box, or None where the key is gone, and the revision that made it. `odd`: it is there, with a value
+    that describes no box."""
 
     key: str
     box: Box | None
     revision: int
+    odd: bool = False
 
 
 class View:
@@ -123,12 +136,18 @@
         self.by_key: dict[str, Box] = {}
         self.since: dict[int, tuple[int, int]] = {}  # id -> (started, the same on this process's clock)
         self.revision, self.overflow = 0, 0
+        self.others: set[str] = set()  # keys that the registry has and this view has no box of
 
-    def replace(self, boxes: Mapping[str, Box], revision: int) -> None:
-        """The whole list as at a revision."""
+    def replace(self, boxes: Mapping[str, Box], revision: int, keys: Iterable[str] = ()) -> None:
+        """The whole list as at a revision; `keys` are all that the registry has."""
         kept = list(boxes.items())[:self.most]
         self.overflow = len(boxes) - len(kept)
         self.by_key, self.revision = dict(kept), revision
+        self.others = set(islice(keys, MOST_KEYS)) - self.by_key.keys()
+
+    def keys(self) -> int:
+        """How many keys the registry has, as far as this view was told."""
+        return len(self.by_key) + len(self.others)
 
     def apply(self, changes: list[Told]) -> list[Box]:
         """Changes newer than the view, in order; what they leave of each box, a gone one marked so. A change that the
@@ -139,19 +158,34 @@
             if told.revision <= self.revision:
                 continue
             old = self.by_key.get(told.key)
-            if told.box is None:
-                gone = self.by_key.pop(told.key, None)
-                if gone is not None and all(each.id != gone.id for each in self.by_key.values()):
-                    changed[gone.id] = Box(gone.id, gone.address, Readiness.GONE, gone.size, gone.kind, gone.zone,
-                                           gone.cell, gone.started)
+            if told.odd:
+                self.other(told.key)
+            elif told.box is None:
+                self.others.discard(told.key)
+                if old is not None:
+                    del self.by_key[told.key]
+                    changed.update(self.left(old))
             elif old is not None or len(self.by_key) < self.most:
                 self.by_key[told.key] = told.box
+                self.others.discard(told.key)
+                if old is not None and old.id != told.box.id:
+                    changed.update(self.left(old))
                 changed[told.box.id] = told.box
             else:
                 self.overflow += 1
+                self.other(told.key)
         self.revision = max([self.revision] + [each.revision for each in changes])
         return list(changed.values())
 
+    def other(self, key: str) -> None:
+        """A key of which there is no box here."""
+        if key not in self.by_key and len(self.others) < MOST_KEYS:
+            self.others.add(key)
+
+    def left(self, old: Box) -> dict[int, Box]:
+        """A box whose key went, or took another id: gone, unless another key claims it."""
+        return {} if any(each.id == old.id for each in self.by_key.values()) else {old.id: replace(old, readiness=Readiness.GONE)}
+
     def entries(self, boxes: list[Box], now: int, wall: int) -> list[Listed]:
         """Lines for the module; `wall` in milliseconds. A box's start is set against this process's clock once, when
         it is first told, so that a step of the wall clock does not make it look started again.
--- a/milletsill/registry/follower.py
+++ b/milletsill/registry/follower.py
@@ -14,7 +14,7 @@
 
 from milletsill.interface import Listed, News
 from milletsill.registry import cache, jsons
-from milletsill.registry.decide import LOOK, MOST_PUT_OFF, NEWS, SETTLED, Box, Cue, Newest, Stage, View, missed, step
+from milletsill.registry.decide import LOOK, MOST_PUT_OFF, NEWS, SETTLED, Box, Cue, Newest, Stage, View, missed, other_past, step
 
 SAVE_WITHIN = 0.5  # seconds
 Hear = Callable[[News, "list[Listed]"], None]
@@ -96,8 +96,7 @@
         self.complaints: dict[str, None] = {}
         self.cache_failing = self.stopped = False
         self.save_call: Any = None
-        self.uniform, self.brought, self.put_off = uniform, 0, 0
-        self.before = Newest(0, 0, 0)  # as the last look had it
+        self.uniform, self.brought, self.put_off, self.cluster = uniform, 0, 0, ""
         self.look_call: Any = None
 
     def start(self) -> None:
@@ -176,12 +175,12 @@
                 if data is None:
                     raise jsons.BadAnswer("the list did not come")
                 boxes, revision = jsons.read_range(data, self.complain)
-                count = jsons.read_newest(data)[1]
+                keys, self.cluster = jsons.read_keys(data)
             except jsons.BadAnswer as error:
                 self.remark(f"registry: {error.line()}")
                 return self.cue(Cue.FAIL)
-            self.view.replace(boxes, revision)
-            self.brought, self.before, self.put_off = revision, Newest(0, count, revision), 0
+            self.view.replace(boxes, revision, keys)
+            self.brought, self.put_off = revision, 0
             self.cue(Cue.RANGE_OK)
 
         self.call("/v3/kv/range", jsons.range_body(self.link.prefix), None, done)
@@ -213,7 +212,10 @@
         if compacted:
             self.close_stream()
             return self.cue(Cue.COMPACTED)
-        if opened:
+        if opened is not None:
+            if other_past((self.cluster, self.view.revision), opened):
+                self.remark("registry: it was restored since its list; the whole list is asked for")
+                return self.cue(Cue.FAIL)
             self.cue(Cue.JOIN_OK)
         if self.look_call is None:
             self.look_later()
@@ -243,10 +245,9 @@
                 self.put_off = min(self.put_off + 1, MOST_PUT_OFF)
                 return self.look_later()
             self.put_off = 0
-            before, self.before = self.before, there
-            if not missed(before, there, self.brought):
+            if not missed(there, self.cluster, self.brought, self.view.keys()):
                 return self.look_later()
-            self.look_call = self.reactor.callLater(SETTLED / 10_000, self.settled, before, there)
+            self.look_call = self.reactor.callLater(SETTLED / 10_000, self.settled, there)
 
         def late() -> None:
             self.give_up()
@@ -255,9 +256,9 @@
         self.look_call = self.reactor.callLater(self.link.call_ms / 1000, late)
         self.call("/v3/kv/range", jsons.newest_body(self.link.prefix), None, done)
 
-    def settled(self, before: Newest, there: Newest) -> None:
+    def settled(self, there: Newest) -> None:
         """What a look found missing has come by now, or does not come by this watch."""
-        if not missed(before, there, self.brought):
+        if not missed(there, self.cluster, self.brought, self.view.keys()):
             return self.look_later()
         self.remark("registry: the watch is silent, and the list has changed")
         self.cue(Cue.FAIL)
--- a/milletsill/registry/jsons.py
+++ b/milletsill/registry/jsons.py
@@ -97,25 +97,36 @@
     return boxes, number(header.get("revision"), "a revision")
 
 
-def read_newest(data: bytes) -> tuple[int, int]:
-    """The newest change of a key that is there, and how many are."""
+def head_of(header: Any) -> tuple[str, int]:
+    """The cluster's id, which a restore changes, and the registry's revision; nothing for what is not said."""
+    return (str(header.get("cluster_id") or "")[:40], number(header.get("revision"), "a revision")) if isinstance(header, dict) else ("", 0)
+
+
+def read_keys(data: bytes) -> tuple[list[str], str]:
+    """All keys of a list, also those whose value describes no box, and the cluster's id."""
+    body = parsed(data, "the list")
+    return [pair(kv)[0] for kv in body.get("kvs") or []], head_of(body.get("header"))[0]
+
+
+def read_newest(data: bytes) -> tuple[int, int, tuple[str, int]]:
+    """The newest change of a key that is there, how many are, and how far the registry is itself."""
     body = parsed(data, "the list")
-    kvs = body.get("kvs") or []
-    if not isinstance(kvs, list):
-        raise BadAnswer("the list has no pairs")
-    return max((pair(kv)[2] for kv in kvs), default=0), number(body.get("count"), "a count")
+    header, kvs = body.get("header"), body.get("kvs") or []
+    if not isinstance(header, dict) or not isinstance(kvs, list):
+        raise BadAnswer("the list has no header or pairs")
+    return max((pair(kv)[2] for kv in kvs), default=0), number(body.get("count"), "a count"), head_of(header)
 
 
-def read_watch(line: bytes, complain: Callable[[str], None]) -> tuple[list[Told], int, bool, bool]:
-    """One message of a watch: changes, its newest revision (also of what is left out), whether it opened, whether the past
-    was compacted."""
+def read_watch(line: bytes, complain: Callable[[str], None]) -> tuple[list[Told], int, tuple[str, int] | None, bool]:
+    """One message of a watch: changes, its newest revision, how far the registry is itself where it opens, whether the past was
+    compacted."""
     body = parsed(line, "a watch message")
     result = body.get("result")
     if not isinstance(result, dict):
         raise BadAnswer(f"the watch says {json.dumps(body.get('error'))[:200]}")
     if result.get("canceled"):
         if number(result.get("compact_revision"), "a revision"):
-            return [], 0, False, True
+            return [], 0, None, True
         raise BadAnswer(f"the watch was ended: {str(result.get('cancel_reason', ''))[:200]}")
     changes, newest = [], 0
     for event in result.get("events") or []:
@@ -125,9 +136,8 @@
         newest = max(newest, revision)
         gone = event.get("type") == "DELETE"
         box = None if gone else read_box(key, value, complain)
-        if gone or box is not None:
-            changes.append(Told(key, box, revision))
-    return changes, newest, bool(result.get("created")), False
+        changes.append(Told(key, box, revision, not gone and box is None))
+    return changes, newest, head_of(result.get("header")) if result.get("created") else None, False
 
 
 class Lines:
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -56,6 +56,17 @@
         view.replace({"a": box(), "b": box()}, 5)
         self.assertEqual(view.apply([Told("a", None, 6)]), [])
 
+    def test_a_key_that_takes_another_id_makes_the_old_box_gone(self):
+        view = View(10, 1000)
+        view.replace({"a": box(1)}, 5)
+        self.assertEqual([(each.id, each.readiness.name) for each in view.apply([Told("a", box(2), 6)])], [(1, "GONE"), (2, "READY")])
+
+    def test_keys_are_counted_also_those_without_a_box(self):
+        view = View(1, 1000)
+        view.replace({"a": box(1)}, 5, ["a", "odd"])
+        view.apply([Told("a", None, 6, odd=True), Told("more", box(2), 7), Told("odd", None, 8), Told("new", None, 8, odd=True)])
+        self.assertEqual((view.keys(), list(view.by_key)), (3, ["a"]))
+
     def test_a_flood_of_boxes_is_bounded_and_counted(self):
         view = View(10, 1000)
         view.replace({str(each): box(each) for each in range(15)}, 5)
@@ -158,6 +169,15 @@
             self.follower.ask()  # as the module does
             self.assertEqual(self.told[2], (News.WHOLE, ["DRAINING"] if change else []))
 
+    def test_a_registry_restored_from_a_backup_is_found(self):
+        self.revision = 3  # behind what it told, and the watch stands
+        self.passing(7.1)
+        self.assertEqual([news for news, _ in self.told], [News.WHOLE, News.FAILED])
+        self.follower.ask()
+        self.passing(7.1)
+        self.line(json.dumps({"result": {"created": True, "header": {"revision": "2"}}}).encode())
+        self.assertEqual(self.told[-1][0], News.FAILED)
+
     def test_a_watch_that_is_late_or_has_nothing_to_say_stands(self):
         self.passing(7.1)
         self.keys, self.revision = {}, 5
