--- a/milletsill/fleet/health/decide.py
+++ b/milletsill/fleet/health/decide.py
@@ -54,6 +54,8 @@
     (Verdict.DEGRADED, Finding.WELL): (Verdict.RECOVERING, "ramp"),
     (Verdict.RECOVERING, Finding.WELL): (Verdict.RECOVERING, "ramp"),
     (Verdict.RECOVERING, Finding.WHOLE): (Verdict.STEADY, ""),
+    # In a small fleet all try a box that is called, so that it is whole as soon as it is well.
+    **{(verdict, Finding.WHOLE): (Verdict.RECOVERING, "ramp") for verdict in (Verdict.FAILING, Verdict.DEGRADED)},
     (Verdict.DEGRADED, Finding.UNSURE): (Verdict.DEGRADED, "ease"),
     (Verdict.RECOVERING, Finding.UNSURE): (Verdict.RECOVERING, "ramp"),
     (Verdict.FAILING, Finding.SILENT): (Verdict.FAILING, "ramp"),
