--- a/milletsill/lab/__main__.py
+++ b/milletsill/lab/__main__.py
@@ -1,4 +1,7 @@
-"""The laboratory's own processes: `stand`, `relay`, `load`, `channels`, `edges`, `deaf`, started by lab/run.py; `wire`, by the bench."""
+"""The laboratory's own processes, started by lab/run.py: `stand`, `relay`, `load`, `channels`, `edges`, `deaf`; `wire`, by the bench.
+
+    python -m milletsill.lab hunt list|fleet [--first N] [--seeds N] [--without GUARD] ...: runs with faults drawn by seed
+"""
 from __future__ import annotations
 
 import gc
@@ -33,6 +36,9 @@
 def main(what: str, *values: str) -> None:
     """Play one part until it ends."""
     gc.freeze()
+    if what == "hunt":
+        from milletsill.lab.hunt.command import main as hunt
+        sys.exit(hunt(values))
     if what == "edges":
         from milletsill.edge.process import run
         from milletsill.lab.baselines import MODULES
--- /dev/null
+++ b/milletsill/lab/hunt/fleet_world.py
@@ -0,0 +1,348 @@
+"""A fleet under hunts: hundreds of gateways, or a few, on one clock and one seed, with faults drawn and checks always on.
+
+What must be so: no two gateways hold an office at one true moment, and whoever takes it knows all that counted; equal marks are
+equal views; stalls, slow disks and lies alone make nobody gone; when all has been calm, views are the truth, rows are equal,
+every box that is well is called so, and each channel goes on.
+"""
+from __future__ import annotations
+
+from random import Random
+from typing import Any, Callable, Sequence
+from unittest import mock
+
+from milletsill.fleet.channels.registers import desk, service
+from milletsill.fleet.health.decide import CALLED, Turn
+from milletsill.fleet.health.rows import Word
+from milletsill.fleet.members.effects import Send
+from milletsill.lab.fleet_clock import SECOND, FleetClock
+from milletsill.lab.hunt.decide import Event
+from milletsill.lab.hunt.gate import CHANNELS, Disk, Gate, Kept
+
+LASTS, CALM, BOXES, CELL, QUIET = 30 * SECOND, 45 * SECOND, 10, 2, 10 * SECOND
+LOOK, COPY = 500, 4 * SECOND
+MILD = frozenset(("stall_", "stutter", "slow", "full", "make_ill", "lie", "trouble", "doubles"))  # nobody may be called gone for these
+
+
+class FleetWorld(FleetClock):
+    """`users`: gateways that use channels; `judges`: that look at rows."""
+
+    def __init__(self, seed: int, gateways: int, registers: int = 3, users: int = 9, judges: int = 3, boxes: int = BOXES) -> None:
+        super().__init__(seed)
+        self.names = [f"gateway-{each}" for each in range(gateways)]
+        self.registers, self.users, self.judges = self.names[:registers], users, judges
+        self.rates = [self.chance.choice((-4000, 0, 4000)) for _ in self.names]
+        self.disks = {each: Disk() for each in self.names}
+        Kept.disks = {f"/{name}": disk for name, disk in self.disks.items()}
+        self.cells = {each: each // CELL for each in range(boxes)}
+        self.ill, self.liars, self.sick = dict[int, tuple[float, float]](), dict[str, list[int]](), set[str]()
+        self.jumped: dict[str, int] = {}
+        self.well_since = dict.fromkeys(range(boxes), 0)
+        self.losses, self.doubling = list[float](), list[float]()
+        self.parents, self.settled = {0: 0}, dict.fromkeys(CHANNELS, 0)
+        self.counts, self.last = 0, dict.fromkeys(CHANNELS, 0)
+        self.false_calls, self.takes, self.mild, self.quiet = 0, 0, True, False
+        self.wrong: str | None = None
+        for place, name in enumerate(self.names):
+            self.start(name, 1, self.names[:3] if place >= 3 else [each for each in self.names[:3] if each != name])
+        self.at(LOOK, self.look)
+        self.at(COPY, self.copies)
+
+    # Gateways.
+
+    def start(self, name: str, run: int = 1, join: Sequence[str] = ()) -> Gate:
+        made = self.stands[name] = Gate(self, name, run, [f"{each}:1" for each in join])
+        made.begin(self, self.names.index(name))
+        return made
+
+    def send(self, stand: Any, sent: Send) -> None:
+        super().send(stand, sent)
+        if self.doubling and not sent.stream and self.chance.random() < max(self.doubling):
+            super().send(stand, sent)
+
+    def break_(self, what: str) -> None:
+        self.wrong = self.wrong or f"at {self.now / SECOND:.3f} s: {what}"
+
+    # Channels.
+
+    def value(self, base: int) -> int:
+        made = len(self.parents)
+        self.parents[made] = base
+        return made
+
+    def seated(self, gate: Gate, channel: str, value: int) -> None:
+        """Whoever holds the office knows what counted."""
+        self.takes += 1
+        self.alone(channel)
+        if not self.knows(value, self.settled[channel]):
+            self.break_(f"{gate.name} takes {channel} without write {self.settled[channel]}, which counted")
+
+    def counted(self, gate: Gate, channel: str, value: int) -> None:
+        if not self.knows(value, self.settled[channel]):
+            self.break_(f"{gate.name} writes {channel} over write {self.settled[channel]}, which counted")
+        self.settled[channel], self.last[channel], self.counts = value, self.now, self.counts + 1
+
+    def knows(self, value: int, older: int) -> bool:
+        while value > older:
+            value = self.parents[value]
+        return value == older
+
+    def alone(self, channel: str) -> None:
+        holding = [each.name for each in self.live() if each.place < self.users and each.holding(channel)]
+        if len(holding) > 1:
+            self.break_(f"{' and '.join(holding)} hold the office of {channel}")
+
+    # Boxes.
+
+    def words(self, gate: Gate) -> dict[int, Word]:
+        """What a gateway saw of late."""
+        found, sick, lies = {}, gate.name in self.sick, self.liars.get(gate.name, ())
+        for box in self.cells:
+            lost, pace = self.ill.get(box, (0.0, 0.0))
+            if gate.keeps_away(box):
+                continue
+            if sick:
+                lost, pace = 0.8, 3.0
+            seen = 1 + gate.own_chance.randrange(4)
+            bad = sum(gate.own_chance.random() < lost for _ in range(seen)) / seen
+            if box in lies:
+                bad, pace = 1.0, 4.0
+            found[box] = Word(0, self.now, float(seen), bad, min(bad + 0.2 * (pace > 0), 1.0), float(seen),
+                              pace + gate.own_chance.gauss(0, 0.1))
+        return found
+
+    def turned(self, gate: Gate, turn: Turn) -> None:
+        if turn.new in CALLED and turn.box not in self.ill and self.now - self.well_since[turn.box] > 15 * SECOND:
+            self.false_calls += 1
+
+    # Events of a hunt.
+
+    def after(self, span: int, call: Callable[..., None], *values: Any) -> None:
+        """When its span is over, at the latest with the faults."""
+        self.at(min(self.now + span, LASTS), call, *values)
+
+    def down(self, place: int, back: int, how: str = "kept") -> None:
+        """SIGKILL, and a new start with its state kept, older or lost."""
+        stand = self.stands[self.names[place]]
+        if stand.up:
+            self.kill(stand.name)
+            self.after(back, self.up, stand, how)
+
+    def away(self, place: int, back: int) -> None:
+        """SIGTERM."""
+        stand = self.stands[self.names[place]]
+        if stand.up and self.now >= stand.stands_until:
+            if self.registers:
+                stand.offices.stop()
+            self.leave(stand.name)
+            self.after(back, self.up, stand, "kept")
+
+    def up(self, old: Gate, how: str) -> None:
+        run = old.run + 1
+        if how != "kept":
+            run = 1 if how == "lost" else max(old.run - 1, 1)
+            if old.name in self.registers and not self.lose(old, how):
+                run = old.run + 1
+        self.start(old.name, run, [each for each in self.names[:3] if each != old.name])
+
+    def lose(self, old: Gate, how: str) -> bool:
+        """A register's state: one at a time, and only what others have heard of, as is promised."""
+        others = [self.stands[each] for each in self.registers if each != old.name]
+        if not all(each.up and each.register().whole() for each in others):
+            return False
+        known = [each.register().known(old.name) for each in others]
+        if any(each is None for each in known):
+            return False
+        if how == "lost":
+            self.disks[old.name].base = None
+            return True
+        copies = [base for own, base in self.disks[old.name].copies if own < min(known)]
+        if copies:
+            self.disks[old.name].base = copies[-1]
+            self.disks[old.name].copies.clear()
+        return bool(copies)
+
+    def all_down(self, back: int) -> None:
+        """The whole fleet at once."""
+        for place in range(len(self.names)):
+            self.down(place, back)
+
+    def stall_(self, place: int, span: int) -> None:
+        self.stall(self.names[place], min(span, max(LASTS - self.now, 0)))
+
+    def stutter(self, place: int, span: int, seed: int) -> None:
+        """660 to 1,200 ms every 2 to 4 s."""
+        chance, at = Random(seed), self.now
+        while at < min(self.now + span, LASTS):
+            self.at(at, self.stall, self.names[place], chance.randrange(6600, 12_000))
+            at += chance.randrange(20_000, 40_000)
+
+    def split(self, parts: tuple[int, ...], span: int) -> None:
+        """Into as many as there are labels, one of each gateway in turn."""
+        groups = [[name for place, name in enumerate(self.names) if parts[place % len(parts)] == each] for each in set(parts)]
+        for one in groups:
+            self.wall(one, [each for each in self.names if each not in one], span)
+
+    def cut_off(self, one: int, other: int, both: bool, span: int) -> None:
+        self.wall([self.names[one]], [self.names[other]], span)
+        if both:
+            self.wall([self.names[other]], [self.names[one]], span)
+
+    def wall(self, one: Sequence[str], other: Sequence[str], span: int) -> None:
+        made = (frozenset(one), frozenset(other))
+        self.walls.append(made)
+        self.after(span, self.walls.remove, made)
+
+    def losing(self, part: float, span: int) -> None:
+        self.losses.append(part)
+        self.loss = max(self.losses)
+        self.after(span, self.found, part)
+
+    def found(self, part: float) -> None:
+        self.losses.remove(part)
+        self.loss = max(self.losses, default=0.0)
+
+    def doubles(self, part: float, span: int) -> None:
+        self.doubling.append(part)
+        self.after(span, self.doubling.remove, part)
+
+    def slow(self, place: int, wait: int, span: int) -> None:
+        disk = self.disks[self.names[place]]
+        disk.wait = wait
+        self.after(span, setattr, disk, "wait", 20)
+
+    def full(self, place: int, span: int) -> None:
+        disk = self.disks[self.names[place]]
+        disk.fill(True)
+        self.after(span, disk.fill, False)
+
+    def jump(self, place: int, span: int) -> None:
+        """Its clock goes on by so much at once, or stood while the host was suspended: past what drift allows."""
+        self.jumped[self.names[place]] = self.jumped.get(self.names[place], 0) + span
+
+    def make_ill(self, box: int, lost: float, pace: float, span: int) -> None:
+        self.ill[box] = (lost, pace)
+        self.after(span, self.heal_box, box)
+
+    def heal_box(self, box: int) -> None:
+        self.ill.pop(box, None)
+        self.well_since[box] = self.now
+
+    def lie(self, place: int, seed: int, span: int) -> None:
+        """It slanders a third of the boxes."""
+        self.liars[self.names[place]] = Random(seed).sample(list(self.cells), max(len(self.cells) // 3, 1))
+        self.after(span, self.liars.pop, self.names[place], None)
+
+    def trouble(self, place: int, span: int) -> None:
+        """It sees all boxes fail."""
+        self.sick.add(self.names[place])
+        self.after(span, self.sick.discard, self.names[place])
+
+    # What must be so.
+
+    def look(self) -> None:
+        self.at(self.now + LOOK, self.look)
+        for channel in CHANNELS if self.registers else ():
+            self.alone(channel)
+        if self.mild and self.false:
+            at, who, whom = self.false[0]
+            self.break_(f"{who} calls {whom} gone, which lives")
+
+    def copies(self) -> None:
+        self.at(self.now + COPY, self.copies)
+        for each in self.registers:
+            stand = self.stands[each]
+            if stand.up and stand.register().store is not None and stand.register().whole():
+                self.disks[each].copy(stand.register().own())
+
+    def same_views(self) -> None:
+        marks: dict[int, Any] = {}
+        for each in self.live():
+            view = marks.setdefault(each.member.rolls.table.mark, each.view)
+            if view.digest != each.view.digest:
+                self.break_(f"{each.name} has an equal mark and another view")
+
+    def ended(self) -> None:
+        """All is calm again."""
+        truth = self.truth()
+        for each in self.live():
+            if each.member.rolls.table.mark != truth:
+                self.break_(f"{each.name} sees {sorted(each.view.by_name)} of {sorted(one.name for one in self.live())}")
+            ill = [f"{box} {held.verdict.name}" for box, held in each.judge.boxes.items() if held.verdict in CALLED]
+            if ill:
+                self.break_(f"{each.name} has verdicts on boxes that are well: {', '.join(ill)}")
+        self.same_views()
+        for channel in CHANNELS if self.registers else ():
+            if self.now - self.last[channel] > 20 * SECOND:
+                self.break_(f"{channel} is still not written")
+
+    def ended_rows(self) -> None:
+        live = self.live() if self.judges else []
+        first = live[0].rows.told() if live else {}
+        for each in live[1:]:
+            if each.rows.told() != first:
+                self.break_(f"{each.name} has other rows than {live[0].name}")
+
+
+class FleetGame:
+    """`sizes` to draw from."""
+
+    def __init__(self, sizes: Sequence[int] = (5, 7, 9), most: int = 14, jumps: bool = False, **more: Any) -> None:
+        self.sizes, self.most, self.jumps, self.more = tuple(sizes), most, jumps, more
+        self.world: Any = None
+
+    def size(self, seed: int) -> int:
+        return self.sizes[seed % len(self.sizes)]
+
+    def drawn(self, seed: int) -> list[Event]:
+        chance, size, found = Random(seed), self.size(seed), list[Event]()
+        place, box = lambda: chance.randrange(size), lambda: chance.randrange(BOXES)  # noqa: E731
+        span = lambda most=20: chance.randrange(SECOND // 2, most * SECOND)  # noqa: E731
+        kinds: dict[str, Callable[[], tuple[Any, ...]]] = {
+            "down": lambda: (place(), span(), chance.choice(("kept", "kept", "older", "lost"))), "away": lambda: (place(), span()),
+            "stall_": lambda: (place(), chance.randrange(5000, 12_000 if gentle else 60_000)),
+            "stutter": lambda: (place(), span(), chance.getrandbits(16)),
+            "cut_off": lambda: (place(), place(), chance.random() < 0.5, span()),
+            "split": lambda: (tuple(chance.randrange(chance.choice((2, 3))) for _ in range(min(size, 16))), span(30)),
+            "losing": lambda: (round(chance.uniform(0.02, 0.3), 2), span()),
+            "doubles": lambda: (round(chance.uniform(0.05, 0.5), 2), span()),
+            "slow": lambda: (chance.randrange(min(size, 3)), chance.randrange(500, 20_000), span()),
+            "full": lambda: (chance.randrange(min(size, 3)), span()),
+            "make_ill": lambda: (box(), chance.choice((0.0, 0.33, 1.0)), chance.choice((0.0, 1.0, 2.5)), span()),
+            "lie": lambda: (place(), chance.getrandbits(16), span()), "trouble": lambda: (place(), span()),
+            "all_down": lambda: (chance.randrange(2000, 5 * SECOND),)}
+        if self.jumps:
+            kinds["jump"] = lambda: (place(), chance.choice((-1, 1)) * chance.randrange(SECOND, 30 * SECOND))
+        gentle = chance.random() < 0.25
+        if not self.judges(seed):
+            [kinds.pop(each) for each in ("make_ill", "lie", "trouble")]
+        names = [each for each in kinds if not gentle or each in MILD]
+        names = chance.sample(names, chance.randrange(min(2, len(names)), len(names) + 1))  # few kinds at a time go deeper
+        for _ in range(chance.randrange(2, self.most + 1)):
+            at = found[-1].at + chance.randrange(5000) if found and chance.random() < 0.4 else chance.randrange(5 * SECOND, LASTS)
+            what = chance.choice(names)
+            found.append(Event(min(at, LASTS - 1), what, kinds[what]()))
+        return sorted(found, key=lambda each: each.at)
+
+    def judges(self, seed: int) -> int:
+        """One seed in four has health too, which costs most of the time."""
+        return 0 if seed % 4 else 3
+
+    def play(self, seed: int, events: Sequence[Event]) -> str | None:
+        secrets = Random(seed + 1)
+        with mock.patch.object(service, "SystemRandom", lambda: secrets), mock.patch.object(desk, "Store", Kept):
+            world = self.world = FleetWorld(seed, self.size(seed), **{"judges": self.judges(seed), **self.more})
+            world.mild = all(mild(each) for each in events)
+            for each in events:
+                if each.what != "all_down" or world.now:
+                    world.at(each.at, getattr(world, each.what), *each.values)
+            broke = lambda: world.wrong is not None  # noqa: E731
+            if not world.run(LASTS + CALM, broke):
+                world.ended()
+                world.quiet = True
+                if not world.run(LASTS + CALM + QUIET, broke):
+                    world.ended_rows()
+            return world.wrong
+
+
+def mild(event: Event) -> bool:
+    return event.what in MILD and not (event.what == "stall_" and event.values[1] > 12_000)
--- /dev/null
+++ b/milletsill/lab/hunt/gate.py
@@ -0,0 +1,213 @@
+"""One gateway of a hunted fleet: the very machines of members, health and registers on a simulated clock, its disk and its trouble.
+
+What is between them is the product's own service of offices; the sockets, the thread and the file's folder are simulated (sqlite
+itself is real, in memory, and outlives a killed gateway).
+"""
+from __future__ import annotations
+
+import sqlite3
+from random import Random
+from typing import Any, Callable
+
+import xxhash
+from prometheus_client import CollectorRegistry
+
+from milletsill.fleet.channels.registers.service import Offices, Term
+from milletsill.fleet.channels.registers.store import TABLES, Store, checksum, put_identity, wire
+from milletsill.fleet.channels.registers.standing import Identity
+from milletsill.fleet.channels.registers.thread import tried
+from milletsill.fleet.health.decide import CALM_PUBLISH, Judge, Order, Verdict
+from milletsill.fleet.health.rows import Rows
+from milletsill.fleet.health.spread import Spread
+from milletsill.fleet.plane import Kind
+from milletsill.lab.fleet_clock import SECOND, Stand
+
+PERIOD, KEEP, MOST_PART = 3000, 60 * SECOND, 0.34
+CHANNELS = tuple(f"channel-{each}" for each in range(4))
+
+
+class Disk:
+    """One gateway's: it may be slow or full, and holds copies that may come back."""
+
+    def __init__(self) -> None:
+        self.base: sqlite3.Connection | None = None
+        self.wait, self.full, self.copies = 20, False, list[tuple[Identity, sqlite3.Connection]]()
+
+    def copy(self, own: Identity) -> None:
+        if self.base is not None:
+            made = sqlite3.connect(":memory:", isolation_level=None)
+            self.base.backup(made)
+            self.copies = self.copies[-8:] + [(own, made)]
+
+    def fill(self, full: bool) -> None:
+        """No page more than there is, by sqlite's own bound."""
+        self.full = full
+        if self.base is not None:
+            pages = self.base.execute("PRAGMA page_count").fetchone()[0]
+            self.base.execute(f"PRAGMA max_page_count={pages if full else 1 << 30}")
+
+
+class Kept(Store):
+    """The register's file, in memory."""
+
+    disks: dict[str, Disk] = {}
+
+    @classmethod
+    def opened(cls, path: str, chance: int, doubted: bool = False, most_pages: int = 0) -> Store:
+        disk = cls.disks[path]
+        if disk.base is None:
+            base = disk.base = sqlite3.connect(":memory:", isolation_level=None)
+            state = wire.State(own=put_identity(Identity(1, chance, 0)), floor=0, up=0, doubted=doubted).SerializeToString()
+            for each in (*TABLES, "PRAGMA user_version=1", "PRAGMA application_id=1296257585"):
+                base.execute(each)
+            base.execute("INSERT INTO state VALUES(0, ?, ?)", (state, checksum("", 0, state)))
+        store = cls(path, disk.base)
+        store.begin(0)
+        return store
+
+    def close(self) -> None:
+        """The file stays."""
+
+
+class Worker:
+    """The register's thread: on the disk now, told when the disk is done. One killed in between has written and said nothing."""
+
+    def __init__(self, gate: Gate) -> None:
+        self.gate, self.stopped = gate, False
+
+    def run(self, job: Callable[[], Any], then: Callable[[Any], None]) -> None:
+        if not self.stopped:
+            result = tried(job)
+            self.gate.callLater(self.gate.disk.wait / SECOND, lambda: None if self.stopped else then(result))
+
+    def stop(self) -> None:
+        self.stopped = True
+
+
+class Timer:
+    def __init__(self, call: Callable[[], None]) -> None:
+        self.call: Callable[[], None] | None = call
+
+    def active(self) -> bool:
+        return self.call is not None
+
+    def cancel(self) -> None:
+        self.call = None
+
+
+class Gate(Stand):
+    """Its timers stand while it stands still and end when it is killed. `rate`: its clock's error in parts of a million."""
+
+    def begin(self, world: Any, place: int) -> None:
+        """All that stands on the plane."""
+        self.world, self.place, self.rate, self.disk = world, place, world.rates[place], world.disks[self.name]
+        self.own_chance = Random(self.chance.getrandbits(64))
+        self.terms: dict[str, Term] = {}
+        self.writes: dict[str, int] = {}
+        self.origin = xxhash.xxh64_intdigest(self.name.encode())
+        self.rows = Rows(self.origin, self.run, 4096, 4096)
+        self.spread = Spread(self.rows, self.own_chance.getrandbits(64), lambda member, body: self.tell(member, Kind.HEALTH, body))
+        self.judge, self.order, self.turn, self.seen_view = Judge(MOST_PART), Order(), self.place, -1
+        if world.judges:
+            self.hear(Kind.HEALTH, self.heard_health)
+            self.callLater(self.own_chance.random() * PERIOD / SECOND, self.look_health)
+        if world.registers:
+            self.offices = Offices(self, self.own_now, self, world.registers, 2 * SECOND, 5, 3000, 64, f"/{self.name}",
+                                   self.own_chance.getrandbits(64), lambda *what, **more: None, CollectorRegistry(),
+                                   silent=1 << 50, worker=Worker(self))
+            if place < world.users:
+                self.callLater(self.own_chance.random(), self.use)
+
+    # The reactor and the thread.
+
+    def own_now(self) -> int:
+        return self.clock.now + self.clock.now * self.rate // 1_000_000 + self.world.jumped.get(self.name, 0)
+
+    def callLater(self, seconds: float, call: Callable[..., None], *values: Any) -> Timer:
+        timer = Timer(lambda: call(*values))
+        self.clock.at(self.clock.now + int(seconds * SECOND), self.fire, timer)
+        return timer
+
+    def fire(self, timer: Timer) -> None:
+        if not self.up or timer.call is None:
+            return
+        if self.clock.now < self.stands_until:
+            return self.clock.at(self.stands_until, self.fire, timer)
+        call, timer.call = timer.call, None
+        call()
+
+    # Offices, as channels use them.
+
+    def use(self) -> None:
+        """A write where this gateway has the office; else it takes it, as a keeper or, now and then, as a rival."""
+        self.callLater(0.2 + 0.6 * self.own_chance.random(), self.use)
+        for channel in CHANNELS:
+            if self.own_chance.random() < 0.5:
+                self.use_one(channel)
+
+    def use_one(self, channel: str) -> None:
+        term = self.terms.get(channel)
+        if term is not None and self.offices.holds(term):
+            if channel not in self.writes:
+                base = int.from_bytes(term.value or b"\0", "big")
+                self.writes[channel] = value = self.world.value(base)
+                term.busy = True
+                self.offices.write(term, value.to_bytes(8, "big"), lambda fault: self.wrote(channel, term, value, fault))
+                if self.own_chance.random() < 0.05:
+                    self.offices.give_up(term)
+        elif self.offices.keeper_of(channel) == self.name or self.own_chance.random() < 0.05:
+            self.offices.take(channel, lambda found: self.took(channel, found))
+
+    def took(self, channel: str, found: Any) -> None:
+        if isinstance(found, Term):
+            self.terms[channel] = found
+            if self.offices.holds(found):
+                self.world.seated(self, channel, int.from_bytes(found.value or b"\0", "big"))
+
+    def wrote(self, channel: str, term: Term, value: int, fault: Any) -> None:
+        self.writes.pop(channel, None)
+        term.busy = False
+        if fault is None:
+            self.world.counted(self, channel, value)
+
+    def holding(self, channel: str) -> bool:
+        term = self.terms.get(channel)
+        return term is not None and self.offices.holds(term)
+
+    def register(self) -> Any:
+        return self.offices.desk if self.world.registers and self.name in self.world.registers else None
+
+    # Health.
+
+    def heard_health(self, member: str, run: int, body: bytes) -> None:
+        present = {xxhash.xxh64_intdigest(each.encode()) for each in self.view.by_name}
+        self.spread.hear(self.clock.now, member, body, present.__contains__)
+
+    def look_health(self) -> None:
+        """Words, a round, a verdict."""
+        self.callLater(PERIOD / SECOND, self.look_health)
+        now, view, world = self.clock.now, self.view, self.world
+        if self.rows.own.run != self.run:
+            self.rows.own.run = self.run
+        if view.version != self.seen_view:
+            self.seen_view = view.version
+            origins = {each: xxhash.xxh64_intdigest(each.encode()) for each in view.by_name}
+            self.order.see(lambda name: [origins[each] for each in view.chosen(name, len(view.members))])
+            self.rows.keep(origins.values(), now - KEEP)
+        self.turn += 1
+        if not world.quiet:
+            words = world.words(self)
+            if self.turn % CALM_PUBLISH == 0 or any(each.lost > 0.1 or each.pace > 0.4 for each in words.values()):
+                self.spread.write(words)
+        self.spread.round(now, [each for each in view.by_name if each != self.name])
+        if self.place < world.judges:
+            for each in self.judge.look(self.rows, len(view.members), self.order, world.cells, now):
+                world.turned(self, each)
+
+    def keeps_away(self, box: int) -> bool:
+        held = self.judge.boxes.get(box)
+        if held is None or held.verdict is Verdict.STEADY:
+            return False
+        places = self.order(box)
+        advice = self.judge.advice(box, places.get(self.origin, len(places)), len(places))
+        return advice is not None and advice[1]
--- /dev/null
+++ b/milletsill/lab/hunt/guards.py
@@ -0,0 +1,38 @@
+"""Guards of the fleet that hunts must find missing, one out at a time."""
+from __future__ import annotations
+
+from typing import Any, Callable
+from unittest import mock
+
+from milletsill.fleet.channels import model
+from milletsill.fleet.health import decide as health
+from milletsill.fleet.health.decide import Finding, Verdict
+from milletsill.fleet.health.rows import Rows
+from milletsill.fleet.members import decide as members
+from milletsill.fleet.members import membership
+from milletsill.fleet.members.decide import Order, Own, Word
+from milletsill.fleet.members.membership import Membership
+from milletsill.fleet.plane import Standing
+
+
+def table(held: Any, without: Any = (), **more: Any) -> Callable[[], Any]:
+    """Some rows of a table out."""
+    left = {key: value for key, value in held.items() if key not in without}
+    return lambda: mock.patch.dict(held, left, clear=True)
+
+
+def _believed(held: Any) -> dict[Any, Any]:
+    return {(Standing.ALIVE, Standing.GONE, order): (Standing.GONE, "gone") for order in (Order.SAME, Order.NEWER)}
+
+
+MUTANTS: dict[str, Callable[[], Any]] = {
+    "members: a suspicion is refuted": table(members.OWN, [(Own.UP, Word.MINE)]),
+    "members: one that stood still doubts itself": lambda: mock.patch.object(Membership, "stood", lambda self, now, late: None),
+    "members: who is said to be gone is asked": lambda: mock.patch.dict(members.HELD, _believed(members.HELD)),
+    "members: those gone are asked now and then": lambda: mock.patch.object(membership, "LOST_PART", 1 << 60),
+    "members: others probe for me": lambda: mock.patch.object(Membership, "through", lambda self, now, watch: None),
+    "health: a box that all may try is well again": table(health.TABLE, [(Verdict.DEGRADED, Finding.WHOLE),
+                                                                         (Verdict.FAILING, Finding.WHOLE)]),
+    "health: what is missing is asked for": lambda: mock.patch.object(Rows, "after", lambda self, origin, run, base: None),
+    **{f"registers: {each}": make for each, make in model.MUTANTS.items()},
+}
