--- a/milletsill/edge/channels.py
+++ b/milletsill/edge/channels.py
@@ -18,7 +18,7 @@
 from milletsill.fleet.channels.contracts.decide import Book, Contract, Input, Order, Reach, Reaches, Unsure
 from milletsill.fleet.channels.contracts.gone import Gone
 from milletsill.fleet.channels.contracts.keeper import Keeper
-from milletsill.fleet.channels.contracts.line import LetGo
+from milletsill.fleet.channels.contracts.pieces import LetGo
 from milletsill.fleet.channels.contracts.ways import Ways
 from milletsill.fleet.channels.contracts.words import Elsewhere, Look, Open, Say, Transfer, Word
 from milletsill.fleet.plane import Kind
@@ -207,7 +207,7 @@
         patience = edge.host.facts["categories"][category]["patience"]
         own = what.terms.patience * 10 if isinstance(what, Transfer) else 0
         ends = came + min(patience, own or patience) - edge.margin
-        why = edge.refusal(ends)
+        why = edge.refusal(ends) or ("this gateway holds all that it may" if self.held >= edge.file.door.most_held else "")
         if why:
             return wire.put_sign(packet.id, "declined", f"declined: {why}", None, edge.host.facts["longest_pause"])
         standing = Standing(packet, volume, category, client.octets, came)
