--- a/milletsill/lab/audit_fleet.py
+++ b/milletsill/lab/audit_fleet.py
@@ -1,6 +1,6 @@
 """How long views, and what gateways call a box, took to agree after each fault, from the gateways' own logs.
 
-Read are their JSON lines: `view` with a digest, `member` with a change. Wall time is turned into the run's monotonic time. A
+Read are their JSON lines: `view` with a digest, `member` with a change, `box_verdict`. Wall time is turned into the run's monotonic time. A
 moment agrees when all gateways that run and can speak say the same; over a split network each side by itself.
 """
 from __future__ import annotations
@@ -19,6 +19,7 @@
 SLOW = 12.0  # seconds after a fault for which a member's being called gone may come of it
 DOWN = ("balancer_crash", "balancer_lost", "balancer_old", "balancer_leave")
 APART = ("split", "isolate")
+OF_BOX, STEADY = ("slow", "pauses", "neighbour", "vanish"), "steady"
 
 
 @dataclass
@@ -27,7 +28,7 @@
 
     views: dict[str, list[tuple[float, str, int]]] = field(default_factory=lambda: defaultdict(list))
     gone: list[tuple[float, str, str]] = field(default_factory=list)
-    lines: list[dict[str, Any]] = field(default_factory=list)
+    verdicts: list[tuple[float, str, int, str]] = field(default_factory=list)  # (time, by, box, what it is called)
 
 
 @dataclass
@@ -64,8 +65,9 @@
                 told.views[gateway].append((at, line["digest"], line["members"]))
             elif line["event"] == "member" and line.get("change") == "gone":
                 told.gone.append((at, gateway, line["member"]))
-            else:
-                told.lines.append({**line, "at": at, "gateway": gateway})
+            elif line["event"] == "box_verdict":
+                told.verdicts.append((at, gateway, line["box"], line["new"]))
+    told.verdicts.sort()
     return told
 
 
@@ -165,6 +167,32 @@
     return found
 
 
+def nine_in_ten(times: Sequence[float], count: int) -> float | None:
+    """When nine in ten of `count` had done it; None where they had not."""
+    needed = -(-9 * count // 10)
+    return sorted(times)[needed - 1] if len(times) >= needed else None
+
+
+def verdicts(told: Told, scenario: Any, start: float, count: int) -> list[tuple[str, int, float | None, int, float | None]]:
+    """For each trouble of a named box: how many of `count` gateways called it anything but steady while it lasted and after how
+    many seconds nine in ten did; and the same of `steady` after its end."""
+    found = []
+    for trouble in (each for each in scenario.trouble if each.what in OF_BOX):
+        for box in trouble.on:
+            since, until = start + trouble.at_s, start + trouble.at_s + trouble.for_s
+            rows = [(at, by, state) for at, by, about, state in told.verdicts if about == box]
+            ill: dict[str, float] = {}
+            well: dict[str, float] = {}
+            for at, by, state in rows:
+                if since <= at < until and state != STEADY:
+                    ill.setdefault(by, at - since)
+                elif at >= until and state == STEADY and by in ill:
+                    well.setdefault(by, at - until)
+            found.append((f"{trouble.what} of box {box}", len(ill), nine_in_ten(list(ill.values()), count),
+                          len(well), nine_in_ten(list(well.values()), count)))
+    return found
+
+
 def traffic(out: str) -> dict[str, float]:
     """What a gateway said to others through the relay, a second, on the mean of all gateways over the relay's life."""
     rows = []
--- a/milletsill/lab/report.py
+++ b/milletsill/lab/report.py
@@ -77,6 +77,10 @@
     return any(breaches) or not result.get("views_agree", True) or any((unended, wrong, result["faults"], *result["exits"]))
 
 
+def after(seconds: float | None) -> str:
+    return "" if seconds is None else f", nine in ten after {seconds:.2f} s"
+
+
 def of_views(result: dict[str, Any]) -> list[str]:
     """How long views took to agree after each fault; none where the day had no fleet."""
     if "views" not in result:
@@ -87,5 +91,7 @@
     lines.append(f"views at the end: {'the same' if result['views_agree'] else 'NOT THE SAME'}; called gone without a cause: "
                  f"{len(result['false_deaths'])}")
     lines += [f"  {each}" for each in result["false_deaths"][:MOST_SHOWN]]
+    lines += [f"{what}: called so by {ill} gateways{after(at)}; called steady again by {well}{after(back)}"
+              for what, ill, at, well, back in result["verdicts"]]
     return lines + ["said by each gateway to others, a second: " + ", ".join(
         f"{name.replace('_', ' ')} {count:.0f}" for name, count in result["traffic"].items())]
--- a/milletsill/lab/run.py
+++ b/milletsill/lab/run.py
@@ -21,7 +21,7 @@
 from milletsill.lab.audit import audit, gather
 from milletsill.lab.audit_contracts import audit_contracts, figures
 from milletsill.lab.audit_fleet import (Told, Weather, agree, agreements, false_deaths, read_logs, read_weather,
-                                        traffic)
+                                        traffic, verdicts)
 from milletsill.lab.processes import LAB, Group, PlannerPart, Processes, free_ports
 from milletsill.lab.relay import inside, outside
 from milletsill.lab.report import broken, report
@@ -246,6 +246,7 @@
             told, weather = self.logged()
             rows = agreements(told, weather, self.names, self.ended)
             found = {"views": rows, "views_agree": rows[-1][2] is not None, "start": self.start, "traffic": traffic(self.out),
+                     "verdicts": verdicts(told, self.scenario, self.start, len(self.names)),
                      "false_deaths": false_deaths(told, weather)}
         if self.scenario.channels:
             with open(f"{self.out}/channels.json", encoding="utf-8") as source:
--- a/tests/test_audit_fleet.py
+++ b/tests/test_audit_fleet.py
@@ -1,7 +1,10 @@
 """When views agree, and who was called gone without a cause: from scripted logs and faults."""
 import unittest
 
-from milletsill.lab.audit_fleet import Told, Weather, agreements, false_deaths
+from google.protobuf import text_format
+
+from milletsill.lab.audit_fleet import Told, Weather, agreements, false_deaths, verdicts
+from milletsill.settings.milletsill_pb2 import Scenario
 
 NAMES = ["a", "b", "c"]
 
@@ -34,5 +37,15 @@
         self.assertEqual(false_deaths(told, weather), ["40.000 a called b gone"])
 
 
+class Verdicts(unittest.TestCase):
+    def test_how_long_nine_in_ten_took_to_call_a_box_slow_and_steady_again(self):
+        scenario = text_format.Parse('name: "x" edges: 1 gateway { name: "e" gateways: 1 registry { address: "a:1" } } '
+                                     'trouble { what: "slow" at_s: 5 for_s: 5 on: 3 }', Scenario())
+        told = Told(verdicts=[(5.5, "a", 3, "degraded"), (5.6, "a", 2, "degraded"), (6.0, "b", 3, "degraded"),
+                              (9.0, "b", 3, "recovering"), (12.0, "a", 3, "steady"), (13.0, "b", 3, "steady")])
+        self.assertEqual(verdicts(told, scenario, 0.0, 2), [("slow of box 3", 2, 1.0, 2, 3.0)])
+        self.assertEqual(verdicts(told, scenario, 0.0, 3), [("slow of box 3", 2, None, 2, None)])
+
+
 if __name__ == "__main__":
     unittest.main()
