--- a/milletsill/policy/limits.py
+++ b/milletsill/policy/limits.py
@@ -85,5 +85,5 @@
         bears = self.bears(age - span) / mean
         steep = (bears + 3 * bears ** 0.5 + 3) / (LOT * bears)
         odds = LOT * bears / gateways * transfer.gap / span * steep ** min(1 - transfer.units / mean, 0)
-        transfer.lot = self.uniform(0, 1) if transfer.lot is None else transfer.lot
+        transfer.lot = self.uniform(0, 1) if transfer.lot < 0 else transfer.lot
         return 0 if transfer.lot < odds and not transfer.dispatches else span
--- a/milletsill/policy/records.py
+++ b/milletsill/policy/records.py
@@ -51,8 +51,7 @@
         self.target = self.tag = min(start + target_time, arrival.ends)
         self.utility = category["utility"] * volume.plan["price"]  # of a unit
         self.phase, self.reserved, self.spent, self.dispatches = Phase.HELD, True, False, list[Dispatch]()
-        self.gap = 0  # since its cell's last one
-        self.lot: float | None = None  # drawn where a cold node asks
+        self.gap, self.lot = 0, -1.0  # since its cell's last one; drawn where a cold node asks
         self.node: Node | None = None
         self.queue: Queue | None = None
 
@@ -84,10 +83,9 @@
         self.window, self.credit, self.size = window, CREDITS, 1.0
         self.latency: float | None = None  # M
         self.wait = self.pace = self.best = 0.0  # smoothed wait, smoothed latency a unit, the best of late
-        self.strain = 0.0  # smoothed wait, in shortest target times, and load
+        self.strain = self.advised = 0.0  # smoothed wait, in shortest target times, and load; the fleet's word
         self.follow: Transfer | None = None
-        self.follow_until = self.rest_until = self.lapses = self.lapsed = 0
-        self.advised, self.advised_until = 0.0, 0  # what the fleet says against it, and until when
+        self.follow_until = self.rest_until = self.lapses = self.lapsed = self.advised_until = 0
         self.barred_at, self.heard, self.silent = 0, -NEVER, 0  # silent: the last end without a word
         self.health, self.wake_at = Health.STEADY, NEVER
         self.sends: deque[tuple[int, float]] = deque()  # units sent within the window of rule 4
