--- a/milletsill/edge/service.py
+++ b/milletsill/edge/service.py
@@ -191,6 +191,9 @@
 
     def listen(self, host: str, port: int, factory: Any, word: str) -> None:
         def up(got: Any) -> None:
+            if self.process is Process.STOPPED:  # another address could not be had meanwhile
+                got.stopListening()
+                return
             self.ports.append(got)
             self.log.info(word, address=f"{host}:{got.getHost().port}", incarnation=self.incarnation)
 
