--- a/milletsill/fleet/channels/contracts/gone.py
+++ b/milletsill/fleet/channels/contracts/gone.py
@@ -23,9 +23,9 @@
         return Input.NEVER_RAN if self.sent == self.harmless else Input.LOST
 
     def leaves(self) -> bool:
-        """Guards against a process that stood between the gate and the send: another may keep the channel by now. Asked at the
-        last place, also for what waited for a link. Harm: a lawful dispatch is put off."""
-        return bool(self.offices.holds(self.term))
+        """Guards against a process that stood between the gate and the send: another may keep the channel by now, or its ticket be
+        forgotten. Asked at the last place, also for what waited for a link. Harm: a lawful dispatch is put off."""
+        return bool(self.offices.holds(self.term)) and self.offices.now() < self.ends
 
     def watched(self, ended: Any) -> Any:
         """Counts dispatches that came back without having run."""
--- a/milletsill/fleet/channels/contracts/line.py
+++ b/milletsill/fleet/channels/contracts/line.py
@@ -86,9 +86,9 @@
         return now < self.window_end(entry, coming)
 
     def window_end(self, entry: Entry, coming: Coming) -> int:
-        """Guards against a second effect: a ticket is remembered no longer than its window from its first dispatch. Harm: an
-        unsure end stays unsure."""
-        return entry.since + coming.window
+        """Guards against a second effect: a ticket is remembered no longer than its window from its first dispatch, and the last
+        one may run as late as the rest. Harm: an unsure end stays unsure."""
+        return entry.since + coming.window - self.rest
 
     def tried_before(self, entry: Entry) -> bool:
         """Guards against a decline after an earlier try of the number that may have run. Harm: none."""
--- a/milletsill/fleet/channels/contracts/model.py
+++ b/milletsill/fleet/channels/contracts/model.py
@@ -23,7 +23,7 @@
 from milletsill.fleet.channels.contracts.sea import Sea
 
 # How often each kind of event is chosen, by a word of its name; the first that is in it counts.
-WEIGHTS = {" opens": 0.2, "claim before": 0.1, " to ": 1.5, "done": 14.0, "lost": 0.15, "unheard": 0.15, "dispatches": 8.0,
+WEIGHTS = {"say ": 0.2, " opens": 0.2, "claim before": 0.1, " to ": 1.5, "done": 14.0, "lost": 0.15, "unheard": 0.15, "dispatches": 8.0,
            "rings": 5.0, "killed": 0.12, "box runs": 4.0, "answer": 7.0, "time-out": 3.0, "another": 1.0, "time 24": 0.8,
            "time 120": 0.5, "time 500": 0.15, "time 1060": 0.25}
 
@@ -37,7 +37,7 @@
 OUT = OPENED + ["1 to k0", "k0 registers done", "k0 dispatches"]
 OVER = OUT + ["k0 killed", "time 500", "time 500", "time 24", "k1 opens", "k1 registers done", "k1 registers done"]
 STARTS = {"opened": OPENED, "out": OUT, "over": OVER}
-BUDGET = {"claim before": 0, "killed": 1, "lost": 1, "unheard": 1, " opens": 1, "time 24": 0, "time 500": 1, "time 1060": 1, "time 120": 1}
+BUDGET = {"say ": 1, "claim before": 0, "killed": 1, "lost": 1, "unheard": 1, " opens": 1, "time 24": 0, "time 500": 1, "time 1060": 1, "time 120": 1}
 
 
 def played(order: Order, unsure: Unsure, start: list[str], path: list[str], numbers: int) -> Sea:
--- a/milletsill/fleet/channels/contracts/sea.py
+++ b/milletsill/fleet/channels/contracts/sea.py
@@ -17,7 +17,7 @@
 from milletsill.fleet.channels.contracts.gone import Gone
 from milletsill.fleet.channels.contracts.keeper import Keeper
 from milletsill.fleet.channels.contracts.pieces import SETTLED, LetGo
-from milletsill.fleet.channels.contracts.words import Elsewhere, Open, Transfer, Word
+from milletsill.fleet.channels.contracts.words import Elsewhere, Open, Say, Transfer, Word
 from milletsill.fleet.channels.errors import NoMajority, NotKeeper, Outvoted
 
 OFFICE, REST, WINDOW, HOLE, PATIENCE, DRIFT = 1000, 100, 2400, 20, 1500, 20  # tenths of a millisecond; parts of a thousand
@@ -123,6 +123,9 @@
         self.out: dict[int, int] = {}  # words of a number on their way or at a gate
         self.extents = {each: each % 2 for each in range(1, numbers + 1)}
         self.changed: set[int] = set()
+        self.doubtful: set[int] = set()  # numbers of which a client heard that they may have been done or not
+        self.said: set[int] = set()  # of which it said what became of them
+        self.over: dict[int, int] = {}  # number -> first turn of its ticket that may still run, once its word was taken
         self.free: set[int] = set()  # numbers that were declined: a client may send another content
         self.claim = self.claimed_at = self.tokens = 0
         self.wrong: str | None = None
@@ -165,11 +168,24 @@
         if isinstance(packet, Elsewhere) or sign is not None:
             if sign is not None and sign.word == "declined" and number not in self.reached:
                 self.free.add(number)
+            if sign is not None and sign.word in ("aborted", "stopped"):
+                self.doubtful.add(sign.number or number)
             return
         self.told.add(number)
-        if not any(each == number for each, _ in self.effects):
+        if number not in self.said and not any(each == number for each, _ in self.effects):
             self.break_(f"{number} was told as settled and has no effect")
 
+    def say(self, gateway: Gateway, number: int, word: int) -> None:
+        """The client's word on a number that is in doubt."""
+        said = Word(Volume, "c", gateway.now() + PATIENCE, Say(number, word, self.claim), "", lambda packet: None)
+        self.said.add(number)
+
+        def answered(packet: Any) -> None:
+            if isinstance(packet, packets.Status) and packet.code == packets.OK:
+                self.over[number] = self.over.get(number, 0) + 1
+        said.answered = answered
+        gateway.keeper.word(said)
+
     def other(self, number: int) -> None:
         """The client sends the number with another content from now on: it was declined, and nothing of it was done."""
         self.free.discard(number)
@@ -242,13 +258,16 @@
         done = self.tickets.get(dispatch.ticket)
         if done is None or self.now - done > WINDOW * (1000 + 2 * DRIFT) // 1000:
             self.tickets[dispatch.ticket] = self.now
+            number, turn = (int(each) for each in dispatch.ticket.split("."))
+            if turn < self.over.get(number, 0) and turn == 0:
+                self.break_(f"{number} took effect after the client's word on it was taken")
             self.effect(dispatch.what.number, int(dispatch.what.command.data[:1]))
         dispatch.answer = True
 
     def effect(self, number: int, extent: int) -> None:
         """One effect: all contracts are looked at here."""
         past = self.effects
-        if any(each == number for each, _ in past):
+        if any(each == number for each, _ in past) and number not in self.said:
             self.break_(f"{number} took effect twice")
         before = [each for each, on in past if self.order is not Order.BY_EXTENT or on == extent]
         batch = self.order is Order.BATCHES
@@ -262,7 +281,7 @@
         lower = [each for each in range(1, first) if self.order is not Order.BY_EXTENT or (
             self.extents[each] == extent and each not in self.changed)]
         missing = [each for each in lower if not any(each == done for done, _ in self.effects)
-                   and (each not in self.reached or self.unsure is Unsure.STOP)]
+                   and each not in self.said and (each not in self.reached or self.unsure is Unsure.STOP)]
         if missing:
             self.break_(f"{number} took effect, {missing} left out")
 
@@ -316,6 +335,10 @@
             if not dispatch.over:
                 if dispatch.at.now() >= dispatch.gone.ends:
                     found[f"time-out {place}"] = lambda d=dispatch: self.end(d, d.gone.input())
+        for number in sorted(self.doubtful):
+            for name, word in (("done", wire.DONE), ("again", wire.AGAIN), ("left out", wire.LEFT_OUT)):
+                for each in self.gateways[:2]:
+                    found[f"say {number} {name} at {each.name}"] = lambda e=each, n=number, w=word: self.say(e, n, w)
         for number in sorted(self.free):
             found[f"{number} becomes another"] = lambda n=number: self.other(n)
         for span in (24, REST + 20, OFFICE // 2, OFFICE + 60):
