--- a/milletsill/fleet/channels/contracts/sea.py
+++ b/milletsill/fleet/channels/contracts/sea.py
@@ -269,10 +269,11 @@
         past = self.effects
         if any(each == number for each, _ in past) and number not in self.said:
             self.break_(f"{number} took effect twice")
-        before = [each for each, on in past if self.order is not Order.BY_EXTENT or on == extent]
+        # A client may say of what was done that it was not: then the fault is its own.
+        before = [each for each, on in past if each not in self.said and (self.order is not Order.BY_EXTENT or on == extent)]
         batch = self.order is Order.BATCHES
         late = [each for each in before if ((each + 1) // 2 > (number + 1) // 2 if batch else each > number)]
-        if late:
+        if late and number not in self.said:
             self.break_(f"{number} took effect after {late}")
         self.effects.append((number, extent))
         if self.order is Order.NEWEST:
