--- a/milletsill/fleet/members/membership.py
+++ b/milletsill/fleet/members/membership.py
@@ -15,7 +15,7 @@
 from milletsill.fleet.frames.words import Message, Row, What
 from milletsill.fleet.members.decide import (BEAT, FORGET_EVERY, HEARSAYS, JOIN_EVERY, LATE, LEAVE_TO, LOOKED_AT, LOST_PART,
                                              MOST_WATCHES, NEVER, NEWS_EVERY, NEWS_TO, RELAYS, RING, SOON, STALE_SPANS, WATCH, Own, Sign,
-                                             Stage, Terms, Watch, due, score, times_longer, troubled, wanted_confirms)
+                                             Stage, Terms, Watch, due, longer, score, times_longer, troubled, wanted_confirms)
 from milletsill.fleet.members.effects import Effect, Said, Say, Send
 from milletsill.fleet.members.rolls import Rolls
 from milletsill.fleet.members.table import Known
@@ -80,11 +80,9 @@
         """This gateway stood still: what it did not hear says nothing of the others."""
         self.score = score(self.score, "stood")
         self.rolls.out.append(Say(Said.STOOD, span=late))
-        for name in self.rolls.table.suspects:
-            held = self.rolls.table.held[name]
-            held.since = min(held.since + late, now)
+        self.rolls.woke = now
         for watch in list(self.watches.values()):
-            watch.since, watch.began = min(watch.since + late, now), min(watch.began + late, now)
+            longer(watch, now, late, self.terms)
             self.sign(now, watch, Sign.STOOD)
 
     def look(self, now: int) -> None:
@@ -221,6 +219,10 @@
         sender, rolls = message.sender, self.rolls
         if sender.name == self.name and sender.nonce == rolls.nonce:
             return []
+        before = rolls.table.get(sender.name)
+        if before is not None and before.run == sender.run and before.nonce < sender.nonce and before is not rolls.me:
+            # Another start with the run of an earlier one: its state is lost or a copy, and I alone may still know the earlier.
+            rolls.out.append(Send(sender.address, Message(What.NEWS, rolls.sender, (before.row(now),)), True))
         self.take(now, sender)
         if sender.name == self.name and rolls.own is not Own.DISPLACED:
             rolls.met_twin(now, sender)
@@ -300,17 +302,13 @@
             found.append(Row(to.name, to.run, to.nonce, to.turn, to.standing, by=to.by or (self.name,)))
         if not spread.at:
             return tuple(found)
-        made: dict[str, Row] = {}
+        held = rolls.table.held
 
         def size(name: str) -> int:
-            known = rolls.table.held.get(name)
-            if known is None:
-                return 0
-            made[name] = known.row(now, full=False)
-            return row_room(made[name])
+            return held[name].short()[1] if name in held else 0
 
         room = head_room(self.terms.fleet, rolls.sender) - sum(map(row_room, found))
-        found += [made[name] for name in spread.take(room, bound(len(rolls.table.ring)), size) if name in made and name != first]
+        found += [held[name].short()[0] for name in spread.take(room, bound(len(rolls.table.ring)), size) if name in held and name != first]
         return tuple(found)
 
     def tell_all(self, now: int, address: str, answer: bool) -> None:
