--- a/milletsill/edge/channels.py
+++ b/milletsill/edge/channels.py
@@ -15,7 +15,7 @@
 from milletsill.files import extensions, packets
 from milletsill.files.extensions import Terms
 from milletsill.files.wire import bytes_of
-from milletsill.fleet.channels.contracts.decide import Book, Contract, Input, Order, Reach, Reaches, Unsure
+from milletsill.fleet.channels.contracts.decide import PAUSE, Book, Contract, Input, Order, Reach, Reaches, Unsure
 from milletsill.fleet.channels.contracts.gone import Gone
 from milletsill.fleet.channels.contracts.keeper import Keeper
 from milletsill.fleet.channels.contracts.pieces import LetGo
@@ -26,6 +26,7 @@
 EXTENSIONS = (wire.CHANNEL, wire.NUMBERED)
 LOOK_EVERY, LEAVE_EVERY, QUIET = 5.0, 0.02, 5  # seconds between looks at quiet channels, and at what holds up the end; looks then
 HANDLE = b"channel"
+MOST_SENT_ON = 3  # times that a word follows what registers say of the keeper
 
 
 def book_of(file: Any) -> Book:
@@ -252,7 +253,12 @@
         self.ways.forward(word, who)
 
     def elsewhere(self, word: Word, told: Elsewhere) -> None:
-        """The registers say that another holds the office."""
+        """The registers say that another holds the office. Guards against a word that goes to and fro between one that has it
+        still, going down, and one that may not have it yet. Harm: a client comes back once more."""
+        word.sent_on += 1
+        if word.sent_on > MOST_SENT_ON:
+            return word.answered(wire.put_sign(0, "declined", f"declined: {told.who} hands the channel over", None,
+                                               max(told.pause // 4, PAUSE)))
         if told.who in (self.plane.name, *word.away, *self.ways.silent) or told.who not in self.plane.view.by_name:
             return word.answered(wire.put_sign(0, "declined", f"declined: {told.who} held the channel and is away", None,
                                                told.pause))
--- a/milletsill/fleet/channels/contracts/words.py
+++ b/milletsill/fleet/channels/contracts/words.py
@@ -62,6 +62,7 @@
     token: str
     answered: Callable[[Any], None]
     away: tuple[str, ...] = ()  # gateways that could not be reached with it
+    sent_on: int = 0  # how often the registers named another keeper for it
 
     @property
     def key(self) -> str:
