--- a/milletsill/files/channels.py
+++ b/milletsill/files/channels.py
@@ -35,7 +35,7 @@
     x-aborted               it may have been done or not; OPEN and ASK tell more
     x-claim-lost            a later claim holds; nothing was done by this word
     x-superseded-N          (newest) N, which is newer, is settled or under way: this one never takes effect
-    x-settled               settled long ago, its answer is no longer remembered
+    x-over                  over long ago: what became of it is no longer remembered
     x-left-out              counted as left out: the client said so, or its end stayed unsure; it is not let go again
     x-stopped-N             stands behind N, whose end is unsure, until the client says (SAY) what became of it
     x-contract              contradicts what is declared; the message says which and what to do. Nothing was done
@@ -230,7 +230,7 @@
     number: int | None = None
 
 
-TAG = re.compile(r"x-(declined|aborted|claim-lost|superseded|settled|left-out|stopped|contract)(?:-(\d+))?(?:-next-(\d+))?")
+TAG = re.compile(r"x-(declined|aborted|claim-lost|superseded|over|left-out|stopped|contract)(?:-(\d+))?(?:-next-(\d+))?")
 
 
 def read_sign(language: str) -> Sign | None:
--- a/milletsill/fleet/channels/contracts/keeper.py
+++ b/milletsill/fleet/channels/contracts/keeper.py
@@ -21,7 +21,7 @@
 SAYINGS = {wire.DONE: Input.SAID_DONE, wire.AGAIN: Input.SAID_AGAIN, wire.LEFT_OUT: Input.SAID_LEFT_OUT}
 STATES = {SETTLED: wire.IS_SETTLED, STAYED_UNSURE: wire.IS_UNSURE, LEFT_OUT: wire.IS_LEFT_OUT}
 TEXTS = {"declined": "declined: nothing was done", "aborted": "aborted: it may have been done or not",
-         "claim-lost": "a later claim holds this channel", "superseded": "a newer one is settled", "settled": "settled long ago",
+         "claim-lost": "a later claim holds this channel", "superseded": "a newer one is settled", "over": "over long ago",
          "left-out": "left out", "stopped": "stands behind an unsure end; say what became of it", "contract": "contradicts"}
 CONTRADICTIONS = (ContractsContradict, ContractOlder, ContractRefused)
 
--- a/milletsill/fleet/channels/contracts/line.py
+++ b/milletsill/fleet/channels/contracts/line.py
@@ -109,7 +109,7 @@
         """The remembered answer, without a second effect; after the record, which may not hold it yet."""
         number, asker, known = coming.number, coming.asker, self.remembered.get(coming.number)
         if known is None:
-            word = "superseded" if self.contract.order is Order.NEWEST else "settled"
+            word = "superseded" if self.contract.order is Order.NEWEST else "over"
             self.after.append(Tell(asker, word, self.floor - 1 if word == "superseded" else None))
         elif known.how in (SETTLED, STAYED_UNSURE) and known.digest != coming.digest:
             self.at_once.append(Tell(asker, "contract", number, text=f"number {number} was another transfer: number anew from "
--- a/milletsill/lab/audit_contracts.py
+++ b/milletsill/lab/audit_contracts.py
@@ -145,7 +145,7 @@
                               *(f"{when:.4f} written" for when in written[number]))
         for each in line.sent[number]:
             for when, _, language, code in each.answers:
-                if each.at > at and code != OK and not language.startswith(("x-declined", "x-claim-lost", "x-settled")):
+                if each.at > at and code != OK and not language.startswith(("x-declined", "x-claim-lost", "x-over")):
                     yield line.breach(f"number {number} was settled, and later told as {language or code}",
                                       f"{at:.4f} settled", f"{when:.4f} {each.line()}")
     if line.order not in (IN_ORDER, NEWEST):
--- a/milletsill/lab/channels.py
+++ b/milletsill/lab/channels.py
@@ -31,7 +31,7 @@
 BYTES, MOST_ASKED, ASK_EVERY = 512, 30, 0.2  # times that an unsure end is asked for, seconds between
 STATES = {wire.IS_SETTLED: "done", wire.IS_LEFT_OUT: "left out", wire.IS_FORGOTTEN: "settled before"}
 IS_BATCHES = 3
-DONE_SIGNS = {"superseded": "superseded", "settled": "settled before", "left-out": "left out", "contract": "against the contract"}
+DONE_SIGNS = {"superseded": "superseded", "over": "over before", "left-out": "left out", "contract": "against the contract"}
 
 
 class ChannelLink(ClientLink):
--- a/milletsill/settings/channels.py
+++ b/milletsill/settings/channels.py
@@ -67,6 +67,9 @@
         if found.repeats != "ticketed" or found.group not in ("all", "cell"):
             report.add(path, f"contract {contract.name!r} covers category {name!r}, which is {found.repeats} in group "
                              f"{found.group}: it must be ticketed, in group cell or all")
+        elif found.repeat_window_ms > contract.silent_s * 1000:
+            report.add(path + ("silent_s",), f"silent_s {contract.silent_s:g}: a channel may be forgotten within category {name!r}'s "
+                                             f"repeat window of {found.repeat_window_ms:g} ms")
         elif found.repeat_window_ms <= file.rules.key_rest_ms:
             report.add(path, f"category {name!r} repeats within {found.repeat_window_ms:g} ms, no longer than key_rest_ms: an unsure "
                              "end could never be tried again")
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -230,6 +230,7 @@
                 (lambda keeping, made: keeping.contract[1].volume.append("free"), "which is FREE"),
                 (lambda keeping, made: keeping.contract[0].ClearField("volume"), "which is FREE"),
                 (lambda keeping, made: keeping.contract[0].volume.append("folder"), "covers category 'read', which is rerunnable"),
+                (lambda keeping, made: setattr(keeping.contract[0], "silent_s", 4), "may be forgotten within"),
                 (lambda keeping, made: keeping.contract[0].operation.append("read"), "operation 'read' has no number"),
                 (lambda keeping, made: setattr(keeping.contract[1], "name", "landing"), "stands twice"),
                 (lambda keeping, made: setattr(keeping, "call_ms", 900), "must hold four"),
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -120,7 +120,7 @@
         line = channel()
         for number in range(1, REMEMBERED + 3):
             come(line, number), end(line, number)
-        self.assertEqual(come(line, 2), ["a2 settled"])
+        self.assertEqual(come(line, 2), ["a2 over"])
         self.assertLess(len(codec.put_record(line, 5)), codec.MOST_RECORD)
 
 
