--- a/milletsill/lab/channels.py
+++ b/milletsill/lab/channels.py
@@ -29,7 +29,7 @@
 SWAPPED, RIVAL = 0.3, 0.2  # parts of numbers that are held back, of reconnections beside the old connection
 HELD_BACK = 0.15  # seconds at most
 BYTES, MOST_ASKED, ASK_EVERY = 512, 30, 0.2  # times that an unsure end is asked for, seconds between
-STATES = {wire.IS_SETTLED: "done", wire.IS_LEFT_OUT: "left out", wire.IS_FORGOTTEN: "settled before"}
+STATES = {wire.IS_SETTLED: "done", wire.IS_LEFT_OUT: "left out", wire.IS_FORGOTTEN: "over before"}
 IS_BATCHES = 3
 DONE_SIGNS = {"superseded": "superseded", "over": "over before", "left-out": "left out", "contract": "against the contract"}
 
