--- a/milletsill/fleet/channels/contracts/line.py
+++ b/milletsill/fleet/channels/contracts/line.py
@@ -86,9 +86,9 @@
         return now < self.window_end(entry, coming)
 
     def window_end(self, entry: Entry, coming: Coming) -> int:
-        """Guards against a second effect: a ticket is remembered no longer than its window from its first dispatch. Harm: an
-        unsure end stays unsure."""
-        return entry.since + coming.window
+        """Guards against a second effect: a ticket is remembered no longer than its window from its first dispatch, and the last
+        one may run as late as the rest. Harm: an unsure end stays unsure."""
+        return entry.since + coming.window - self.rest
 
     def tried_before(self, entry: Entry) -> bool:
         """Guards against a decline after an earlier try of the number that may have run. Harm: none."""
@@ -109,7 +109,7 @@
         """The remembered answer, without a second effect; after the record, which may not hold it yet."""
         number, asker, known = coming.number, coming.asker, self.remembered.get(coming.number)
         if known is None:
-            word = "superseded" if self.contract.order is Order.NEWEST else "settled"
+            word = "superseded" if self.contract.order is Order.NEWEST else "over"
             self.after.append(Tell(asker, word, self.floor - 1 if word == "superseded" else None))
         elif known.how in (SETTLED, STAYED_UNSURE) and known.digest != coming.digest:
             self.at_once.append(Tell(asker, "contract", number, text=f"number {number} was another transfer: number anew from "
