--- a/tests/test_audit_contracts.py
+++ b/tests/test_audit_contracts.py
@@ -1,6 +1,7 @@
 """The audit of contracts is able to fail: each promise is broken on purpose in a scripted day, and caught; a lawful day is not."""
 import unittest
 
+import xxhash
 from google.protobuf import text_format
 
 from milletsill.lab.audit_contracts import NAMES, audit_contracts, figures
@@ -15,7 +16,7 @@
     contract { name: "2" order: BY_EXTENT } contract { name: "3" order: BATCHES } } }
   volume { name: "v" root: "/v" plan: "p" cell: 0 } }
 """, Scenario())
-HANDLE, OK = b"h", 0
+HANDLE, OK, VOLUME = b"h", 0, xxhash.xxh64_intdigest(b"v")
 
 
 def claim(at, order=0, next=1, number=1, unsure=()):
@@ -24,7 +25,7 @@
 
 
 def wrote(at, number, turn=0, extent=0):
-    return {"at": at, "what": "effect", "box": 0, "ticket": f"1@c@{number}.{turn}#GO.0", "path": "/v/f", "offset": extent * 100,
+    return {"at": at, "what": "effect", "box": 0, "ticket": f"{VOLUME}@c@{number}.{turn}#GO.0", "path": "/v/f", "offset": extent * 100,
             "gateway": "e", "transfer": number, "code": OK}
 
 
