--- a/milletsill/fleet/channels/mutants.py
+++ b/milletsill/fleet/channels/mutants.py
@@ -109,6 +109,10 @@
     """A register that lacks something goes on with what it has."""
 
 
+def _no_fence(records: dict[str, Any], floor: int) -> None:
+    """A floor holds only for channels without a record."""
+
+
 def _promise_left(records: dict[str, Any], told: Any, up: int) -> None:
     """It takes what was written, and not what was promised."""
     for channel, new in told:
@@ -156,6 +160,7 @@
     "what others tell is taken": (standing, "merged", _nothing_merged),
     "what is written again is not new": (seat.Seat, "send", _young_again),
     "all know the age": (seat, "aged", _some_age),
+    "floors hold for what is told": (standing, "fenced", _no_fence),
     "promises are told too": (standing, "merged", _promise_left),
 }
 FOUND: dict[str, int] = {
@@ -165,6 +170,7 @@
     "no ballot twice": 0, "starts differ": 3, "the floor of what is forgotten": 18, "others' word of later things": 4,
     "others are asked first": 93, "enough others tell": 2, "the rest before catching up": 68,
     "what others tell is taken": 8, "what is written again is not new": 1, "all know the age": 18,
+    "floors hold for what is told": (standing, "fenced", _no_fence),
     "promises are told too": 0}
 
 
--- a/milletsill/fleet/channels/registers/desk.py
+++ b/milletsill/fleet/channels/registers/desk.py
@@ -15,7 +15,7 @@
 from milletsill.fleet.channels.errors import DiskFull, RegistersChanged, StateLost, StateOlder, StateTorn, TermsDiffer
 from milletsill.fleet.channels.registers.decide import (Answer, Ask, Call, Office, Record, Say, Span, loaded, register)
 from milletsill.fleet.channels.registers.metrics import RegisterFigures
-from milletsill.fleet.channels.registers.standing import Identity, Joining, Page, Standing, Turn, merged
+from milletsill.fleet.channels.registers.standing import Identity, Joining, Page, Standing, Turn, fenced, merged
 from milletsill.fleet.channels.registers.store import Store, set_aside
 
 BATCH, MOST_WAITING = 1000, 20_000  # calls of one round; calls that wait
@@ -168,6 +168,7 @@
                 if (here := store.read(channel)) is not None:
                     held[channel] = here
             merged(held, records.items(), up)
+            fenced(held, floor)
             store.anew(held, floor, own, up)
 
         def written(result: Any) -> None:
--- a/milletsill/fleet/channels/registers/standing.py
+++ b/milletsill/fleet/channels/registers/standing.py
@@ -10,7 +10,7 @@
 from enum import Enum
 from typing import Iterable, NamedTuple
 
-from milletsill.fleet.channels.registers.decide import Record, Span, majority
+from milletsill.fleet.channels.registers.decide import Ballot, Record, Span, majority
 
 BEAT = 1000  # between words of a register to all about its identity, where it changed
 HELLO = 2000  # between its questions while it may not answer
@@ -70,6 +70,14 @@
         records[channel] = Record(max(old.promised, new.promised), later.stamp, later.value, up, old.told or later is new)
 
 
+def fenced(records: dict[str, Record], floor: int) -> None:
+    """One that told may have forgotten a channel whose record another still has: its floor holds for that record too."""
+    least = Ballot(floor + 1, "", 0)  # below each gateway's ballot of that round
+    for channel, record in records.items():
+        if floor and record.promised < least:
+            records[channel] = record._replace(promised=least)
+
+
 class Joining:
     """One register's way to answering. `fresh`: it has a file without a record; `doubted`: it is known to lack something (torn,
     or it was noticed before). `others` are the names of the other registers."""
--- a/milletsill/fleet/channels/world.py
+++ b/milletsill/fleet/channels/world.py
@@ -230,6 +230,7 @@
             standing.merged(records, joining.records.items(), 0)
             self.nonce += 1
             register.floor = max(register.floor, joining.floor)
+            standing.fenced(records, register.floor)
             register.own, register.record, register.office = joining.anew(self.nonce), records.get(C), None
             register.base = self.clock(register.name)
             register.joining, register.doubted = None, False
