--- a/milletsill/fleet/channels/mutants.py
+++ b/milletsill/fleet/channels/mutants.py
@@ -166,10 +166,10 @@
 FOUND: dict[str, int] = {
     "lower ballots are refused": 11, "an office refuses others": 0, "drift at the register": 27,
     "drift at the keeper": 5, "terms from the send": 14, "a majority": 0, "written again": 0, "copies are no votes": 0,
-    "the latest write is read": 6, "offices of a former self": 2, "a call's end": 0, "one renewal's answers": 13,
-    "no ballot twice": 0, "starts differ": 4, "the floor of what is forgotten": 12, "others' word of later things": 1,
-    "others are asked first": 63, "enough others tell": 18, "the rest before catching up": 112,
-    "what others tell is taken": 8, "what is written again is not new": 0, "all know the age": 27,
+    "the latest write is read": 6, "offices of a former self": 2, "a call's end": 14, "one renewal's answers": 13,
+    "no ballot twice": 0, "starts differ": 4, "the floor of what is forgotten": 0, "others' word of later things": 0,
+    "others are asked first": 63, "enough others tell": 0, "the rest before catching up": 112,
+    "what others tell is taken": 8, "what is written again is not new": 49, "all know the age": 27,
     "floors hold for what is told": 0, "promises are told too": 0}
 
 
