--- a/milletsill/fleet/channels/contracts/line.py
+++ b/milletsill/fleet/channels/contracts/line.py
@@ -5,86 +5,14 @@
 """
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import Any
 
 from milletsill.fleet.channels.contracts.decide import (GATE_OF, MOST_ASKERS, ORDER_TABLE, PAUSE, REMEMBERED, SPAN, Contract,
                                                         Declared, Gate, Input, Meaning, Order, Phase, Reaches, Unsure,
                                                         meaning, step)
-
-SETTLED, STAYED_UNSURE, LEFT_OUT, SUPERSEDED = range(4)  # how a number closed
-LONG_AGO = -(1 << 60)
-
-
-@dataclass(slots=True)
-class Coming:
-    """A transfer with a number as it comes to the gate. `window`: how long boxes remember its ticket; `ends`: when its client
-    gives up; `asker`: whom to tell, opaque here."""
-
-    number: int
-    claim: int
-    digest: int
-    reaches: Reaches
-    ends: int
-    window: int
-    asker: Any = None
-    batch: int = 0
-    last: bool = False
-
-
-@dataclass(slots=True)
-class Entry:
-    """A number that is open and known. `since`: when it was first let go; `rests`: until when it may still run."""
-
-    phase: Phase
-    digest: int
-    reaches: Reaches
-    batch: int = 0
-    last: bool = False
-    coming: Coming | None = None
-    askers: list[Any] = field(default_factory=list)
-    since: int = LONG_AGO
-    rests: int = 0
-    hole: int | None = None  # since when it stands behind a hole
-
-
-@dataclass(frozen=True, slots=True)
-class Closed:
-    """A number that is over, as it is remembered."""
-
-    how: int
-    code: int
-    digest: int
-
-
-@dataclass(frozen=True, slots=True)
-class LetGo:
-    """Hand the transfer to the module, under this ticket's turn, until `ends` at the latest."""
-
-    number: int
-    coming: Coming
-    turn: int
-    again: bool
-    ends: int
-
-
-@dataclass(frozen=True, slots=True)
-class Tell:
-    """A word to one asker; `word` as in files/channels.py, or `answer` with a status code. `pause` in tenths of a millisecond."""
-
-    asker: Any
-    word: str
-    number: int | None = None
-    pause: int = 0
-    code: int = 0
-    text: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Claimed:
-    """Tell the asker of an OPEN how the channel stands."""
-
-    asker: Any
+from milletsill.fleet.channels.contracts.pieces import (LEFT_OUT, SETTLED, STAYED_UNSURE, SUPERSEDED, Claimed, Closed, Coming,
+                                                        Entry, LetGo, Tell)
 
 
 class Line:
@@ -109,7 +37,8 @@
     def took_over(self, now: int) -> None:
         """A new keeper's first look at what the record says is out: its end is unsure, and its client has not heard so."""
         for entry in self.entries.values():
-            entry.phase, entry.rests = Phase.UNSURE, self.rested(now, max(self.rest, self.contract.hole))
+            entry.phase, entry.rests = Phase.UNSURE, self.rested(now, self.rest)
+            entry.closes = max(entry.rests, now + self.contract.hole)
 
     def rested(self, now: int, rest: int) -> int:
         """Until when an unsure number stands in the way. Guards against its dispatch, which may run until rule 5's rest is over;
@@ -261,7 +190,7 @@
     def behind_unsure(self, now: int, number: int, before: int | None) -> bool:
         """What an unsure end means for one that waits behind it."""
         entry = self.entries[before]  # type: ignore[index]
-        if now < entry.rests:
+        if now < entry.closes:
             return False
         if self.contract.unsure is Unsure.STOP:
             asker = self.input(number, Input.GIVEN_UP)
@@ -317,6 +246,7 @@
             self.at_once.extend(Tell(each, "declined", self.floor, pause) for each in askers)
         elif effect == "abort":
             entry.phase, entry.rests = Phase.UNSURE, self.rested(now, self.rest)
+            entry.closes = entry.rests
             self.at_once.extend(Tell(each, "aborted", number) for each in askers)
         self.go_on(now)
 
@@ -420,7 +350,8 @@
 
     def wakes(self, now: int) -> int | None:
         """When to call `go_on` again, if at all."""
-        times = [each.rests for each in self.entries.values() if each.phase in (Phase.UNSURE, Phase.BACK)]
+        times = [at for each in self.entries.values() if each.phase in (Phase.UNSURE, Phase.BACK)
+                 for at in (each.rests, each.closes)]
         for each in self.entries.values():
             if each.coming is not None:
                 times.append(each.coming.ends)
--- a/milletsill/fleet/channels/contracts/ways.py
+++ b/milletsill/fleet/channels/contracts/ways.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from random import SystemRandom
 from typing import Any, Callable
 
 from milletsill.files import channels as wire
@@ -10,37 +11,55 @@
 from milletsill.files.extensions import bare
 from milletsill.files.wire import Malformed
 from milletsill.fleet.channels.contracts.codec import put_envelope, read_envelope
-from milletsill.fleet.channels.contracts.record_pb2 import Envelope, Reply
-from milletsill.fleet.channels.contracts.words import Elsewhere, Look, Open, Word, put_word, read_word
+from milletsill.fleet.channels.contracts.record_pb2 import Ask, Envelope, Reply
+from milletsill.fleet.channels.contracts.words import Elsewhere, Look, Open, Say, Transfer, Word, put_word, read_word
 from milletsill.fleet.plane import Kind, Plane
 
 MOST_FORWARDS, MOST_HEARD = 20_000, 20_000  # words out, and words of others that are on hand or were answered
+MOST_ON_HAND = 5000  # words of others that are not answered yet
 SILENT_CALLS = 2     # calls without a sign of life until the keeper counts as away
 MOST_HOPS = 3
+AWAY = 30_000        # tenths of a millisecond for which one that could not be reached is not asked again, unless it says something
 MARGIN = 100         # tenths of a millisecond that the way back may take
 
 
 class Forward:
     """A word that another gateway has, or may have."""
 
-    __slots__ = ("id", "word", "to", "told", "heard", "hops", "alarm")
+    __slots__ = ("id", "word", "to", "heard", "hops", "alarm", "held")
 
     def __init__(self, id: int, word: Word, to: str, now: int, hops: int) -> None:
         self.id, self.word, self.to, self.hops = id, word, to, hops
-        self.told = self.heard = now
+        self.heard = now
         self.alarm: Any = None
+        self.held = False  # the other has said that it is on it
+
+
+def doubted(answered: Callable[[Any], None]) -> Callable[[Any], None]:
+    """Guards against an untrue decline: a keeper that fell silent may have done the word, or do it yet. Harm: a client that could
+    have been told that nothing was done asks again."""
+    def answer(packet: Any) -> None:
+        sign = wire.read_sign(getattr(packet, "language", ""))
+        if sign is not None and sign.word in ("declined", "claim-lost"):
+            packet = wire.put_sign(0, "aborted", "aborted: a keeper that fell silent may have done it")
+        answered(packet)
+    return answer
 
 
 class Ways:
-    """`own` handles another gateway's word here, `keep` one of ours that this gateway is to keep itself; `call` is how long a word of life may take, in tenths of a millisecond. `volume` finds a
-    volume by name."""
+    """`own` handles another gateway's word here, `keep` one of ours that this gateway is to keep itself; `call` is how long a sign of
+    life may take, in tenths of a millisecond. `volume` finds a volume by name."""
 
     def __init__(self, reactor: Any, now: Callable[[], int], plane: Plane, call: int, own: Callable[[Word, str], None],
                  keep: Callable[[Word], None], volume: Callable[[str], Any], count: Callable[[str], None]) -> None:
         self.reactor, self.now, self.plane, self.call = reactor, now, plane, call
         self.own, self.keep, self.volume, self.count = own, keep, volume, count
         self.out: dict[int, Forward] = {}
-        self.ids = 0
+        self.silent: dict[str, int] = {}  # since when a member could not be reached
+        # Guards against a gateway that starts again under a run that it had before (its state_dir lost, or an older copy): with the
+        # same numbers again it was told the remembered replies of other words. Harm: none, 63 bits of chance.
+        self.ids = SystemRandom().getrandbits(62)
+        self.on_hand = 0
         # Words of others: None while they are on hand, then the reply.
         self.others: OrderedDict[tuple[str, int, int], bytes | None] = OrderedDict()
 
@@ -55,15 +74,24 @@
         self.count("forwarded")
         self.tell(forward)
 
+    def reachable(self, member: str) -> bool:
+        """Guards against a client that waits again and again for one that is gone, while the view still has it. Harm: a keeper
+        that was cut off for a moment is passed over for a while; the registers say who may keep."""
+        since = self.silent.get(member)
+        if since is not None and self.now() - since >= AWAY:
+            del self.silent[member]
+        return member not in self.silent
+
     def tell(self, forward: Forward) -> None:
         now, word = self.now(), forward.word
         left = word.ends - MARGIN - now
         if left <= 0:
             return self.over(forward)
-        ask = put_word(word, forward.id, max(left // 10, 1), forward.hops)
+        left_ms = max(left // 10, 1)
+        ask = (Ask(id=forward.id, volume="", channel="", left=left_ms) if forward.held  # it has the rest
+               else put_word(word, forward.id, left_ms, forward.hops))
         if not self.plane.tell(forward.to, Kind.CHANNEL, put_envelope(Envelope(ask=ask))):
             return self.away(forward)
-        forward.told = now
         forward.alarm = self.reactor.callLater(min(self.call, left) / 10_000, self.again, forward)
 
     def again(self, forward: Forward) -> None:
@@ -78,8 +106,12 @@
         """Its keeper cannot be reached: this gateway tries to be it; the registers say whether it may."""
         self.drop(forward)
         self.count("keeper_away")
-        forward.word.away += (forward.to,)
-        self.keep(forward.word)
+        word = forward.word
+        word.away += (forward.to,)
+        self.silent[forward.to] = self.now()
+        if forward.alarm is not None and isinstance(word.what, (Transfer, Say)):  # it was told
+            word.answered = doubted(word.answered)
+        self.keep(word)
 
     def over(self, forward: Forward) -> None:
         """The client's patience ends: what another gateway may have done with it nobody knows here."""
@@ -100,6 +132,7 @@
             return
         forward.heard = self.now()
         if reply.held:
+            forward.held = True
             return
         self.drop(forward)
         if reply.HasField("keeper"):
@@ -119,6 +152,7 @@
     def heard(self, member: str, run: int, body: bytes) -> None:
         """What another gateway says; what makes no sense is dropped, its teller tries elsewhere in time."""
         envelope = read_envelope(body)
+        self.silent.pop(member, None)
         if envelope is None:
             return
         if envelope.HasField("reply") and envelope.reply.IsInitialized():
@@ -136,6 +170,10 @@
             word = read_word(ask, volume, f"{member}.{run}.{ask.id}", self.now(), lambda packet: self.answered(key, packet))
         except Malformed:
             return
+        if self.on_hand >= MOST_ON_HAND:
+            return self.say(member, put_envelope(Envelope(reply=Reply(id=ask.id, answer=bare(
+                wire.put_sign(0, "declined", "declined: its keeper has all the words that it may", None, self.call))))))
+        self.on_hand += 1
         self.others[key] = None
         while len(self.others) > MOST_HEARD:
             self.others.popitem(last=False)
@@ -143,6 +181,7 @@
         self.own(word, member)
 
     def answered(self, key: tuple[str, int, int], packet: Any) -> None:
+        self.on_hand -= 1
         member, _, id = key
         envelope = Envelope(reply=Reply(id=id, keeper=packet.who, pause=packet.pause) if isinstance(packet, Elsewhere)
                             else Reply(id=id, answer=bare(packet)))
