--- a/milletsill/fleet/channels/registers/service.py
+++ b/milletsill/fleet/channels/registers/service.py
@@ -51,9 +51,10 @@
         self.timers: dict[str, Any] = {}
         self.stopped, self.beaten = False, Identity(0, 0, 0)
         self.others: Callable[[str, int, bytes], None] = lambda member, run, body: None
-        self.worker = worker or Worker(reactor)
+        self.worker: Any = None  # a thread where there is a register
         self.desk: Desk | None = None
         if plane.name in self.names:
+            self.worker = worker or Worker(reactor)
             self.desk = Desk(now, plane.name, [each for each in self.names if each != plane.name], self.span, most, silent, store_path,
                              SystemRandom().getrandbits(64), self.terms, self.worker.run, remark, registry_of_metrics, most_pages)
             self.desk.send, self.desk.ask, self.desk.tell = self.answer, self.hello, self.ask_page
@@ -116,8 +117,8 @@
         for each in self.timers.values():
             if each.active():
                 each.cancel()
-        self.worker.stop()
         if self.desk is not None:
+            self.worker.stop()
             self.desk.stop()
 
     # What a seat wants done.
