--- a/benchmarks/health.py
+++ b/benchmarks/health.py
@@ -2,6 +2,7 @@
 
     python -m benchmarks.health days [--seeds 10 --cell 2 --liars 0 --ills "slow 2,still" --ways alone,shared,truth]
     python -m benchmarks.health spread [--seeds 10 --gateways 150]
+    python -m benchmarks.health cost [--gateways 150]
 
 `days` gives service (the share of the utility asked for from the fault until 4 s after its end) and the differences of pairs with
 95% intervals (Student's t). `spread` has every gateway exchange rows for real and gives the time until nine in ten agree,
@@ -75,6 +76,34 @@
             for name in names), flush=True)
 
 
+def cost(given: Any) -> None:
+    """One gateway's work: a second's rows of all others, in and merged, and its looks."""
+    from random import Random
+    from milletsill.fleet.health import codec
+    from milletsill.fleet.health.decide import Judge
+    from milletsill.fleet.health.rows import Rows, Word
+    chance, boxes, now = Random(1), 44, 100_000
+    origins = [Rows(each, 1, 2, 4096) for each in range(given.gateways)]
+    rows, judge = Rows(-1, 1, 8192, 4096), Judge(0.34)
+
+    def words(count: int) -> dict[int, Word]:
+        return {chance.randrange(boxes): Word(0, now, 1.0, 0.0, 0.0, 1.0, chance.gauss(0, 1)) for _ in range(count)}
+
+    frames = [next(codec.bodies([origin.write(words(5))], (), now)) for _ in range(2) for origin in origins]
+    began = time.process_time()
+    for body in frames:
+        for each in codec.decoded(body).difference:
+            rows.merge(codec.get(each, now))
+    heard = (time.process_time() - began) / len(frames)
+    began = time.process_time()
+    for step in range(20):
+        judge.look(rows, given.gateways, lambda box: {}, {box: box // 2 for box in range(boxes)}, now + step)
+    look = (time.process_time() - began) / 20
+    size = sum(map(len, frames)) / len(frames)
+    print(f"{given.gateways} gateways, {boxes} boxes: a row of 5 words is {size:.0f} octets and costs {heard * 1e6:.0f} us to read and "
+          f"merge, a look {look * 1e3:.1f} ms: {heard * given.gateways / 1.2 + look / 0.3:.3f} of a core on a calm day", flush=True)
+
+
 def worked(call: Any, jobs: list[Any], given: Any) -> Any:
     """Runs as they end."""
     began = time.monotonic()
@@ -89,7 +118,7 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("what", choices=("days", "spread"))
+    parser.add_argument("what", choices=("days", "spread", "cost"))
     for name, default in (("seeds", 10), ("gateways", 150), ("cell", 2), ("processes", 2)):
         parser.add_argument(f"--{name}", type=int, default=default)
     parser.add_argument("--liars", type=float, default=0.0)
@@ -97,7 +126,7 @@
     parser.add_argument("--ways", default="alone,shared,truth")
     parser.add_argument("--out", default="")
     given = parser.parse_args()
-    {"days": days, "spread": spread}[given.what](given)
+    {"days": days, "spread": spread, "cost": cost}[given.what](given)
 
 
 if __name__ == "__main__":
--- a/milletsill/fleet/health/decide.py
+++ b/milletsill/fleet/health/decide.py
@@ -295,12 +295,10 @@
                  f"use, pace {2 ** held.pace:.1f} of the usual")
         return Turn(box, old, held.verdict, cause)
 
-    def advice(self, box: int, place: int, members: int) -> tuple[float, bool] | None:
-        """What speaks against a box, in shortest target times, and whether this gateway keeps away; None for nothing. Those
-        chosen to try it, and later those for whom it is well again, are drawn to it."""
-        held = self.boxes.get(box)
-        if held is None or held.verdict is Verdict.STEADY:
-            return None
+    def advice(self, box: int, place: int, members: int) -> tuple[float, bool]:
+        """Of a box that is not STEADY: what speaks against it, in shortest target times, and whether this gateway keeps away.
+        Nothing speaks against it for those chosen to try it, and later for those for whom it is well again."""
+        held = self.boxes[box]
         if admitted(place, members, held.open):
             return TRIED, False
         ill = LOST_STRAIN * held.sum.lost + max(2 ** held.pace - 1, 0.0)
--- a/milletsill/fleet/health/edge.py
+++ b/milletsill/fleet/health/edge.py
@@ -132,11 +132,11 @@
             self.turns.labels(turn.new.name.lower()).inc()
             self.note("box_verdict", box=turn.box, old=turn.old.name.lower(), new=turn.new.name.lower(), cause=turn.cause)
         away = 0
-        for box in self.judge.boxes:
-            advice = self.judge.advice(box, self.order(box).get(self.key, members), members)
-            if advice is not None:
-                away += advice[1]
-                self.host.advised(box, *advice, now + LASTS * self.period)
+        for box, held in self.judge.boxes.items():
+            if held.verdict is not Verdict.STEADY:  # orders are made for these alone
+                strain, keep_away = self.judge.advice(box, self.order(box).get(self.key, members), members)
+                away += keep_away
+                self.host.advised(box, strain, keep_away, now + LASTS * self.period)
         self.show(away)
 
     def show(self, away: int) -> None:
