--- a/milletsill/edge/channels.py
+++ b/milletsill/edge/channels.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from random import SystemRandom
 from typing import Any, Callable
 
 import xxhash
@@ -17,7 +18,7 @@
 from milletsill.fleet.channels.contracts.decide import Book, Contract, Input, Order, Reach, Reaches, Unsure
 from milletsill.fleet.channels.contracts.gone import Gone
 from milletsill.fleet.channels.contracts.keeper import Keeper
-from milletsill.fleet.channels.contracts.line import LetGo
+from milletsill.fleet.channels.contracts.pieces import LetGo
 from milletsill.fleet.channels.contracts.ways import Ways
 from milletsill.fleet.channels.contracts.words import Elsewhere, Look, Open, Say, Transfer, Word
 from milletsill.fleet.plane import Kind
@@ -90,7 +91,9 @@
                              keeping.most_channels, self, edge.remark, self.count)
         self.ways = Ways(edge.reactor, edge.now, plane, round(keeping.call_ms * 10), self.forwarded, self.keeper.word,
                          self.volume, self.count)
-        self.handles = 0
+        # Handles and the marks of words begin by chance. Guards against a gateway that starts again under a run that it had before:
+        # its OPEN would pass for an earlier one. Harm: none.
+        self.handles = SystemRandom().getrandbits(62)
         self.look_calls: list[Any] = []  # the next look, and where it goes down the next look at what is left
 
     def start(self) -> None:
@@ -204,7 +207,7 @@
         patience = edge.host.facts["categories"][category]["patience"]
         own = what.terms.patience * 10 if isinstance(what, Transfer) else 0
         ends = came + min(patience, own or patience) - edge.margin
-        why = edge.refusal(ends)
+        why = edge.refusal(ends) or ("this gateway holds all that it may" if self.held >= edge.file.door.most_held else "")
         if why:
             return wire.put_sign(packet.id, "declined", f"declined: {why}", None, edge.host.facts["longest_pause"])
         standing = Standing(packet, volume, category, client.octets, came)
@@ -243,14 +246,14 @@
     def place(self, word: Word) -> None:
         """Here, where this gateway keeps the channel or should; else to the one that the view says."""
         who = "" if self.keeper.keeps(word.key) else self.offices.keeper_of(word.key)
-        if who in ("", self.plane.name):
+        if who in ("", self.plane.name) or not self.ways.reachable(who):
             self.count("kept_here")
             return self.keeper.word(word)
         self.ways.forward(word, who)
 
     def elsewhere(self, word: Word, told: Elsewhere) -> None:
         """The registers say that another holds the office."""
-        if told.who in (self.plane.name, *word.away) or told.who not in self.plane.view.by_name:
+        if told.who in (self.plane.name, *word.away, *self.ways.silent) or told.who not in self.plane.view.by_name:
             return word.answered(wire.put_sign(0, "declined", f"declined: {told.who} held the channel and is away", None,
                                                told.pause))
         self.ways.forward(word, told.who, 1)
@@ -293,7 +296,7 @@
         spot = Spot(edge.atlas.home(word.volume, what.path), what.path)
         by_handle = hasattr(what.command, "handle") or isinstance(what.command, packets.Extended)
         opened = Opened(word.volume, what.path, spot) if by_handle else None
-        gate = Gone(self.offices, term, wire.put_ticket(word.volume.number, word.channel, gone.number, gone.turn), ends, gone.again)
+        gate = Gone(self.offices, term, wire.put_ticket(word.volume.name, word.channel, gone.number, gone.turn), ends, gone.again)
         terms = Terms(0, what.terms.tries, what.terms.mark)
 
         def answered(packet: Any) -> None:
--- a/milletsill/fleet/channels/registers/seat.py
+++ b/milletsill/fleet/channels/registers/seat.py
@@ -75,11 +75,16 @@
 
 
 def aged(answers: Sequence[Answer], value: bytes) -> int | None:
-    """For how long the value has surely stood at the most. Only where all of the majority have it and know since when: one of
-    them took it before anybody acted on it, and the others may have taken it much later."""
-    if any(each.aged == UNKNOWN or each.value != value for each in answers):
+    """For how long the value has surely stood at the most. One of the majority that was read took it before anybody acted on it,
+    others may have taken it much later. Where the latest write is the one that it was new in, that one has this very write.
+    Where it was written again, that one may have gone on to another value meanwhile, so all must have it."""
+    best = newest(answers)
+    have = [each for each in answers if each.stamp == best.stamp]
+    if not any(each.fresh for each in have):
+        have = list(answers)
+    if any(each.aged == UNKNOWN or each.value != value for each in have):
         return None
-    return max(each.aged for each in answers)
+    return max(each.aged for each in have)
 
 
 def term_end(poll: Poll, now: int, span: Span) -> int:
@@ -87,6 +92,11 @@
     return poll.sent + span.kept()
 
 
+def rounds_used(before: int, seat: Seat) -> int:
+    """Where the rounds of a gateway's next seat begin once this one is let go: no ballot is used twice in one start."""
+    return max(before, seat.round)
+
+
 class Seat:
     """One channel at one gateway. `name` and `nonce` make its ballots; `ends` is the term's end on this gateway's clock, `since` when the
     value was surely there at the earliest; none for unknown. Effects that send have put their call into `poll`; `gone` is the call that gives up, if any."""
@@ -94,13 +104,13 @@
     __slots__ = ("channel", "name", "nonce", "span", "registers", "state", "ballot", "index", "value", "ends", "poll", "queued",
                  "since", "tries", "round", "renewals", "gone", "refusal")
 
-    def __init__(self, channel: str, name: str, nonce: int, span: Span, registers: int) -> None:
+    def __init__(self, channel: str, name: str, nonce: int, span: Span, registers: int, used: int = 0) -> None:
         self.channel, self.name, self.nonce, self.span, self.registers = channel, name, nonce, span, registers
         self.state, self.ballot, self.index, self.value, self.ends = Seated.OUT, NOBODY, 0, b"", 0
         self.since: int | None = 0
         self.poll: Poll | None = None
         self.queued: bytes | None = None
-        self.tries = self.round = self.renewals = 0
+        self.round, self.tries, self.renewals = used, 0, 0
         self.gone: Call | None = None
         self.refusal: Answer | None = None  # what to tell of a loss
 
--- a/milletsill/fleet/channels/registers/service.py
+++ b/milletsill/fleet/channels/registers/service.py
@@ -15,45 +15,18 @@
 from milletsill.fleet.channels.registers.decide import AGAIN, MOST_NAME, MOST_VALUE, PAUSE, RENEW, Answer, Ask, Ballot, Call, Say, Span
 from milletsill.fleet.channels.registers.desk import Desk
 from milletsill.fleet.channels.registers.metrics import Figures
-from milletsill.fleet.channels.registers.seat import Effect, Poll, Seat, Seated
+from milletsill.fleet.channels.registers.seat import Effect, Poll, Seat, Seated, rounds_used
 from milletsill.fleet.channels.registers.standing import BEAT, HELLO, Identity, later
+from milletsill.fleet.channels.registers.terms import Place, Term, Took, Wrote
 from milletsill.fleet.channels.registers.thread import Worker
 from milletsill.fleet.plane import Kind, Plane
 
-Took = Callable[["Term | Fault"], None]
-Wrote = Callable[["Fault | None"], None]
 TICK = 200  # between looks at calls whose span is over
 MOST_OPEN, MOST_CALLBACKS, MOST_REGISTERS = 20_000, 256, 31  # calls under way; of one channel; registers whose identity is kept
-FORGET = 600_000  # a seat that lapsed so long ago goes
+FORGET, SWEEP = 600_000, 2000  # a seat that lapsed so long ago goes; seats that one look goes through
 SENDS = (Effect.ASK, Effect.ASK_HIGHER, Effect.MEND, Effect.RENEW, Effect.WRITE)
 
 
-class Term:
-    """An office of one channel: `value` is what was accepted last, `ends` on this gateway's clock; `age` is for how long the value
-    has stood at the most when the office was taken, None where nobody can tell. `busy` is for the holder to set: the office is
-    renewed by itself while it is."""
-
-    __slots__ = ("channel", "ballot", "ends", "value", "age", "busy", "over", "seat")
-
-    def __init__(self, channel: str, seat: Seat, age: int | None) -> None:
-        self.channel, self.seat, self.age = channel, seat, age
-        self.ballot, self.ends, self.value = seat.ballot, seat.ends, seat.value
-        self.busy = self.over = False
-
-
-class Place:
-    """One channel here: its seat, and who waits for what."""
-
-    __slots__ = ("seat", "term", "takers", "writing", "queued")
-
-    def __init__(self, seat: Seat) -> None:
-        self.seat = seat
-        self.term: Term | None = None
-        self.takers: list[Took] = []
-        self.writing: list[Wrote] = []
-        self.queued: list[Wrote] = []
-
-
 class Offices:
     """Times in tenths of a millisecond, `drift` in parts of a thousand. `most` channels here and at a register each; a register
     forgets a channel that was `silent` for so long. `others` is called with what arrives for Kind.CHANNEL and is not for here."""
@@ -63,9 +36,13 @@
                  silent: int, most_value: int = MOST_VALUE, worker: Any = None, most_pages: int = 0) -> None:
         self.reactor, self.now, self.plane, self.names = reactor, now, plane, tuple(dict.fromkeys(register_names))
         self.span, self.most, self.most_value, self.remark = Span(office, call, drift), most, min(most_value, MOST_VALUE), remark
+        self.rounds, self.terms = 0, codec.terms(self.names, self.span)
         self.nonce, self.chance = SystemRandom().getrandbits(64), Random(seed)
         self.figures = Figures(registry_of_metrics)
         self.places: dict[str, Place] = {}
+        self.busy: set[Term] = set()
+        self.swept: list[str] = []
+        self.counted = 0
         self.open: deque[tuple[int, Poll, Seat]] = deque()  # by when their span is over
         self.halves: deque[tuple[int, Poll, Seat]] = deque()
         self.outbox: dict[str, list[Call]] = {}
@@ -78,7 +55,7 @@
         self.desk: Desk | None = None
         if plane.name in self.names:
             self.desk = Desk(now, plane.name, [each for each in self.names if each != plane.name], self.span, most, silent, store_path,
-                             SystemRandom().getrandbits(64), self.worker.run, remark, registry_of_metrics, most_pages)
+                             SystemRandom().getrandbits(64), self.terms, self.worker.run, remark, registry_of_metrics, most_pages)
             self.desk.send, self.desk.ask, self.desk.tell = self.answer, self.hello, self.ask_page
             self.desk.start()
             self.later("beat", BEAT, self.beat)
@@ -91,13 +68,13 @@
     def take(self, channel: str, then: Took) -> None:
         """Become the channel's keeper, or renew; `then` gets a Term, or a fault whose `pause` says when to come back."""
         place = self.places.get(channel)
-        if not 0 < len(channel.encode("utf-8", "replace")) <= MOST_NAME:
-            return self.soon(then, TooMany(f"a channel's name of {len(channel)} characters", "channels"))
+        if not codec.named(channel):
+            return self.soon(then, TooMany(f"a channel's name is UTF-8 of 1 to {MOST_NAME} bytes", "channels"))
         if len(self.open) >= MOST_OPEN or (place is None and len(self.places) >= self.most) or (
                 place is not None and len(place.takers) >= MOST_CALLBACKS):
             return self.soon(then, TooMany("too many channels or calls under way", "channels", self.span.call))
         if place is None:
-            seat = Seat(channel, self.plane.name, self.nonce, self.span, len(self.names))
+            seat = Seat(channel, self.plane.name, self.nonce, self.span, len(self.names), self.rounds)
             place = self.places[channel] = Place(seat)
         place.takers.append(then)
         self.act(place, place.seat.take(self.now()))
@@ -169,7 +146,8 @@
     def seated(self, place: Place, anew: bool) -> None:
         seat = place.seat
         if anew or place.term is None:
-            place.term = Term(seat.channel, seat, None if seat.since is None else max(self.now() - seat.since, 0) if seat.value else 0)
+            place.term = Term(seat.channel, seat, None if seat.since is None else max(self.now() - seat.since, 0) if seat.value else 0,
+                              self.busy)
         place.term.ends = seat.ends
         self.told(place, place.term)
 
@@ -196,7 +174,8 @@
         seat = place.seat
         fault = self.fault(seat) if effect is Effect.LOSE else NotHeld("the office was given up", seat.channel)
         if place.term is not None:
-            place.term.over, place.term = True, None
+            place.term.end()
+            place.term = None
         if seat.gone is not None:
             self.post(seat.gone)
         self.told(place, fault)
@@ -235,10 +214,10 @@
         outbox, self.outbox = self.outbox, {}
         for name, calls in outbox.items():
             if name == self.plane.name and self.desk is not None:
-                self.desk.calls(name, calls)
+                self.desk.calls(name, calls, self.terms)
                 continue
             for part in codec.parted([codec.put_call(each) for each in calls]):
-                if not self.plane.tell(name, Kind.CHANNEL, codec.encoded(calls=wire.Calls(call=part))):
+                if not self.plane.tell(name, Kind.CHANNEL, codec.encoded(calls=wire.Calls(call=part, terms=self.terms))):
                     self.figures.unsent.inc(len(part))
                     for each in part:
                         self.away(name, each)
@@ -302,7 +281,7 @@
             return
         elif what == "calls":
             calls = (codec.get_call(member, each) for each in frame.calls.call[:codec.PER_FRAME])
-            desk.calls(member, [each for each in calls if each is not None])
+            desk.calls(member, [each for each in calls if each is not None], frame.calls.terms)
         elif what == "witness":
             desk.witnessed(member, codec.get_identity(frame.witness.known) if frame.witness.HasField("known") else None)
         elif what == "tell" and member in self.names:
@@ -347,8 +326,8 @@
         for part in codec.parted([codec.put_answer(each) for each in answers]):
             self.tell(member, answers=wire.Answers(own=own, answer=part))
 
-    def hello(self) -> None:
-        for each in self.plane.view.by_name:
+    def hello(self, everybody: bool) -> None:
+        for each in self.plane.view.by_name if everybody else self.names:
             if each != self.plane.name:
                 self.tell(each, hello=wire.Hello())
 
@@ -372,19 +351,31 @@
             self.desk.look()
 
     def renew(self) -> None:
-        """Terms under which something is out, and seats that lapsed long ago."""
+        """Terms under which something is out are renewed; some seats are looked at, whether they lapsed long ago."""
         self.later("renew", int(self.span.office * RENEW / 4), self.renew)
-        now, held = self.now(), 0
-        for channel, place in list(self.places.items()):
-            seat, term = place.seat, place.term
-            held += seat.holds(now)
-            if term is not None and term.busy and seat.state is Seated.SEATED and now >= seat.ends - self.span.office * RENEW:
-                self.act(place, seat.take(now))
-            elif (term is None or not term.busy) and seat.poll is None and not place.takers and now >= seat.ends + FORGET:
-                if term is not None:
-                    term.over = True
-                del self.places[channel]
-        self.figures.held.set(held)
+        now = self.now()
+        for term in list(self.busy):
+            place = self.places.get(term.channel)
+            if place is not None and place.term is term and term.seat.state is Seated.SEATED and (
+                    now >= term.seat.ends - self.span.office * RENEW):
+                self.act(place, term.seat.take(now))
+        if not self.swept:
+            self.figures.held.set(self.counted)
+            self.swept, self.counted = list(self.places), 0
+        for channel in self.swept[-SWEEP:]:
+            if (place := self.places.get(channel)) is not None:
+                self.counted += place.seat.holds(now)
+                self.lapsed(place, now)
+        del self.swept[-SWEEP:]
+
+    def lapsed(self, place: Place, now: int) -> None:
+        """A seat that nobody has used for long goes; its rounds are not used again."""
+        seat, term = place.seat, place.term
+        if (term is None or not term.busy) and seat.poll is None and not place.takers and now >= seat.ends + FORGET:
+            if term is not None:
+                term.end()
+            self.rounds = rounds_used(self.rounds, seat)
+            del self.places[seat.channel]
 
     def soon(self, call: Callable[[Any], None], result: Any) -> None:
         if not self.stopped:
--- a/milletsill/fleet/members/rolls.py
+++ b/milletsill/fleet/members/rolls.py
@@ -3,7 +3,7 @@
 
 from milletsill.fleet.frames.codec import MOST_BY
 from milletsill.fleet.frames.words import Message, Row, What
-from milletsill.fleet.members.decide import (CHANGES, HELD, LEAST_SHARE, OWN, TWIN_AFTER, TWIN_EVERY, Own, Order, Terms, Word,
+from milletsill.fleet.members.decide import (CHANGES, HELD, OWN, TWIN_AFTER, TWIN_EVERY, Own, Order, Terms, Word, believed,
                                              order_of, word_of)
 from milletsill.fleet.members.effects import Changed, Claimed, Effect, Said, Say, Send
 from milletsill.fleet.members.table import Known, Table
@@ -16,7 +16,7 @@
 
     def __init__(self, name: str, address: str, run: int, nonce: int, terms: Terms, now: int) -> None:
         self.name, self.nonce, self.terms, self.started = name, nonce, terms, now
-        self.own, self.claimed, self.told_twin = Own.UP, None, now - TWIN_EVERY
+        self.own, self.claimed, self.told_twin, self.woke = Own.UP, None, now - TWIN_EVERY, now - TWIN_EVERY
         self.me = Known(Row(name, run, nonce, 0, Standing.ALIVE, address), now)
         self.table, self.spread, self.out = Table(terms.most_members), Spread(), list[Effect]()
         self.table.add(self.me)
@@ -27,9 +27,12 @@
 
     def merge(self, now: int, row: Row, news: bool = True) -> str:
         """Take what is said of one; the action of the table, '' where it changes nothing. `news`: pass it on."""
+        held = self.table.held.get(row.name)
+        if held is not None and row.turn == held.turn and row.nonce == held.nonce and row.run == held.run and (
+                row.standing is held.standing and row.by == held.by):
+            return ""  # most of what comes was known
         if row.name == self.name and (self.own is not Own.DISPLACED or row.nonce == self.nonce):
             return self.meant(now, row)
-        held = self.table.get(row.name)
         if held is None:
             return self.meet(now, row, news)
         order = order_of(held.key, (row.run, row.nonce, row.turn))
@@ -39,8 +42,7 @@
         if action == "confirm":
             return self.confirm(held, row.by)
         if action == "sentence":
-            # One of whom a suspicion was told, and not refuted for the least span, is gone; else I ask it first.
-            told = bool(held.by) and now - held.since >= self.terms.suspicion * LEAST_SHARE
+            told = believed(bool(held.by), now - held.since, now - self.woke, self.terms)
             standing, action = (Standing.GONE, "gone") if told else (Standing.SUSPECT, "hearsay")
         before = held.standing
         held.run, held.nonce, held.turn = row.run, row.nonce, row.turn
@@ -72,7 +74,7 @@
         found = tuple(dict.fromkeys(held.by + by))[:MOST_BY]
         if len(found) == len(held.by):
             return ""
-        held.by = found
+        held.by, held.news = found, None
         self.spread.add(held.name)
         return "confirm"
 
@@ -126,7 +128,7 @@
             return ""
         self.own = own
         if effect == "refute":
-            self.me.turn = row.turn + 1
+            self.me.turn, self.me.news = row.turn + 1, None
             self.out.append(Say(Said.REFUTED))
         if effect == "lost":
             self.out.append(Say(Said.LOST_STATE, row.address, row.run))
--- a/milletsill/lab/audit_contracts.py
+++ b/milletsill/lab/audit_contracts.py
@@ -1,7 +1,7 @@
 """Checks the contracts of channels from what crossed the sockets of clients and from when boxes wrote; gateways have no say.
 
-A box's ticket says which number a write was of: `VOLUME@CHANNEL@NUMBER.TURN#...`, TURN growing with each `again` that a client
-said. A number is settled once a client was answered OK for it. Checked for every channel: no effect twice, none without having
+A box's ticket says which number a write was of: `VOLUME@CHANNEL@NUMBER.TURN#...`, VOLUME the xxh64 of its name, TURN growing with
+each `again` that a client said. A number is settled once a client was answered OK for it. Checked for every channel: no effect twice, none without having
 been asked for, none missing or forgotten once it was said to be settled, none after it was said to have none, claims that grow;
 then the order that its contract says.
 """
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, field
 from typing import Any, Callable, Iterable, Iterator, Sequence
 
+import xxhash
+
 from milletsill.lab.audit import SLACK, Breach
 from milletsill.lab.evidence import OPEN, SAY, Evidence, Sent, Word
 
@@ -86,10 +88,11 @@
         if each.handle and (line := handles.get((each.conn, each.edge, each.handle))) is not None:
             line.sent[each.number].append(each)
     size = terms.gateway.rules.extent_bytes
+    numbers = {xxhash.xxh64_intdigest(each.name.encode()): place + 1 for place, each in enumerate(terms.gateway.volume)}
     for note in evidence.notes:
         taken = TICKET.fullmatch(note.get("ticket", "")) if note["what"] == "effect" and note["code"] == OK else None
         if taken is not None:
-            key = (int(taken[1]), taken[2])
+            key = (numbers.get(int(taken[1]), 0), taken[2])
             found.setdefault(key, Line(key)).effects.append(Effect(
                 note["at"], note["box"], int(taken[3]), int(taken[4]), (note["path"], note["offset"] // size),
                 note["gateway"], note["transfer"]))
