--- a/benchmarks/health.py
+++ b/benchmarks/health.py
@@ -32,8 +32,8 @@
     """Mean and half the 95% interval; of one value the value alone."""
     if len(values) < 2:
         return f"{np.mean(values):+.4f}"
-    t = T95.get(len(values), 2.0)
-    return f"{np.mean(values):+.4f} +- {t * np.std(values, ddof=1) / len(values) ** 0.5:.4f}"
+    t = T95.get(len(values), 2.3 if len(values) < 16 else 2.1)
+    return f"{np.mean(values):+.4f} +- {t * np.std(values, ddof=1) / len(values) ** 0.5:.4f} ({len(values)} pairs)"
 
 
 def day(job: tuple[str, str, int, int, float]) -> dict[str, Any]:
