--- a/milletsill/fleet/health/rows.py
+++ b/milletsill/fleet/health/rows.py
@@ -9,10 +9,10 @@
 from dataclasses import dataclass, field
 from typing import Iterable, Iterator
 
-from milletsill.errors import Fault
+from milletsill.errors import Malformed
 
 
-class RowRefused(Fault):
+class RowRefused(Malformed):
     """A difference that cannot be a row of ours."""
 
     remedy = "look for a gateway of another version, or another program, under the address; its word is left out"
