--- a/benchmarks/health.py
+++ b/benchmarks/health.py
@@ -25,7 +25,11 @@
 T95 = {2: 12.706, 3: 4.303, 4: 3.182, 5: 2.776, 6: 2.571, 7: 2.447, 8: 2.365, 9: 2.306, 10: 2.262, 12: 2.201, 16: 2.131, 20: 2.093}
 
 
-DAY = ("ill", "way", "seed", "cell", "liars")  # a day's job, as its run tells it
+JOBS = {"days": ("ill", "way", "seed", "cell", "liars"), "spread": ("case", "seed", "gateways")}  # as their runs tell them
+
+
+def key(made: dict[str, Any], given: Any) -> tuple[Any, ...]:
+    return tuple(made.get(name) for name in JOBS[given.what])
 
 
 def interval(values: list[float]) -> str:
@@ -52,8 +56,6 @@
     found: dict[tuple[str, str], dict[int, float]] = {}
     false: dict[str, list[float]] = {}
     for made in worked(day, jobs, given):
-        if (made["ill"], made["way"], made["seed"], made["cell"], made["liars"]) not in jobs:
-            continue
         found.setdefault((made["ill"], made["way"]), {})[made["seed"]] = made["service"]
         if made["way"] == "shared":
             false.setdefault(made["ill"], []).append(made["false"] / made["hours"])
@@ -74,7 +76,7 @@
     for made in worked(health_spread.play, jobs, given):
         found.setdefault(made["case"], []).append(made)
     for case, runs in found.items():
-        names = [each for each in runs[0] if each not in ("case", "seed")]
+        names = [each for each in runs[0] if each not in JOBS["spread"]]
         print(f"{case}: " + ", ".join(
             f"{name} {np.median(values):.2f} (worst {max(values):.2f})" if (values := [each[name] for each in runs if each[name]
                                                                                       is not None]) else f"{name} never"
@@ -114,8 +116,8 @@
     began, done = time.monotonic(), []
     if given.out and Path(given.out).exists():
         done = [json.loads(line) for line in Path(given.out).read_text("utf-8").splitlines()]
-        keys = [[made.get(name) for name in DAY if name in made] for made in done]
-        jobs = [each for each in jobs if list(each) not in keys]
+        done = [made for made in done if key(made, given) in jobs]
+        jobs = [each for each in jobs if each not in [key(made, given) for made in done]]
     yield from done
     with multiprocessing.Pool(given.processes) as pool:
         for made in pool.imap_unordered(call, jobs):
--- a/milletsill/lab/health_spread.py
+++ b/milletsill/lab/health_spread.py
@@ -221,6 +221,6 @@
     world.run(LASTS + QUIET)
     rows = [{origin: (row.run, row.upto) for origin, row in each.rows.rows.items()} for each in world.gateways]
     behind = sum(each != rows[0] for each in rows)
-    return {"case": case, "seed": seed, "there": there, "back": back, "stays": agreed / max(looks, 1),
+    return {"case": case, "seed": seed, "gateways": gateways, "there": there, "back": back, "stays": agreed / max(looks, 1),
             "false_boxes": false / max(looks, 1), "octets_a_second": per_s, "judges_with_calls_at_the_end": calls,
             "rows_behind": behind / gateways}
