--- a/benchmarks/health.py
+++ b/benchmarks/health.py
@@ -22,7 +22,8 @@
 
 from milletsill.lab import health_day, health_spread
 
-T95 = {2: 12.706, 3: 4.303, 4: 3.182, 5: 2.776, 6: 2.571, 7: 2.447, 8: 2.365, 9: 2.306, 10: 2.262, 12: 2.201, 16: 2.131, 20: 2.093}
+T95 = {2: 12.706, 3: 4.303, 4: 3.182, 5: 2.776, 6: 2.571, 7: 2.447, 8: 2.365, 9: 2.306, 10: 2.262, 12: 2.201, 16: 2.131,
+       20: 2.093}
 
 
 JOBS = {"days": ("ill", "way", "seed", "cell", "liars"), "spread": ("case", "seed", "gateways")}  # as their runs tell them
@@ -107,8 +108,8 @@
         judge.look(rows, given.gateways, lambda box: {}, {box: box // 2 for box in range(boxes)}, now + step)
     look = (time.process_time() - began) / 20
     size = sum(map(len, frames)) / len(frames)
-    print(f"{given.gateways} gateways, {boxes} boxes: a row of 5 words is {size:.0f} octets and costs {heard * 1e6:.0f} us to read and "
-          f"merge, a look {look * 1e3:.1f} ms: {heard * given.gateways / 1.2 + look / 0.3:.3f} of a core on a calm day", flush=True)
+    print(f"{given.gateways} gateways, {boxes} boxes: a row of 5 words is {size:.0f} octets and costs {heard * 1e6:.0f} us to read "
+          f"and merge, a look {look * 1e3:.1f} ms: {heard * given.gateways / 1.2 + look / 0.3:.3f} of a core on a calm day", flush=True)
 
 
 def worked(call: Any, jobs: list[Any], given: Any) -> Any:
--- a/milletsill/fleet/health/decide.py
+++ b/milletsill/fleet/health/decide.py
@@ -24,7 +24,8 @@
 LASTS = 4  # periods that advice lasts when it is not renewed
 # Voices: one origin has at most one on each box.
 TRIM = 0.05  # of the gateways: the worst words of so many do not count
-FEWEST, FEWEST_ILL, MOST_TRIM = 2.5, 0.6, 0.2  # voices for a finding, on a box that few try; the trimmed are at most this part of them, or one
+FEWEST, FEWEST_ILL = 2.5, 0.6  # voices for a finding, and on a box that few try
+MOST_TRIM = 0.2  # the trimmed are at most this part of the voices, or one
 SPREAD_FREE, SPREAD_NONE = 0.3, 0.6  # past the usual, an origin's ill share that starts to cost it its voice, and all of it
 FATIGUE, IDLE_ILL = 20 * SECOND, 0.2  # over this an origin's ill words are held against the usual, plus so many
 # Findings: to be called, and to be called no longer.
@@ -43,8 +44,7 @@
 Verdict = Enum("Verdict", "STEADY DEGRADED FAILING RECOVERING")
 CALLED = (Verdict.DEGRADED, Verdict.FAILING)
 # LOST: most comes to nothing. ILL: much does, or it is slower than its load says. WELL: neither, by a margin. WHOLE: WELL, and
-# all send again. DOUBTED: too many are ill at once.
-# SILENT: nobody of those who may try it says anything.
+# all send again. DOUBTED: too many are ill at once. SILENT: nobody of those who may try it says anything.
 Finding = Enum("Finding", "LOST ILL WELL WHOLE UNSURE SILENT DOUBTED")
 
 TABLE: Mapping[tuple[Verdict, Finding], tuple[Verdict, str]] = {
--- a/milletsill/fleet/health/spread.py
+++ b/milletsill/fleet/health/spread.py
@@ -37,7 +37,8 @@
             self.next_exchange = now + EXCHANGE
             self.pass_on(self.chance(others, 1), (), self.rows.known(), now)
 
-    def pass_on(self, members: Sequence[str], news: Iterable[Difference], known: Iterable[tuple[int, int, int]], now: int) -> None:
+    def pass_on(self, members: Sequence[str], news: Iterable[Difference], known: Iterable[tuple[int, int, int]],
+                now: int) -> None:
         for body in codec.bodies(news, known, now):
             for member in members:
                 self.octets += len(body)
--- a/milletsill/lab/health_day.py
+++ b/milletsill/lab/health_day.py
@@ -1,7 +1,7 @@
 """Days with ill boxes on a clock of their own: the real modules, observers, rows and judges over modelled boxes.
 
-Three ways to know: `alone` (each gateway by itself), `shared` (fleet/health) and `truth` (a table of the true state, told at once:
-the best possible). All three draw their traffic from the same seeds. In `shared` rows reach one judge, which speaks for all
+Three ways to know: `alone` (each gateway by itself), `shared` (fleet/health) and `truth` (a table of the true state, told at
+once: the best possible). All three draw their traffic from the same seeds. In `shared` rows reach one judge, which speaks for all
 gateways (`lab.health_spread` shows how they agree), 0.1 to 0.6 s after they are written; all else is the code of the product.
 """
 from __future__ import annotations
@@ -169,7 +169,8 @@
             for box in self.sick:
                 places = self.order(box)
                 for number, each in enumerate(self.gateways):
-                    each.module.advised(self.now, box, strain, places[number] >= part * len(places), min(self.now + 4000, self.ends))
+                    away = places[number] >= part * len(places)
+                    each.module.advised(self.now, box, strain, away, min(self.now + 4000, self.ends))
                     each.settle_soon()
             self.at(self.now + PERIOD, self.tell_truth)
 
--- a/milletsill/lab/health_spread.py
+++ b/milletsill/lab/health_spread.py
@@ -1,8 +1,8 @@
 """Rows that travel for real between many gateways on a clock of its own: who agrees when, and what that costs.
 
 Every gateway has its rows and its part in spreading them (`fleet/health/spread.py`; octets are those of the encoded pieces);
-some have a judge. What gateways see is drawn: each box answers at a rate, at some gateway by chance, and what is ill is lost, fails or is
-slow. Words, frames, delays and losses are as in service; queues at boxes and clients are left out (`health_day` has them).
+some have a judge. What gateways see is drawn: each box answers at a rate, at some gateway by chance, and what is ill is lost,
+fails or is slow. Words, frames, delays and losses are as in service; queues at boxes and clients are left out (`health_day` has them).
 """
 from __future__ import annotations
 
@@ -18,7 +18,8 @@
 from milletsill.fleet.plane import Member, Standing, View
 
 BOXES, RATE, PERIOD, JUDGES, SPREAD_OF_PACE, KEEP = 44, 580.0, 3000, 10, 1.0, 2 * SECOND
-WAY, LOSS, KNOWN_OCTETS = (5, 60), 0.02, 17  # tenths of a millisecond that a frame takes; the share that is lost; of a row that is known
+WAY, LOSS = (5, 60), 0.02  # tenths of a millisecond that a frame takes; the share that is lost
+KNOWN_OCTETS = 17  # of a row in what a gateway says it knows
 SILENT = 4000  # what is not answered is known after this
 BEGINS, ENDS, LASTS = 6 * SECOND, 16 * SECOND, 28 * SECOND
 QUIET = 4 * SECOND  # without new rows at the end, after which all are looked at for equality
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -1,4 +1,4 @@
-"""Health that is shared: rows that become equal, verdicts by their table, liars, bounds, ramps, and what the module does on advice."""
+"""Health that is shared: rows that become equal, verdicts by their table, liars, bounds, ramps, the module on advice."""
 import re
 import unittest
 from pathlib import Path
