--- a/benchmarks/health.py
+++ b/benchmarks/health.py
@@ -108,8 +108,9 @@
         judge.look(rows, given.gateways, lambda box: {}, {box: box // 2 for box in range(boxes)}, now + step)
     look = (time.process_time() - began) / 20
     size = sum(map(len, frames)) / len(frames)
+    share = heard * given.gateways / 1.2 + look / 0.3
     print(f"{given.gateways} gateways, {boxes} boxes: a row of 5 words is {size:.0f} octets and costs {heard * 1e6:.0f} us to read "
-          f"and merge, a look {look * 1e3:.1f} ms: {heard * given.gateways / 1.2 + look / 0.3:.3f} of a core on a calm day", flush=True)
+          f"and merge, a look {look * 1e3:.1f} ms: {share:.3f} of a core on a calm day", flush=True)
 
 
 def worked(call: Any, jobs: list[Any], given: Any) -> Any:
--- a/milletsill/settings/health.py
+++ b/milletsill/settings/health.py
@@ -17,5 +17,5 @@
     health, here = file.fleet.health, under + ("fleet", "health")
     check_figures(health, SHARING, here, report)
     if health.lasts_s * 1000 < CALM * health.publish_ms:
-        report.add(here + ("lasts_s",), f"rows last {health.lasts_s:g} s and come every {CALM * health.publish_ms:g} ms from a calm "
-                                        "gateway: they would be gone before they are renewed")
+        report.add(here + ("lasts_s",), f"rows last {health.lasts_s:g} s and come every {CALM * health.publish_ms:g} ms from a "
+                                        "calm gateway: they would be gone before they are renewed")
