--- a/milletsill/fleet/frames/codec.py
+++ b/milletsill/fleet/frames/codec.py
@@ -16,6 +16,7 @@
 MOST_DATAGRAM, MOST_FRAME = 1400, 1 << 20  # octets
 MOST_BODY, ROWS_A_FRAME = MOST_FRAME - 4096, 2000
 MOST_NAME, MOST_ADDRESS, MOST_BY = 64, 80, 3
+MOST_RUN, MOST_TURN, MOST_AGE = (1 << 32) - 2, 1 << 48, 1 << 48  # one more is still a number that can be told
 KNOWN_WHATS = {each.value: each for each in What}
 KNOWN_KINDS = {each.value: each for each in Kind}
 KNOWN_STANDINGS = {each.value: each for each in Standing}
@@ -110,11 +111,13 @@
 
 
 def get_row(row: Any) -> Row | None:
-    """None for a row that cannot be one, or with a standing that only a later version has: the rest of the frame stands."""
+    """None for a row that cannot be one, or with a standing that only a later version has: the rest of the frame stands.
+    Guards, with the bounds on numbers, against a row that could be answered only with one too large to be told."""
     standing = KNOWN_STANDINGS.get(row.standing)
-    if standing is None or not named(row.name) or (row.address and not addressed(row.address)):
+    if standing is None or not named(row.name) or (row.address and not addressed(row.address)) or (
+            row.run > MOST_RUN or row.turn > MOST_TURN):
         return None
-    return Row(row.name, row.run, row.nonce, row.turn, standing, row.address, row.age,
+    return Row(row.name, row.run, row.nonce, row.turn, standing, row.address, min(row.age, MOST_AGE),
                tuple(each for each in row.by[:MOST_BY] if named(each)))
 
 
--- /dev/null
+++ b/tests/test_versions.py
@@ -0,0 +1,145 @@
+"""Two versions at once: recorded octets of a version are read, and what a later version adds is borne."""
+import json
+import os
+import shutil
+import tempfile
+import unittest
+from random import Random
+
+from milletsill.fleet.channels.contracts import codec as contracts
+from milletsill.fleet.channels.contracts.record_pb2 import Envelope, Record as RecordOctets
+from milletsill.fleet.channels.registers import codec as registers, registers_pb2 as wire
+from milletsill.fleet.channels.registers.standing import Identity
+from milletsill.fleet.channels.registers.store import Store
+from milletsill.fleet.frames import fleet_pb2
+from milletsill.fleet.frames.codec import MAGIC, MOST_RUN, MOST_TURN, Codec, TooNew, Unreadable
+from milletsill.fleet.frames.words import Message, Row, What
+from milletsill.fleet.health import codec as health, health_pb2
+from milletsill.fleet.members.decide import Terms
+from milletsill.fleet.members.membership import Membership
+from milletsill.fleet.members.effects import Send
+from milletsill.fleet.plane import Kind, Standing
+from milletsill.registry import cache
+from tests.fixtures import make_octets as made
+
+HERE = os.path.join(os.path.dirname(__file__), "fixtures")
+LATER = b"\xc2\x3e\x05later\xc8\x3e\x07"  # two fields that nobody knows: octets as 1000, a number as 1001
+NEXT = {"frame": (MAGIC, fleet_pb2.Frame), "registers": (b"R", wire.Frame), "health": (b"", health_pb2.Frame),
+        "record": (b"", RecordOctets), "envelope": (b"C", Envelope)}
+
+
+def recorded():
+    with open(os.path.join(HERE, "octets-1.json"), encoding="ascii") as source:
+        return {name: bytes.fromhex(each) for name, each in json.load(source).items()}
+
+
+def of_later(name, data):
+    """The same, with fields of a later version in it and in all that it holds."""
+    mark, kind = NEXT[name.split()[0]]
+    whole = kind.FromString(data[len(mark):])
+
+    def add(message):
+        for field, value in message.ListFields():
+            if field.message_type is not None:
+                for each in value if field.label == field.LABEL_REPEATED else [value]:
+                    add(each)
+        message.MergeFromString(LATER)
+
+    add(whole)
+    return mark + whole.SerializeToString()
+
+
+def line_told(line):
+    return contracts.put_record(line, 1000)
+
+
+class Recorded(unittest.TestCase):
+    def check(self, octets):
+        codec = Codec("fleet")
+        for name, message in made.frames().items():
+            self.assertEqual(codec.decode(octets[f"frame {name}"]), message, name)
+        calls = registers.decoded(octets["registers calls"]).calls.call
+        self.assertEqual([registers.get_call("gateway-1", each) for each in calls], made.CALLS)
+        answers = registers.decoded(octets["registers answers"]).answers
+        self.assertEqual([registers.get_answer("gateway-1", each) for each in answers.answer], made.ANSWERS)
+        self.assertEqual(registers.get_identity(answers.own), made.IDENTITY)
+        self.assertEqual(registers.get_page(registers.decoded(octets["registers page"]).page), made.PAGE)
+        frame = health.decoded(octets["health"])
+        self.assertEqual(health.get(frame.difference[0], 0), made.NEWS)
+        self.assertEqual((frame.known[0].run, frame.known[0].sequence), (7, 5))
+        found = contracts.read_record(octets["record"], 100, 1000, 0)
+        self.assertEqual(line_told(found), line_told(made.line()))
+        told, sent = contracts.read_envelope(octets["envelope"]), made.envelope()
+        self.assertEqual((told.ask.transfer.path, told.ask.transfer.command, told.ask.left),
+                         (sent.ask.transfer.path, sent.ask.transfer.command, sent.ask.left))
+
+    def test_messages_and_records_are_read(self):
+        self.check(recorded())
+
+    def test_fields_of_a_later_version_are_passed_over(self):
+        self.check({name: of_later(name, data) for name, data in recorded().items()})
+
+    def test_files_are_read(self):
+        self.assertEqual(cache.get(os.path.join(HERE, "list-1")), (made.BOXES, 12))
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, "register")
+            shutil.copy(os.path.join(HERE, "register-1.sqlite"), path)
+            store = Store.opened(path, 1)
+            self.addCleanup(store.close)
+            self.assertEqual((store.read("v/c"), store.floor, store.own), (made.RECORD, 11, Identity(1, 77, 1)))
+            self.assertEqual(store.known, {"gateway-2": made.IDENTITY})
+
+
+class Later(unittest.TestCase):
+    """Kinds and values that only a later version has: nothing else is lost by them."""
+
+    def test_frames(self):
+        frame = fleet_pb2.Frame.FromString(recorded()["frame ROWS"][4:])
+        frame.version, frame.what, frame.kind = 2, 99, 99
+        frame.row[0].standing = 77
+        read = Codec("fleet").decode(MAGIC + frame.SerializeToString())
+        self.assertEqual((read.what, read.kind, read.version, read.sender), (None, None, 2, made.ME))
+        self.assertEqual(read.rows, made.ROWS[1:])
+        frame.least = 2
+        with self.assertRaises(TooNew):
+            Codec("fleet").decode(MAGIC + frame.SerializeToString())
+
+    def test_numbers_that_could_not_be_answered_are_no_rows(self):
+        codec = Codec("fleet")
+        for run, turn in ((1 << 63, 0), (MOST_RUN + 1, 0), (1, (1 << 64) - 1), (1, MOST_TURN + 1)):
+            with self.assertRaises(Unreadable):
+                codec.decode(codec.encode(Message(What.NEWS, Row("x", run, 1, turn, Standing.ALIVE, "h:1"))))
+        member = Membership("me", "h:1", 1, 5, Terms("fleet"), Random(1), (), 0)
+        for row in (Row("me", 1, 5, MOST_TURN, Standing.SUSPECT, "h:1"), Row("me", MOST_RUN, 6, 0, Standing.ALIVE, "h:2"),
+                    Row("other", 1, 7, 1, Standing.GONE, "h:3", (1 << 64) - 1)):
+            news = codec.encode(Message(What.ROWS, Row("other", 1, 7, 0, Standing.ALIVE, "h:3"), (row,), answer=True))
+            for each in member.heard(1000, codec.decode(news)):
+                if isinstance(each, Send):
+                    codec.encode(each.message)
+            member.tell_all(2000, "h:3", False)
+            for each in member.taken():
+                if isinstance(each, Send):
+                    codec.encode(each.message)
+
+    def test_registers(self):
+        self.assertIsNone(registers.decoded(b"R" + wire.Frame(version=2).SerializeToString() + LATER).WhichOneof("what"))
+        call = registers.put_call(made.CALLS[0])
+        call.ask = 99
+        self.assertIsNone(registers.get_call("gateway-1", call))
+        for field in ("ask", "say"):
+            answer = registers.put_answer(made.ANSWERS[0])
+            setattr(answer, field, 99)
+            self.assertIsNone(registers.get_answer("gateway-1", answer))
+
+    def test_health_and_contracts(self):
+        frame = health_pb2.Frame(version=2)
+        self.assertEqual(len(health.decoded(frame.SerializeToString() + LATER).difference), 0)
+        for body in (b"X" + LATER, b"", b"C" + b"\xff"):
+            self.assertIsNone(contracts.read_envelope(body))
+        later = contracts.read_envelope(b"C" + LATER)
+        self.assertFalse(later.HasField("ask") or later.HasField("reply"))
+        self.assertEqual(Kind.HEALTH.value, 2)  # on the wire
+
+
+if __name__ == "__main__":
+    unittest.main()
