--- a/milletsill/lab/hunt/gate.py
+++ b/milletsill/lab/hunt/gate.py
@@ -1,4 +1,4 @@
-"""One gateway of a hunted fleet: the very machines of members, health and registers on a simulated clock, its disk and its trouble.
+"""One gateway of a hunted fleet: the very machines of members, health and registers on a simulated clock, and its disk.
 
 What is between them is the product's own service of offices; the sockets, the thread and the file's folder are simulated (sqlite
 itself is real, in memory, and outlives a killed gateway).
--- a/milletsill/registry/decide.py
+++ b/milletsill/registry/decide.py
@@ -42,8 +42,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Newest:
-    """What the registry says of its newest change, how many keys it holds and how far it is itself (a cluster's id, its revision),
-    beside what the watch had brought by then."""
+    """What the registry says of its newest change, how many keys it holds and how far it is itself (a cluster's id, its
+    revision), beside what the watch had brought by then."""
 
     revision: int
     count: int
@@ -52,16 +52,17 @@
 
 
 def other_past(before: tuple[str, int], head: tuple[str, int]) -> bool:
-    """Whether the registry was restored from a backup since it told a list: it is of another cluster, or behind what it told. What
-    it does not say is no difference. Guards rule 3: changes up to the old revision would never be told. Harm: one list more where a
-    member of the registry is late."""
+    """Whether the registry was restored from a backup since it told a list: it is of another cluster, or behind what it told.
+    What it does not say is no difference. Guards rule 3: changes up to the old revision would never be told. Harm: one list more
+    where a member of the registry is late."""
     return 0 < head[1] < before[1] or bool(head[0] and before[0] and head[0] != before[0])
 
 
 def missed(there: Newest, cluster: str, brought: int, keys: int) -> bool:
-    """Whether the watch has missed something; `keys` as they are known here. Guards rule 3 against a watch whose other end is gone
-    without a word. Harm: one list more where the watch is only late."""
-    return there.revision > brought or there.count != keys and brought == there.brought or other_past((cluster, there.brought), there.head)
+    """Whether the watch has missed something; `keys` as they are known here. Guards rule 3 against a watch whose other end is
+    gone without a word. Harm: one list more where the watch is only late."""
+    fewer_or_more = there.count != keys and brought == there.brought
+    return there.revision > brought or fewer_or_more or other_past((cluster, there.brought), there.head)
 
 
 STATES = {"ready": Readiness.READY, "draining": Readiness.DRAINING}
--- a/milletsill/registry/jsons.py
+++ b/milletsill/registry/jsons.py
@@ -99,7 +99,9 @@
 
 def head_of(header: Any) -> tuple[str, int]:
     """The cluster's id, which a restore changes, and the registry's revision; nothing for what is not said."""
-    return (str(header.get("cluster_id") or "")[:40], number(header.get("revision"), "a revision")) if isinstance(header, dict) else ("", 0)
+    if not isinstance(header, dict):
+        return "", 0
+    return str(header.get("cluster_id") or "")[:40], number(header.get("revision"), "a revision")
 
 
 def read_keys(data: bytes) -> tuple[list[str], str]:
