--- a/milletsill/files/channels.py
+++ b/milletsill/files/channels.py
@@ -4,7 +4,7 @@
 
 channel@milletsill (client to gateway): uint32 verb, then by verb
 
-    1 OPEN   string path, any within the volume     string channel, 1 to 128 printable characters without spaces
+    1 OPEN   string path, any within the volume     string channel, 1 to 128 octets, printable, no spaces
              string contract, '' for the operator's  uint32 its version, 0 for the gateway's
              uint64 from: the number from which it holds where it is another than before; 0 the next that is free
     2 ASK    string handle   uint64 number
@@ -125,8 +125,8 @@
 
 def channel_name(text: str) -> str:
     """A channel's name, or Malformed."""
-    if not 0 < len(text) <= MOST_NAME or not text.isprintable() or " " in text:
-        raise Malformed(f"a channel's name is 1 to {MOST_NAME} printable characters without spaces")
+    if not 0 < len(bytes_of(text)) <= MOST_NAME or not text.isprintable() or " " in text:
+        raise Malformed(f"a channel's name is 1 to {MOST_NAME} octets of printable characters without spaces")
     return text
 
 
--- a/milletsill/fleet/channels/contracts/decide.py
+++ b/milletsill/fleet/channels/contracts/decide.py
@@ -13,10 +13,11 @@
 # --- Tuned values; numbers, not times, unless they say so.
 
 SPAN = 1024          # how far a number may be ahead of the lowest open one where holes stand open; a record's bound
-REMEMBERED = 256     # answers that a channel remembers, twice the most that may wait, so that no waiting client misses its own
+REMEMBERED = 224     # answers that a channel remembers, over three times the most that may wait; a record must hold them
 MOST_NUMBER = 1 << 63
 MOST_ASKERS = 4      # words that wait for one number's end
-MOST_PINNED = 64     # numbers that were overtaken and have not come back
+MOST_TURNS = 32      # numbers that a client said were not done and has not sent anew
+MOST_PINNED = 32     # numbers that were overtaken and have not come back
 PAUSE = 1000         # what a decline without a better reason tells: a tenth of a second
 
 Order = Enum("Order", "EACH_IN_ORDER NEWEST BY_EXTENT BATCHES", start=0)
--- a/milletsill/fleet/channels/contracts/line.py
+++ b/milletsill/fleet/channels/contracts/line.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 from typing import Any
 
-from milletsill.fleet.channels.contracts.decide import (GATE_OF, MOST_ASKERS, ORDER_TABLE, PAUSE, REMEMBERED, SPAN, Contract,
+from milletsill.fleet.channels.contracts.decide import (GATE_OF, MOST_ASKERS, MOST_TURNS, ORDER_TABLE, PAUSE, REMEMBERED, SPAN, Contract,
                                                         Declared, Gate, Input, Meaning, Order, Phase, Reaches, Unsure,
                                                         meaning, step)
 from milletsill.fleet.channels.contracts.pieces import (LEFT_OUT, SETTLED, STAYED_UNSURE, SUPERSEDED, Claimed, Closed, Coming,
@@ -258,6 +258,8 @@
             return self.at_once.append(Tell(asker, "claim-lost"))
         if phase is Phase.UNSURE and entry is not None and now < entry.rests:
             return self.at_once.append(Tell(asker, "declined", None, entry.rests - now))
+        if input is Input.SAID_AGAIN and len(self.turns) >= MOST_TURNS and number not in self.turns:
+            return self.at_once.append(Tell(asker, "declined", self.floor, PAUSE))
         if self.is_closed(number) or self.too_far(number) or step(phase, input) == (phase, ""):
             return self.at_once.append(Tell(asker, "contract", number, text=f"nothing can be said of number {number} now"))
         self.input(number, input)
--- a/milletsill/settings/channels.py
+++ b/milletsill/settings/channels.py
@@ -8,7 +8,7 @@
 KEEPING = (("office_s", 0.2, 60), ("drift_permille", 0, 100), ("most_channels", 1, 10_000_000), ("call_ms", 10, 10_000))
 TERMS = (("version", 1, 1 << 31), ("silent_s", 1, 90 * 86_400), ("most_waiting", 1, 64), ("hole_ms", 10, 60_000))
 WRITING = ("write", "change", "sync")  # what can have a number: one transfer that writes
-FREE, MOST_REGISTERS = 1, 31
+FREE, MOST_REGISTERS, MOST_CONTRACT, MOST_VOLUME = 1, 31, 64, 120  # placement; registers; characters of a name; octets of a name
 
 
 def check_channels(file: Any, report: Report, under: tuple[str, ...]) -> None:
@@ -30,8 +30,8 @@
     seen: set[str] = set()
     for place, each in enumerate(keeping.contract):
         path = here + ("contract", str(place))
-        if each.name in seen or not each.name:
-            report.add(path + ("name",), f"contract {each.name!r} has no name or stands twice")
+        if each.name in seen or not 0 < len(each.name) <= MOST_CONTRACT:
+            report.add(path + ("name",), f"contract {each.name!r} stands twice, or its name is not 1 to {MOST_CONTRACT} characters")
         seen.add(each.name)
         check_figures(each, TERMS, path, report)
         check_contract(file, each, volumes, path, report)
@@ -53,6 +53,9 @@
     for each in missing:
         report.add(path + ("volume",), f"volume {each!r} is missing")
     covered = [volumes[each] for each in contract.volume if each in volumes] if contract.volume else list(file.volume)
+    long = next((each for each in covered if len(each.name.encode("utf-8", "surrogateescape")) > MOST_VOLUME), None)
+    if long is not None:
+        report.add(path + ("volume",), f"a volume's name over {MOST_VOLUME} octets leaves no room for a channel's: {long.name[:40]!r}...")
     free = next((each for each in covered if each.placement == FREE), None)
     if free is not None:
         report.add(path + ("volume",), f"contract {contract.name!r} covers volume {free.name!r}, which is FREE: a new object there "
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -3,17 +3,17 @@
 
 import unittest
 
-from milletsill.fleet.channels.contracts import codec, model
+from milletsill.fleet.channels.contracts import codec, decide, model
 from milletsill.fleet.channels.contracts.decide import (REMEMBERED, Contract, Declared, Input, Order, Reach, Unsure)
 from milletsill.fleet.channels.contracts.line import Line
-from milletsill.fleet.channels.contracts.pieces import Claimed, Coming, LetGo, Tell
+from milletsill.fleet.channels.contracts.pieces import Claimed, Closed, Coming, Entry, LetGo, Tell
 from milletsill.fleet.channels.errors import ContractOlder, ContractsContradict, RecordUnread
 
 REST, WINDOW, HOLE = 100, 5000, 1000
 
 
-def channel(order=Order.EACH_IN_ORDER, unsure=Unsure.REST, **terms):
-    line = Line(Contract("c", 1, order, unsure, hole=HOLE, **terms), REST)
+def channel(order=Order.EACH_IN_ORDER, unsure=Unsure.REST, name="c", **terms):
+    line = Line(Contract(name, 1, order, unsure, hole=HOLE, **terms), REST)
     line.open(0, Declared(line.contract), "t", "opener")
     said(line)
     return line
@@ -123,6 +123,19 @@
         self.assertEqual(come(line, 2), ["a2 over"])
         self.assertLess(len(codec.put_record(line, 5)), codec.MOST_RECORD)
 
+    def test_the_largest_record_is_taken_by_a_register(self):
+        far, two = (1 << 62) + 1, (Reach((1 << 64) - 1, 1 << 60, 1 << 61),) * 2
+        line = channel(Order.BY_EXTENT, name="n" * 64)
+        line.coming, line.token, line.floor, line.claim = (far, line.contract), "t" * 100, far, 1 << 60
+        line.closed = {far + each for each in range(1, decide.SPAN, 2)}
+        for each in range(64):
+            line.entries[far + 2 * each] = Entry(decide.Phase.OUT, (1 << 64) - 1, two, 1 << 60, True, since=-(1 << 50))
+        for each in range(REMEMBERED):
+            line.remembered[far + each] = Closed(3, 255, (1 << 64) - 1)
+        line.pinned = {far + each: two for each in range(decide.MOST_PINNED)}
+        line.turns = {far + each: 1 << 30 for each in range(decide.MOST_TURNS)}
+        self.assertLess(len(codec.put_record(line, 5)), codec.MOST_RECORD)
+
 
 class Others(unittest.TestCase):
     def test_newest(self):
