--- a/milletsill/lab/fleet_clock.py
+++ b/milletsill/lab/fleet_clock.py
@@ -161,6 +161,11 @@
         names = [f"gateway-{each}" for each in range(count)]
         for name in names:
             self.start(name, join=self.chance.sample(names, min(3, count)))
+        self.acquaint()
+        self.run(self.now + settle)
+
+    def acquaint(self) -> None:
+        """Each is told of all."""
         known = {name: stand.member.rolls.me for name, stand in self.stands.items()}
         mark, ring = 0, sorted((each.place, name) for name, each in known.items())
         for each in known.values():
@@ -171,7 +176,6 @@
             table.ring, table.mark = list(ring), mark
             stand.member.rolls.spread.drop(name)
             stand.version += 1
-        self.run(self.now + settle)
 
     def kill(self, name: str) -> None:
         self.stands[name].up = False
--- a/milletsill/lab/hunt/command.py
+++ b/milletsill/lab/hunt/command.py
@@ -1,6 +1,7 @@
 """`python -m milletsill.lab hunt list|fleet`: seeds are played, failures come out small; exit status 1 where there was one.
 
-`again`: a whole fleet killed and started at once, with figures. With `--without` one guard is out (`all`: each in turn),
+`again`: a whole fleet killed and started at once, with figures. `scale`: what a gateway
+of a large fleet costs. With `--without` one guard is out (`all`: each in turn),
 and status 1 means that a guard's loss was not found.
 """
 from __future__ import annotations
@@ -28,7 +29,7 @@
 def main(values: Sequence[str]) -> int:
     parser = argparse.ArgumentParser(prog="python -m milletsill.lab hunt", description=__doc__,
                                      formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("what", choices=("list", "fleet", "again"))
+    parser.add_argument("what", choices=("list", "fleet", "again", "scale"))
     parser.add_argument("--first", type=int, default=0, help="the first seed")
     parser.add_argument("--seeds", type=int, default=100)
     parser.add_argument("--most", type=int, default=1, help="failures to look for")
@@ -39,6 +40,9 @@
     if given.what == "again":
         from milletsill.lab.hunt.again import report
         return report([int(each) for each in given.gateways.split(",")], given.first, given.seeds)
+    if given.what == "scale":
+        from milletsill.lab.hunt.scale import report as scale
+        return scale([int(each) for each in given.gateways.split(",")])
     game, guards = games(given)
     seeds, began = range(given.first, given.first + given.seeds), time.process_time()
     if not given.without:
--- a/tests/test_hunt.py
+++ b/tests/test_hunt.py
@@ -18,6 +18,7 @@
 }
 FLEETS = {
     "a slow box of a small fleet is well again": (0, [Event(148_730, "make_ill", (5, 0.33, 2.5, 31_398))]),
+    "a slow box that few speak of is well again": (56, [Event(191_780, "make_ill", (0, 1.0, 2.5, 9565))]),
 }
 
 
