--- a/milletsill/lab/audit_contracts.py
+++ b/milletsill/lab/audit_contracts.py
@@ -1,7 +1,7 @@
 """Checks the contracts of channels from what crossed the sockets of clients and from when boxes wrote; gateways have no say.
 
-A box's ticket says which number a write was of: `VOLUME@CHANNEL@NUMBER.TURN#...`, VOLUME the xxh64 of its name, TURN growing with
-each `again` that a client said. A number is settled once a client was answered OK for it. Checked for every channel: no effect twice, none without having
+A box's ticket says which number a write was of: `VOLUME@CHANNEL@NUMBER.TURN#...`, VOLUME the xxh64 of its name, TURN growing
+with each `again` that a client said. A number is settled once a client was answered OK for it. Checked for every channel: no effect twice, none without having
 been asked for, none missing or forgotten once it was said to be settled, none after it was said to have none, claims that grow;
 then the order that its contract says.
 """
--- a/milletsill/lab/audit_fleet.py
+++ b/milletsill/lab/audit_fleet.py
@@ -1,6 +1,6 @@
 """How long views, and what gateways call a box, took to agree after each fault, from the gateways' own logs.
 
-Read are their JSON lines: `view` with a digest, `member` with a change, `box_verdict`. Wall time is turned into the run's monotonic time. A
+Read are their JSON lines: `view` with a digest, `member` with a change, `box_verdict`. Wall time becomes the run's monotonic time. A
 moment agrees when all gateways that run and can speak say the same; over a split network each side by itself.
 """
 from __future__ import annotations
