--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -255,7 +255,7 @@
 
     def test_every_node_is_reached_and_links_stay_within_their_bound(self):
         module, fleet = self.gateway.host.module, self.gateway.fleet
-        self.assertEqual((len(module.nodes), len(fleet.nodes), module.index), (1024, 1024, 1023))
+        self.assertEqual((len(module.nodes), len(fleet.nodes), module.facts["index"]), (1024, 1024, 1023))
         for cell in range(1024):
             client, wire = self.client(ask(txn=cell + 1, X_IO=f"volume=00000003b4d60021,units=2,shard={cell},hosts=1"))
             node, _ = self.reactor.up(self.dialled(10_000 + cell)[-1])
