--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -4,11 +4,13 @@
 import shutil
 import tempfile
 import unittest
+from dataclasses import replace
 from random import Random
+from unittest import mock
 
 from milletsill.fleet.channels.contracts import codec as contracts
 from milletsill.fleet.channels.contracts.record_pb2 import Envelope, Record as RecordOctets
-from milletsill.fleet.channels.registers import codec as registers, registers_pb2 as wire
+from milletsill.fleet.channels.registers import codec as registers, desk, registers_pb2 as wire, service
 from milletsill.fleet.channels.registers.standing import Identity
 from milletsill.fleet.channels.registers.store import Store
 from milletsill.fleet.frames import fleet_pb2
@@ -19,6 +21,9 @@
 from milletsill.fleet.members.membership import Membership
 from milletsill.fleet.members.effects import Send
 from milletsill.fleet.plane import Kind, Standing
+from milletsill.lab.fleet_clock import SECOND
+from milletsill.lab.hunt.fleet_world import FleetWorld
+from milletsill.lab.hunt.gate import Kept
 from milletsill.registry import cache
 from tests.fixtures import make_octets as made
 
@@ -141,5 +146,47 @@
         self.assertEqual(Kind.HEALTH.value, 2)  # on the wire
 
 
+class Mixed(FleetWorld):
+    """A fleet of two versions: gateways of the later one add fields to all that they say, and at times say what is not known."""
+
+    def __init__(self, seed):
+        self.later = set()
+        super().__init__(seed, 6, judges=2, boxes=4)
+
+    def send(self, stand, sent):
+        message = sent.message
+        if stand.name in self.later:
+            if message.what is What.BODY:
+                name = "registers" if message.kind is Kind.CHANNEL else "health"
+                message = replace(message, body=of_later(name, message.body))
+            data = of_later("frame", Codec("fleet", 2).encode(message))
+            if self.frames % 50 == 0:
+                frame = fleet_pb2.Frame.FromString(data[4:])
+                frame.what = 99
+                super().send(stand, replace(sent, message=Codec("fleet").decode(MAGIC + frame.SerializeToString())))
+        else:
+            data = Codec("fleet").encode(message)
+        super().send(stand, replace(sent, message=Codec("fleet").decode(data)))
+
+    def restart(self, place, later):
+        self.away(place, SECOND)
+        (self.later.add if later else self.later.discard)(self.names[place])
+
+
+class Rolling(unittest.TestCase):
+    def test_a_third_at_a_time_and_back_half_way(self):
+        secrets = Random(3)
+        with mock.patch.object(service, "SystemRandom", lambda: secrets), mock.patch.object(desk, "Store", Kept):
+            world = Mixed(2)
+            steps = [(0, True), (1, True), (2, True), (3, True), (0, False), (1, False), (2, False), (3, False)]
+            for at, (place, later) in enumerate(steps):
+                world.at((6 + at + at // 2) * SECOND, world.restart, place, later)
+            world.run(45 * SECOND, lambda: world.wrong is not None)
+            world.ended()
+            self.assertIsNone(world.wrong)
+            self.assertEqual(world.false, [])
+            self.assertGreater(min(world.settled.values()), 10)
+
+
 if __name__ == "__main__":
     unittest.main()
