--- a/milletsill/lab/hunt/fleet_world.py
+++ b/milletsill/lab/hunt/fleet_world.py
@@ -19,7 +19,7 @@
 from milletsill.lab.hunt.gate import CHANNELS, Disk, Gate, Kept
 
 LASTS, CALM, BOXES, CELL, QUIET = 20 * SECOND, 35 * SECOND, 10, 2, 5 * SECOND
-LOOK, COPY = 1000, 3 * SECOND
+LOOK, COPY, HEALED = 1000, 3 * SECOND, 5 * SECOND
 MILD = frozenset((  # nobody may be called gone for these
     "stall_", "stutter", "stutter_most", "slow", "full", "make_ill", "lie", "trouble", "doubles"))
 
@@ -251,6 +251,9 @@
         if self.mild and self.false:
             at, who, whom = self.false[0]
             self.break_(f"{who} calls {whom} gone, which lives")
+        if self.false and self.false[-1][0] > LASTS + HEALED:
+            at, who, whom = self.false[-1]
+            self.break_(f"{who} calls {whom} gone, though all is calm")
 
     def copies(self) -> None:
         self.at(self.now + COPY, self.copies)
