--- a/milletsill/lab/hunt/fleet_world.py
+++ b/milletsill/lab/hunt/fleet_world.py
@@ -327,9 +327,16 @@
             [kinds.pop(each) for each in ("make_ill", "lie", "trouble")]
         names = [each for each in kinds if not gentle or each in MILD]
         names = chance.sample(names, chance.randrange(min(2, len(names)), len(names) + 1))  # few kinds at a time go deeper
+        if seed % 10 == 9:
+            names, cuts = ["doubles", "slow", "full", "cut_off"], 2
+        else:
+            cuts = self.most
         for _ in range(chance.randrange(2, self.most + 1)):
             at = found[-1].at + chance.randrange(5000) if found and chance.random() < 0.4 else chance.randrange(5 * SECOND, LASTS)
             what = chance.choice(names)
+            cuts -= what == "cut_off"
+            if cuts < 0:
+                continue
             found.append(Event(min(at, LASTS - 1), what, kinds[what]()))
         return sorted(found, key=lambda each: each.at)
 
@@ -341,7 +348,7 @@
         secrets = Random(seed + 1)
         with mock.patch.object(service, "SystemRandom", lambda: secrets), mock.patch.object(desk, "Store", Kept):
             world = self.world = FleetWorld(seed, self.size(seed), **{"judges": self.judges(seed), **self.more})
-            world.mild = all(mild(each) for each in events)
+            world.mild = mild(events)
             for each in events:
                 if each.what != "all_down" or world.now:
                     world.at(each.at, getattr(world, each.what), *each.values)
@@ -354,5 +361,9 @@
             return world.wrong
 
 
-def mild(event: Event) -> bool:
-    return event.what in MILD and not (event.what == "stall_" and event.values[1] > 12_000)
+def mild(events: Sequence[Event]) -> bool:
+    """Whether nobody may be called gone: short stalls and the like, or two cuts between pairs, which others probe around."""
+    cuts = sum(each.what == "cut_off" for each in events)
+    stalls = any(each.what.startswith("st") for each in events)
+    return cuts <= (0 if stalls else 2) and all(
+        each.what == "cut_off" or each.what in MILD and not (each.what == "stall_" and each.values[1] > 12_000) for each in events)
