--- a/milletsill/fleet/health/decide.py
+++ b/milletsill/fleet/health/decide.py
@@ -56,6 +56,8 @@
     (Verdict.RECOVERING, Finding.WHOLE): (Verdict.STEADY, ""),
     # In a small fleet all try a box that is called, so that it is whole as soon as it is well.
     **{(verdict, Finding.WHOLE): (Verdict.RECOVERING, "ramp") for verdict in (Verdict.FAILING, Verdict.DEGRADED)},
+    # Where too few may send to learn its pace, more must: a box that failed would else stay so for good.
+    (Verdict.FAILING, Finding.UNSURE): (Verdict.FAILING, "ease"),
     (Verdict.DEGRADED, Finding.UNSURE): (Verdict.DEGRADED, "ease"),
     (Verdict.RECOVERING, Finding.UNSURE): (Verdict.RECOVERING, "ramp"),
     (Verdict.FAILING, Finding.SILENT): (Verdict.FAILING, "ramp"),
