--- a/tests/test_hunt.py
+++ b/tests/test_hunt.py
@@ -18,6 +18,9 @@
 }
 FLEETS = {
     "a slow box of a small fleet is well again": (0, [Event(148_730, "make_ill", (5, 0.33, 2.5, 31_398))]),
+    "a box that failed and that few may try is well again": (396, [
+        Event(91_330, "stutter_most", (103_506, 18_274)), Event(91_610, "trouble", (0, 15_828)),
+        Event(95_570, "stutter_most", (130_712, 24_355)), Event(134_710, "make_ill", (0, 0.33, 1.0, 55_350))]),
     "a slow box that few speak of is well again": (56, [Event(191_780, "make_ill", (0, 1.0, 2.5, 9565))]),
 }
 
