--- a/milletsill/lab/hunt/guards.py
+++ b/milletsill/lab/hunt/guards.py
@@ -1,6 +1,7 @@
 """Guards of the fleet that hunts must find missing, one out at a time."""
 from __future__ import annotations
 
+from functools import partial
 from typing import Any, Callable
 from unittest import mock
 
@@ -34,5 +35,5 @@
     "health: a box that all may try is well again": table(health.TABLE, [(Verdict.DEGRADED, Finding.WHOLE),
                                                                          (Verdict.FAILING, Finding.WHOLE)]),
     "health: what is missing is asked for": lambda: mock.patch.object(Rows, "after", lambda self, origin, run, base: None),
-    **{f"registers: {each}": make for each, make in model.MUTANTS.items()},
+    **{f"registers: {each}": partial(model.without, each) for each in model.MUTANTS},
 }
