--- a/milletsill/fleet/health/decide.py
+++ b/milletsill/fleet/health/decide.py
@@ -151,8 +151,9 @@
             held.sum = self.add(voices.get(box, []), members, held.part, order, box)
         common = self.common()
         for held in self.boxes.values():
-            # In a small or quiet fleet PACED are never reached: where all may send again, what a called box is held for may fade.
-            if held.sum.paced >= (FEWEST_ILL if held.part >= 1 and held.verdict in CALLED else PACED):
+            # Few try a called box, and in a small or quiet fleet PACED are never reached: what it is held for could not fade
+            # else. Harm: noise, on boxes that are called already.
+            if held.sum.paced >= (FEWEST_ILL if held.verdict in CALLED else PACED):
                 held.pace += (1 - exp(-span / PACE_TAU)) * (held.sum.pace - common - held.pace)
             if held.sum.voices > FAINT:
                 held.lost += (1 - exp(-span / LOST_TAU)) * (held.sum.lost - held.lost)
