--- a/milletsill/fleet/health/decide.py
+++ b/milletsill/fleet/health/decide.py
@@ -299,6 +299,9 @@
                  f"use, pace {2 ** held.pace:.1f} of the usual")
         return Turn(box, old, held.verdict, cause)
 
+    def called(self) -> list[int]:
+        return [box for box, held in self.boxes.items() if held.verdict is not Verdict.STEADY]
+
     def advice(self, box: int, place: int, members: int) -> tuple[float, bool]:
         """Of a box that is not STEADY: what speaks against it, in shortest target times, and whether this gateway keeps away.
         Nothing speaks against it for those chosen to try it, and later for those for whom it is well again."""
--- a/milletsill/fleet/health/edge.py
+++ b/milletsill/fleet/health/edge.py
@@ -11,7 +11,7 @@
 from prometheus_client import Counter, Gauge
 
 from milletsill.fleet.health.decide import CALM_PUBLISH, LASTS, ROUND, TAU, Judge, Order, Verdict
-from milletsill.fleet.health.observe import Observer
+from milletsill.fleet.health.observe import Observer, urgent
 from milletsill.fleet.health.rows import RowRefused, Rows
 from milletsill.fleet.health.spread import Spread
 from milletsill.fleet.plane import Change, Kind, Member, Plane, View
@@ -116,7 +116,8 @@
         """This gateway's row: at once where something was ill, else now and then."""
         self.turn += 1
         self.rows.restart(self.plane.run)
-        if self.observer.ill or self.turn % CALM_PUBLISH == 0:
+        news = self.observer.ill or urgent(self.observer.sights, self.judge.called())
+        if news or self.turn % CALM_PUBLISH == 0:
             self.spread.write(self.observer.words(self.now()))
 
     def round(self) -> None:
--- a/milletsill/fleet/health/observe.py
+++ b/milletsill/fleet/health/observe.py
@@ -5,7 +5,7 @@
 from collections import deque
 from math import exp, log2
 from statistics import median
-from typing import Any, Sequence
+from typing import Any, Iterable, Sequence
 
 from milletsill.fleet.health.decide import FAINT, KNOWN, MOST_KINDS, MOST_PACE, MOST_PACES, SIZES, TAU
 from milletsill.fleet.health.rows import Word
@@ -103,6 +103,11 @@
         return words_of(self.sights, now)
 
 
+def urgent(sights: dict[int, Sight], called: Iterable[int]) -> bool:
+    """Whether there is news of a box that is called: few try it, so each of their words counts."""
+    return any(box in sights and not sights[box].told for box in called)
+
+
 def words_of(sights: dict[int, Sight], now: int) -> dict[int, Word]:
     """What was not told yet."""
     found = {}
--- a/milletsill/lab/health_day.py
+++ b/milletsill/lab/health_day.py
@@ -13,7 +13,7 @@
 from google.protobuf import text_format
 
 from milletsill.fleet.health.decide import CALLED, CALM_PUBLISH, LASTS, SECOND, TAU, Judge, Order, Verdict
-from milletsill.fleet.health.observe import Observer
+from milletsill.fleet.health.observe import Observer, urgent
 from milletsill.fleet.health.rows import Rows
 from milletsill.fleet.plane import Member, Standing, View
 from milletsill.interface import Answer, Arrival, Outcome
@@ -196,7 +196,7 @@
         gateway = self.gateways[number]
         gateway.turn += 1
         lies = number in self.false
-        if gateway.observer.ill or gateway.turn % CALM_PUBLISH == 0 or lies:
+        if gateway.observer.ill or urgent(gateway.observer.sights, self.judges[0].called()) or gateway.turn % CALM_PUBLISH == 0 or lies:
             words = gateway.observer.words(self.now)
             if lies:
                 words = self.lie(words)
--- a/milletsill/lab/health_spread.py
+++ b/milletsill/lab/health_spread.py
@@ -11,7 +11,7 @@
 from typing import Any, Callable
 
 from milletsill.fleet.health.decide import CALLED, CALM_PUBLISH, ROUND, SECOND, TAU, Judge, Order, admitted
-from milletsill.fleet.health.observe import Sight, words_of
+from milletsill.fleet.health.observe import Sight, urgent, words_of
 from milletsill.fleet.health import codec
 from milletsill.fleet.health.rows import Difference, Rows, Word
 from milletsill.fleet.health.spread import Spread
@@ -66,7 +66,8 @@
         if self.world.quiet:
             return
         self.turn += 1
-        if self.ill or self.lies or self.turn % CALM_PUBLISH == 0:
+        judge = self.world.gateways[self.number % 2 if self.world.halves else 0].judge
+        if self.ill or self.lies or urgent(self.sights, judge.called()) or self.turn % CALM_PUBLISH == 0:
             words, self.ill = words_of(self.sights, self.world.now), False
             if self.lies:
                 words |= {box: Word(0, self.world.now, 8.0, 1.0, 1.0, 0.0, 0.0) for box in self.world.slandered}
