--- a/milletsill/lab/hunt/gate.py
+++ b/milletsill/lab/hunt/gate.py
@@ -89,6 +89,12 @@
     def __init__(self, gate: Gate) -> None:
         self.gate = gate
 
+    @property
+    def sights(self) -> dict[int, Any]:
+        """There is news of each box that it sends to."""
+        world = self.gate.world
+        return {} if world.quiet else {box: SimpleNamespace(told=False) for box in world.cells if not self.gate.keeps_away(box)}
+
     @property
     def ill(self) -> bool:
         return not self.gate.world.quiet and self.gate.world.trouble_for(self.gate)
