--- a/milletsill/lab/relay.py
+++ b/milletsill/lab/relay.py
@@ -20,6 +20,7 @@
 from twisted.internet.protocol import DatagramProtocol, Factory, Protocol
 from twisted.protocols.basic import LineOnlyReceiver
 
+from milletsill.lab.moment import at
 from milletsill.lab.record import Recorder
 from milletsill.lab.weather import CLEAR, OF_NETWORK, Fault, Way, fault_of, faults_of, way
 
@@ -70,7 +71,7 @@
     def plan(self, start: float) -> None:
         """The day starts then, on the monotonic clock; its faults are known."""
         for fault in faults_of(self.scenario, start):
-            self.reactor.callLater(max(fault.since - time.monotonic(), 0), self.begin, fault)
+            at(self.reactor, fault.since, self.begin, fault)
 
     def begin(self, fault: Fault) -> None:
         """It holds from now on until its end."""
@@ -79,7 +80,7 @@
             return self.reset(fault)
         self.faults.append(fault)
         self.ways.clear()
-        self.reactor.callLater(max(fault.until - time.monotonic(), 0), self.end, fault)
+        at(self.reactor, fault.until, self.end, fault)
 
     def end(self, fault: Fault) -> None:
         if fault in self.faults:
--- a/milletsill/lab/stand.py
+++ b/milletsill/lab/stand.py
@@ -9,6 +9,7 @@
 from milletsill.edge.facts import atlas_of
 from milletsill.lab.box import Box, Gates
 from milletsill.lab.files import Files, pattern
+from milletsill.lab.moment import at
 from milletsill.lab.record import Recorder
 from milletsill.lab.registry import Registry, site
 
@@ -89,14 +90,14 @@
         """Do it now, and set its end."""
         if trouble.what == "registry_away":
             self.registry.set_away(True)
-            self.reactor.callLater(trouble.for_s, self.registry.set_away, False)
+            self.later(trouble.for_s, self.registry.set_away, False)
         elif trouble.what in OF_BOXES:
             until = time.monotonic() + trouble.for_s
             for box in self.chosen(trouble):
                 getattr(self, f"do_{trouble.what}")(box, trouble, until)
 
     def later(self, seconds: float, call: Any, *values: Any) -> None:
-        self.reactor.callLater(max(seconds, 0), call, *values)
+        at(self.reactor, time.monotonic() + max(seconds, 0), call, *values)
 
     def do_vanish(self, box: Box, trouble: Any, until: float) -> None:
         box.vanish()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -8,7 +8,9 @@
 from random import Random
 
 from google.protobuf import text_format
+from twisted.internet.task import Clock
 
+from milletsill.lab.moment import at
 from milletsill.lab.processes import LAB, free_ports
 from milletsill.lab.relay import inside, outside
 from milletsill.lab.weather import CLEAR, Fault, Way, faults_of, way
@@ -26,6 +28,20 @@
 """
 
 
+class Moments(unittest.TestCase):
+    def test_a_wall_clock_that_is_set_on_or_back_moves_no_fault(self):
+        wall, monotonic, called = Clock(), [100.0], []
+        at(wall, 110.0, called.append, "begin", now=lambda: monotonic[0])
+        for _ in range(80):  # set on by 40 s while half a second goes by
+            wall.advance(0.5)
+        monotonic[0] = 109.9
+        wall.advance(0.5)
+        self.assertEqual(called, [])
+        monotonic[0] = 110.0
+        wall.advance(0.5)
+        self.assertEqual(called, ["begin"])
+
+
 class Weather(unittest.TestCase):
     def test_who_is_cut_from_whom(self):
         pairs = [(a, b) for a in range(3) for b in range(3) if a != b]
