--- a/milletsill/edge/service.py
+++ b/milletsill/edge/service.py
@@ -111,7 +111,9 @@
         return channels_of(self, seed + 4)
 
     def keep_run(self, run: int) -> None:
-        """The fleet knew a later run than this one; the next start goes past both."""
+        """The fleet knew a later run than this one: what leaves from now on has the new one, the next start goes past both. Guards
+        boxes against names and tickets of a former run whose state was lost. Harm: what left before the fleet's word has the old."""
+        self.incarnation = max(self.incarnation, run)
         complaint = keep(os.path.join(self.file.state_dir, "incarnation"), run)
         if complaint is not None:
             self.remark("incarnation_not_kept", **complaint.said())
