--- a/milletsill/edge/process.py
+++ b/milletsill/edge/process.py
@@ -19,8 +19,15 @@
 SAID_FROM = 0.05  # seconds: a pause worth a line
 
 
+def steady(reactor: Any) -> None:
+    """Timers follow the monotonic clock. Guards rule 1 and all spans against a wall clock that is set back while the process runs,
+    which Twisted's timers follow: answers would leave late by as much. Harm: none known."""
+    reactor.seconds = time.monotonic
+
+
 def run(files: Sequence[Any], paths: Sequence[str], make: Make = Scheduler) -> int:
     """Until all edges have stopped; 0, or 1 where one could not listen."""
+    steady(reactor)
     edges = [Edge(file, reactor, make) for file in files]
     left, failed = set(edges), list[Edge]()
 
--- /dev/null
+++ b/tests/test_steady.py
@@ -0,0 +1,24 @@
+"""A gateway's timers and a wall clock that is set back."""
+import time
+import unittest
+
+from twisted.internet.selectreactor import SelectReactor
+
+from milletsill.edge.process import steady
+
+
+class Steady(unittest.TestCase):
+    def test_a_timer_is_due_by_the_monotonic_clock(self):
+        reactor, called, wall = SelectReactor(), [], [1000.0]
+        self.addCleanup(reactor.disconnectAll)
+        reactor.seconds = lambda: wall[0]  # as Twisted has it: the wall clock
+        steady(reactor)
+        reactor.callLater(0.02, called.append, "due")
+        wall[0] -= 5
+        time.sleep(0.03)
+        reactor.runUntilCurrent()
+        self.assertEqual(called, ["due"])
+
+
+if __name__ == "__main__":
+    unittest.main()
