Dispatches that wait for a link begin only where their node, client and time still are

Ruled out: the two sends of limits (rule 7) that bunch by a dial stay within the slack by arithmetic (a store is asked at the decision, which is never after the first octet); an answer before our last octet is written already retired its link.

Change: one place begins what had to wait (Node.serve), in the turn after the sockets were read, and asks kept_from; retired nodes give back what waits as moot, at once; links know the address they were dialled at; the host withdraws what has not begun when a transfer has its end, and settles one round later where the process stood since the events; repeats end a dial before their window; `dial` is a fact of the module.

Taken out, tests/test_crossings_links.py printed among others: "b'GET /get HTTP/1.1 ... not found in (None, b'') : a request went to it" (both clients that leave), "None is not <Outcome.MOOT: 'moot'> : told at once" (drain, gone), "nobody dialled" (moved, three times), "unexpectedly None", "no end".

Tests changed: test_http1 and test_platform said that an answer without a length is malformed; they say now that it is whole at a close alone and over its bound malformed. The rig turns the reactor once where a dial comes up.

--- a/milletsill/edge/decide.py
+++ b/milletsill/edge/decide.py
@@ -366,4 +366,4 @@
 NEEDED = ("gateways", "tick", "categories", "plans", "share_utility", "largest_units", "cold_units", "may_cancel",
           "may_copy", "most_dispatches", "pause_told", "longest_pause", "list_on_request", "ask_within", "cold_from",
           "cold_multiple", "warm_after", "cold_window", "further_free", "further_ratio", "further_window", "key_rest",
-          "sized", "cross_fee", "zone", "unit_mean")
+          "sized", "cross_fee", "zone", "unit_mean", "dial")
--- a/milletsill/edge/facts.py
+++ b/milletsill/edge/facts.py
@@ -52,7 +52,7 @@
         cold_window=at_least(rules.cold_window_ms), further_free=rules.further_free,
         further_ratio=rules.further_ratio,
         further_window=at_least(rules.further_window_ms) if rules.HasField("further_window_ms") else None,
-        key_rest=at_least(rules.key_rest_ms), sized=True, cross_fee=0.0)
+        key_rest=at_least(rules.key_rest_ms), sized=True, cross_fee=0.0, dial=at_least(file.links.dial_ms))
 
 
 def atlas_of(file: Any) -> Atlas:
--- a/milletsill/edge/host.py
+++ b/milletsill/edge/host.py
@@ -37,6 +37,10 @@
 class Sending(Protocol):
     """One dispatch under way."""
 
+    @property
+    def begun(self) -> bool:
+        """Whether an octet of it may be on its way."""
+
     def withdraw(self, outcome: Outcome) -> None:
         """Nobody waits for it any more; `ended` is not called."""
 
@@ -93,6 +97,7 @@
         self.timers: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
         self.timer_count, self.alarm, self.alarm_at = 0, None, 0
         self.settling, self.put_off, self.stopped = False, False, False
+        self.settle_due, self.settle_put_off = 0, False
         self.settled, self.most_stale = 0, NEVER
         self.module = make(facts, seed, now(), self)
         self.overheard: Callable[[int, Arrival, Answer], None] = lambda now, arrival, answer: None  # of each dispatch's end
@@ -207,9 +212,14 @@
             live.asker.aborted()
 
     def close(self, live: Live) -> None:
-        """A transfer has its end; its record stays until its dispatches have theirs."""
+        """A transfer has its end; its record stays until its dispatches have theirs. Guards rule 1, and nodes, against work
+        whose client has its answer or has left: what still waits for a link does not begin. Harm: none."""
         live.answered = True
         self.held -= 1
+        for out in live.outs:
+            if not out.over and out.sending is not None and not out.sending.begun:
+                out.sending.withdraw(Outcome.MOOT)
+                self.at(self.now(), self.ended, live, out, Outcome.MOOT, None)
         self.clear(live)
 
     def clear(self, live: Live) -> None:
@@ -294,11 +304,17 @@
     def settle_soon(self) -> None:
         """Events of one round of the reactor are settled together, within one tick."""
         if not self.settling and not self.stopped:
-            self.settling = True
+            self.settling, self.settle_due = True, self.now()
             self.reactor.callLater(0, self.settle)
 
     def settle(self) -> None:
-        self.settling = False
+        """Guards clients and nodes against a process that stood since the events: what has come since, a client's close above
+        all, is read before anything is sent. Harm: a turn of the loop, once."""
+        if io_first(self.now() - self.settle_due, self.settle_put_off) and not self.stopped:
+            self.settle_put_off = True
+            self.reactor.callLater(0, self.settle)
+            return
+        self.settling = self.settle_put_off = False
         if not self.stopped:
             self.settled = self.now()
             self.tell(self.module.settle)
--- a/milletsill/http1/reader.py
+++ b/milletsill/http1/reader.py
@@ -28,13 +28,13 @@
 class Message:
     """One request or answer. `fields` by lower-case name, the first of each; `doubled` names came again."""
 
-    __slots__ = ("method", "target", "status", "fields", "doubled", "body", "keep", "length", "chunked", "parser",
-                 "ended", "count", "most")
+    __slots__ = ("method", "target", "status", "fields", "doubled", "body", "keep", "length", "chunked", "open_ended",
+                 "parser", "ended", "count", "most")
 
     def __init__(self, most: int) -> None:
         self.method, self.target, self.status, self.body = b"", b"", 0, b""
         self.fields, self.doubled = dict[bytes, bytes](), set[bytes]()
-        self.keep = self.chunked = self.ended = False
+        self.keep = self.chunked = self.open_ended = self.ended = False  # open-ended: up to the connection's close
         self.length = self.count = 0
         self.most = most
         self.parser: Any = None
@@ -96,6 +96,8 @@
         message = self.message
         if message is None:
             return None
+        if message.open_ended:
+            return self.more(message)
         if message.chunked:
             if not self.chunks(message):
                 return None
@@ -104,6 +106,14 @@
         self.message, message.parser = None, None
         return message
 
+    def more(self, message: Message) -> None:
+        """Another piece of a body that ends with its connection: not whole before."""
+        message.length += len(self.buffer)
+        if message.length > self.bounds.body:
+            raise BadMessage(413, "a body over the bound")
+        self.pieces.append(self.buffer)
+        self.buffer = b""
+
     def counted(self, message: Message) -> bool:
         """Whether a body told by its length is whole: put it together."""
         if self.wanted == 0:
@@ -183,7 +193,7 @@
 
 
 class AnswerReader(Reader):
-    """What a server answers to anything but HEAD. One that ends with its connection is never whole."""
+    """What a server answers to anything but HEAD. One without a length is whole when its connection was closed (`closed`)."""
 
     def __init__(self, bounds: Bounds) -> None:
         super().__init__(bounds)
@@ -197,8 +207,24 @@
         message.status = message.parser.get_status_code()
         if 100 <= message.status < 200 or message.status in (204, 304):
             message.length, message.chunked = 0, False
-        if message.length < 0:
-            raise BadMessage(502, "an answer whose end is not told")
+        message.open_ended = message.length < 0
+        message.length = max(message.length, 0)
+
+    def expected(self, short: int) -> int:
+        """How many octets the body on its way may come to; one whose length is not told counts in full once it is not short."""
+        if self.message is None:
+            return 0
+        untold = self.message.chunked or self.message.open_ended
+        return self.bounds.body if untold and self.message.length > short else self.message.length
+
+    def closed(self) -> Message | None:
+        """The connection was closed in order: the answer that ends with it, if one was on its way."""
+        message = self.message
+        if message is None or not message.open_ended:
+            return None
+        message.body, self.pieces = b"".join(self.pieces), []
+        self.message, message.parser, message.keep = None, None, False
+        return message
 
     def next(self) -> Message | None:
         """The next whole answer, 1xx ahead of it passed over."""
--- a/milletsill/interface.py
+++ b/milletsill/interface.py
@@ -10,7 +10,8 @@
   may_cancel, may_copy, most_dispatches, most_held, pause_told, longest_pause,
   list_on_request, report_fields, ask_within, cold_from, warm_after, cold_multiple, cold_window,
   further_free, further_ratio, further_window (None where no budget is stated), key_rest,
-  sized (whether the list's sizes tell what nodes can do), cross_fee (of a dispatch into another zone).
+  sized (whether the list's sizes tell what nodes can do), cross_fee (of a dispatch into another zone),
+  dial (how long at most a dispatch waits for a link: so much later than it was decided on may it begin).
 A category is a map of: target_time, stretch (of the target time, by the transfer's work), patience, utility,
 late_utility, repeats, group, repeat_window, in_order, streams.  A plan is a map of: usual_rate, reserve_rate, weight, price, limit_rate (0: none),
 limit_store, limit_slack; rates are units a second.
--- a/milletsill/links/pool.py
+++ b/milletsill/links/pool.py
@@ -42,6 +42,11 @@
         self.link: Link | None = None
         self.id, self.over, self.octets = 0, False, 0
 
+    @property
+    def begun(self) -> bool:
+        """Whether an octet of it may be on its way."""
+        return self.link is not None
+
     def withdraw(self, outcome: Outcome) -> None:
         """Given up: silent for good."""
         self.pool.withdraw(self, outcome)
--- a/milletsill/platform/decide.py
+++ b/milletsill/platform/decide.py
@@ -108,6 +108,14 @@
 MOST_EACH = 128  # links to one node
 MOST_WAITING = 128  # dispatches that wait for a link to one node
 
+
+def kept_from(waited: int, dial: int, left: int) -> bool:
+    """Whether a dispatch that waited for a link does not begin any more. Guards the rules against a dispatch that begins long
+    after it was decided on: limits, cold windows and a repeat's span may be others by then. Harm: one that the node
+    would still have served is tried again later."""
+    return waited >= dial or left <= 0
+
+
 # --- Discovery.
 
 # An empty line comes every 2 s; what a silent watch misses counts as told 6 s after it fell silent, which may be as soon
--- a/milletsill/platform/links.py
+++ b/milletsill/platform/links.py
@@ -2,8 +2,10 @@
 from __future__ import annotations
 
 from collections import deque
+from functools import partial
 from typing import Any, Callable, Sequence
 
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol
 
 from milletsill.edge.host import Ended
@@ -12,7 +14,7 @@
 from milletsill.http1.writer import request
 from milletsill.interface import Outcome, Readiness
 from milletsill.platform.asks import Cargo, number_in, report_in
-from milletsill.platform.decide import IDLE_PART, MOST_ANSWER, MOST_EACH, MOST_WAITING, SHORT_ANSWER, Octets
+from milletsill.platform.decide import IDLE_PART, MOST_ANSWER, MOST_EACH, MOST_WAITING, SHORT_ANSWER, Octets, kept_from
 from milletsill.platform.discovery import Dial
 from milletsill.platform.nodes import Place
 
@@ -50,6 +52,11 @@
         self.link: Link | None = None
         self.over = False
 
+    @property
+    def begun(self) -> bool:
+        """Whether an octet of it may be on its way."""
+        return self.link is not None
+
     def end(self, outcome: Outcome, verdict: Verdict | None = None) -> None:
         """The one word on it."""
         if not self.over:
@@ -69,7 +76,7 @@
     """One connection to a node. A pull producer only to hear when the last byte was handed over."""
 
     def __init__(self, node: Node) -> None:
-        self.node = node
+        self.node, self.address = node, node.address  # where it was dialled
         self.reader = AnswerReader(BOUNDS)
         self.sending: Sending | None = None
         self.written, self.closed, self.uses, self.since = True, False, 0, 0
@@ -110,7 +117,7 @@
 
     def charge(self) -> None:
         """A long answer is on its way: there must be room for it."""
-        length = self.reader.message.length if self.reader.message is not None else 0
+        length = self.reader.expected(SHORT_ANSWER)
         if length > SHORT_ANSWER and not self.charged:
             if not self.node.fleet.octets.take(length):
                 self.node.fleet.note("spoilt", "no room for a long answer")
@@ -146,16 +153,19 @@
             self.node.lost(self)
 
     def connectionLost(self, reason: Any = None) -> None:
+        # An answer without a length ends with its connection, but a reset is no end: it may have lost octets on the way.
+        whole = self.reader.closed() if reason is not None and reason.check(ConnectionDone) else None
         sending, self.sending = self.sending, None
         self.gone()
         if sending is None:
             return
-        if self.written:
+        if whole is not None:
+            sending.end(outcome_of(whole), Verdict(whole))
+        elif self.written:
             sending.end(Outcome.RESET)
         elif self.uses > 1:  # an idle link that was closed before we wrote all: it never ran, and the node may be fine
             sending.link = None
-            if not self.node.put(sending):
-                sending.end(Outcome.UNREACHED)
+            self.node.again(sending)
         else:
             sending.end(Outcome.UNREACHED)
 
@@ -165,8 +175,8 @@
 
     def __init__(self, fleet: Fleet, number: int) -> None:
         self.fleet, self.number = fleet, number
-        self.host, self.port, self.host_field, self.name = "", 0, b"", ""
-        self.retired = False
+        self.address, self.host_field, self.name = ("", 0), b"", ""
+        self.retired = self.serving = False  # serving: those that wait are looked at in the next turn
         self.links = set[Link]()
         self.free: list[Link] = []
         self.waiting = deque[Sending]()
@@ -174,12 +184,21 @@
 
     def moved(self, place: Place) -> None:
         """Where the list has it now."""
-        self.name, self.retired = place.name, place.listed.readiness is not Readiness.READY
-        if place.host and (place.host, place.port) != (self.host, self.port):
-            self.host, self.port, self.host_field = place.host, place.port, f"{place.host}:{place.port}".encode()
+        self.name = place.name
+        if place.host and (place.host, place.port) != self.address:
+            self.address, self.host_field = (place.host, place.port), f"{place.host}:{place.port}".encode()
             self.clear()
+        self.retired = place.listed.readiness is not Readiness.READY
         if self.retired:
-            self.clear()
+            self.retire()
+
+    def retire(self) -> None:
+        """It drains or is gone: nothing begins here any more."""
+        self.retired = True
+        self.clear()
+        waiting, self.waiting = self.waiting, deque()
+        for sending in waiting:
+            sending.end(Outcome.MOOT)
 
     def clear(self) -> None:
         """Idle links close."""
@@ -188,30 +207,37 @@
 
     def put(self, sending: Sending) -> bool:
         """Onto a link that is free, else in line for one."""
-        if self.free:
+        if self.retired or len(self.waiting) >= MOST_WAITING:
+            return False
+        if self.free and not self.waiting:
             self.free.pop().start(sending)
             return True
-        if len(self.waiting) >= MOST_WAITING:
-            return False
         self.waiting.append(sending)
         self.dial()
         return True
 
+    def again(self, sending: Sending) -> None:
+        """One that never ran is first in line once more, and begins only if it still may."""
+        self.waiting.appendleft(sending)
+        self.serve_soon()
+
     def dial(self) -> None:
         """New links for those that wait, as descriptors allow."""
-        while self.dials < len(self.waiting) and self.dials + len(self.links) < MOST_EACH and self.fleet.room():
+        while (self.dials + len(self.free) < len(self.waiting) and self.dials + len(self.links) < MOST_EACH
+               and self.fleet.room()):
             self.dials += 1
             self.fleet.open += 1
             self.fleet.note("dial", "")
-            self.fleet.connect(self.host, self.port, Link(self), self.failed)
+            self.fleet.connect(*self.address, Link(self), partial(self.failed, self.address))
 
-    def failed(self) -> None:
-        """A dial came to nothing, and so did the dispatch that waited longest."""
+    def failed(self, address: tuple[str, int]) -> None:
+        """A dial came to nothing, and so did the dispatch that waited longest, unless the node has moved since."""
         self.dials -= 1
         self.fleet.open -= 1
         self.fleet.note("dial failed", "")
-        if self.waiting:
+        if self.waiting and address == self.address:
             self.waiting.popleft().end(Outcome.UNREACHED)
+        self.serve_soon()
         self.fleet.freed()
 
     def up(self, link: Link) -> None:
@@ -220,13 +246,36 @@
         self.idle(link)
 
     def idle(self, link: Link) -> None:
-        """A link takes the next dispatch, or stands ready."""
-        if self.waiting:
-            return link.start(self.waiting.popleft())
-        if self.retired or link.node is not self:
-            return link.close()
-        link.since = self.fleet.now()
-        self.free.append(link)
+        """A link stands ready; one to where the node was is of no use."""
+        if self.retired or link.address != self.address:
+            link.close()
+        else:
+            link.since = self.fleet.now()
+            self.free.append(link)
+        self.serve_soon()
+
+    def serve_soon(self) -> None:
+        """Those that wait are served in the next turn, once all that lies in the sockets was read. Guards against beginning a
+        dispatch whose client's close, or whose node's end, came in the same round. Harm: a turn of the loop."""
+        if self.waiting and not self.serving:
+            self.serving = True
+            self.fleet.reactor.callLater(0, self.serve)
+
+    def serve(self) -> None:
+        """The one place where a dispatch that had to wait begins."""
+        self.serving = False
+        now = self.fleet.now()
+        while self.waiting and (self.free or self.kept(self.waiting[0], now)):
+            sending = self.waiting.popleft()
+            if self.kept(sending, now):
+                self.fleet.note("kept from", "")
+                sending.end(Outcome.UNREACHED)
+            else:
+                self.free.pop().start(sending)
+        self.dial()
+
+    def kept(self, sending: Sending, now: int) -> bool:
+        return kept_from(now - sending.since, self.fleet.dial_span, sending.ends - now)
 
     def lost(self, link: Link) -> None:
         self.links.discard(link)
@@ -235,9 +284,9 @@
         self.fleet.open -= 1
         self.fleet.freed()
 
-    def look(self, now: int, dial: int, idle: int) -> None:
+    def look(self, now: int, idle: int) -> None:
         """Dispatches that waited too long for a link, and links that stood idle too long."""
-        while self.waiting and now - self.waiting[0].since >= dial:
+        while self.waiting and self.kept(self.waiting[0], now):
             self.waiting.popleft().end(Outcome.UNREACHED)
         while self.free and now - self.free[0].since >= idle:
             self.free[0].close()
@@ -266,13 +315,12 @@
                 node = self.nodes.get(number) or self.nodes.setdefault(number, Node(self, number))
                 node.moved(place)
         for number in self.nodes.keys() - {each.listed.node for each in places} if whole else ():
-            self.nodes[number].retired = True
-            self.nodes[number].clear()
+            self.nodes[number].retire()
 
     def carry(self, cargo: Cargo, node: int, ends: int, ended: Ended) -> Sending | None:
         """Start one dispatch; None where no link leads there."""
         there = self.nodes.get(node)
-        if there is None or not there.port:
+        if there is None or not there.address[1]:
             return None
         sending = Sending(there, cargo, ends, ended, self.now())
         return sending if there.put(sending) else None
@@ -305,7 +353,7 @@
         """What time brings; nodes that left go with their last link."""
         now = self.now()
         for node in list(self.nodes.values()):
-            node.look(now, self.dial_span, self.idle_span)
+            node.look(now, self.idle_span)
             if node.over:
                 del self.nodes[node.number]
 
--- a/milletsill/policy/repeats.py
+++ b/milletsill/policy/repeats.py
@@ -12,7 +12,7 @@
         place = group if group in ("zone", "cell") else "id"
         if (len(transfer.dispatches) >= facts["most_dispatches"] or transfer.out() and not facts["may_copy"]
                 or not transfer.spent and self.credit(node, now) <= 0 or repeats == "exclusive"
-                or repeats == "ticketed" and now >= ran[0].sent + category["repeat_window"]
+                or repeats == "ticketed" and now + facts["dial"] >= ran[0].sent + category["repeat_window"]
                 or repeats == "ticketed" and group != "all" and any(
                     getattr(each.node, place) != getattr(node, place) for each in ran)):
             return NEVER
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -99,6 +99,7 @@
         host, port, factory = self.tcpClients[at][:3]
         protocol, wire = factory.buildProtocol(None), Wire()
         protocol.makeConnection(wire)
+        self.advance(0)  # a dispatch that waited begins in the next turn
         return protocol, wire
 
 
--- /dev/null
+++ b/tests/test_crossings_links.py
@@ -0,0 +1,285 @@
+"""Dispatches and their links on real sockets, in the instants in which something else ends: no wait decides, the test turns the
+reactor. Each node is a plain listening socket."""
+import socket
+import unittest
+
+from milletsill.interface import Outcome
+from milletsill.platform.asks import Cargo
+from milletsill.platform.configuration import deployment_of
+from milletsill.platform.decide import Octets
+from milletsill.platform.gateway import Gateway
+from milletsill.platform.links import Fleet
+from milletsill.platform.nodes import number_of, place_of
+from tests.loopback import Loop, accept, listening, receive, reset
+from tests.platform_rig import GIVEN, NODE, SETTINGS, ask
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+WHOLE = HEAD + b"Content-Length: 2\r\n\r\nhi"
+
+
+class Crossing(unittest.TestCase):
+    def setUp(self):
+        self.loop = Loop()
+        self.addCleanup(self.loop.close)
+
+    def node(self):
+        sock = listening()
+        self.addCleanup(sock.close)
+        return sock, sock.getsockname()[1]
+
+    def silent(self, listener):
+        """Nothing was ever sent to a node: every connection that came ends without an octet."""
+        self.loop.turn(20)
+        while (sock := accept(listener)) is not None:
+            sock.setblocking(False)
+            self.assertIn(receive(sock), (None, b""), "a request went to it")
+            sock.close()
+
+
+class Links(Crossing):
+    """The links alone."""
+
+    def setUp(self):
+        super().setUp()
+        self.ended, self.notes = [], []
+        self.fleet = Fleet(self.loop.reactor, self.loop.now, 16, Octets(64), 100_000, 300_000, lambda *values: self.notes.append(values))
+        self.addCleanup(self.fleet.stop)
+
+    def listed(self, port, **entry):
+        self.fleet.listed(False, [place_of(NODE | {"addr": f"127.0.0.1:{port}"} | entry, ["z"], 0)])
+
+    def carry(self, body=b"", left=50_000):
+        number = len(self.ended)
+        self.ended.append(None)
+
+        def ended(outcome, verdict):
+            self.assertIsNone(self.ended[number], "ended twice")
+            self.ended[number] = outcome if verdict is None else (outcome, verdict.body)
+        return self.fleet.carry(Cargo(b"PUT", b"/put", [(b"X-Txn", b"%d" % number)], body), number_of("s-1"),
+                                self.loop.now() + left, ended)
+
+    def outcome(self, number=0):
+        return self.loop.until(lambda: self.ended[number], "no end")
+
+    def served(self, listener, answer=WHOLE):
+        """A first dispatch that was answered; its connection stands idle."""
+        self.carry()
+        sock = self.loop.accepted(listener)
+        self.addCleanup(sock.close)
+        self.loop.read(sock)
+        sock.sendall(answer)
+        self.assertEqual(self.outcome(len(self.ended) - 1), (Outcome.SATISFIED, b"hi"))
+        return sock
+
+    def test_a_node_that_drains_before_its_link_is_up_gets_nothing(self):
+        for state in ("leaving", "left"):
+            listener, port = self.node()
+            self.listed(port)
+            self.carry()  # the kernel has it up at once; the gateway has not looked yet
+            self.listed(port, state=state)
+            self.assertIs(self.ended[-1], Outcome.MOOT, "told at once, to be placed elsewhere")
+            self.silent(listener)
+
+    def test_a_node_that_a_whole_list_leaves_out_gets_nothing(self):
+        listener, port = self.node()
+        self.listed(port)
+        self.carry()
+        self.fleet.listed(True, [])
+        self.assertIs(self.ended[0], Outcome.MOOT)
+        self.silent(listener)
+        self.assertIsNone(self.carry())
+
+    def test_a_node_that_moves_before_its_link_is_up_is_reached_where_it_is(self):
+        (old, before), (new, after) = self.node(), self.node()
+        self.listed(before)
+        self.carry()
+        self.listed(after)
+        sock = self.loop.accepted(new)
+        self.assertIn(b"X-Txn: 0", self.loop.read(sock))
+        sock.sendall(WHOLE)
+        self.assertEqual(self.outcome(), (Outcome.SATISFIED, b"hi"))
+        self.silent(old)
+
+    def test_a_dial_that_fails_where_the_node_was_ends_nothing(self):
+        gone, before = self.node()
+        gone.close()  # refused
+        listener, after = self.node()
+        self.listed(before)
+        self.carry()
+        self.listed(after)
+        self.assertIn(b"X-Txn: 0", self.loop.read(self.loop.accepted(listener)))
+
+    def test_a_link_that_was_busy_while_its_node_moved_is_not_used_again(self):
+        (old, before), (new, after) = self.node(), self.node()
+        self.listed(before)
+        self.carry()
+        sock = self.loop.accepted(old)
+        self.loop.read(sock)
+        self.listed(after)
+        sock.sendall(WHOLE)
+        self.assertEqual(self.outcome(), (Outcome.SATISFIED, b"hi"))
+        self.carry()
+        self.assertIn(b"X-Txn: 1", self.loop.read(self.loop.accepted(new)))
+        self.assertIn(receive(sock), (None, b""))
+
+    def test_an_idle_link_that_the_node_closes_under_a_dispatch_does_not_bring_it_to_a_node_that_drains(self):
+        listener, port = self.node()
+        self.listed(port)
+        sock = self.served(listener)
+        sock.close()  # the FIN lies in our socket, unread
+        self.carry()
+        self.loop.turn()  # read and write come in one round: the close is read first
+        self.listed(port, state="leaving")
+        self.loop.turn(5)
+        self.assertIsNotNone(self.ended[1])
+        self.silent(listener)
+
+    def test_an_idle_link_that_the_node_closes_costs_another_link_and_nothing_else(self):
+        listener, port = self.node()
+        self.listed(port)
+        self.served(listener).close()
+        self.carry()
+        sock = self.loop.accepted(listener)
+        self.assertIn(b"X-Txn: 1", self.loop.read(sock))
+        sock.sendall(WHOLE)
+        self.assertEqual(self.outcome(1), (Outcome.SATISFIED, b"hi"))
+
+    def test_one_whose_time_is_over_before_its_link_is_up_does_not_begin(self):
+        listener, port = self.node()
+        self.listed(port)
+        self.carry(left=0)
+        self.assertIs(self.outcome(), Outcome.UNREACHED)
+        self.silent(listener)
+
+    def test_one_that_was_withdrawn_before_its_link_is_up_does_not_begin_and_the_next_takes_the_link(self):
+        listener, port = self.node()
+        self.listed(port)
+        first = self.carry()
+        self.assertFalse(first.begun)
+        first.withdraw(Outcome.MOOT)
+        self.carry()
+        self.assertIn(b"X-Txn: 1", self.loop.read(self.loop.accepted(listener)))
+
+    def test_an_answer_without_a_length_ends_with_a_close_and_not_with_a_reset(self):
+        for end, wanted in ((socket.socket.close, (Outcome.SATISFIED, b"all of it")), (reset, Outcome.RESET)):
+            listener, port = self.node()
+            self.listed(port)
+            self.carry()
+            sock = self.loop.accepted(listener)
+            self.loop.read(sock)
+            for octet in HEAD + b"Connection: close\r\n\r\nall of it":
+                sock.sendall(bytes([octet]))
+                self.loop.turn()
+            self.assertIsNone(self.ended[-1], "no end was told yet")
+            end(sock)
+            self.assertEqual(self.outcome(len(self.ended) - 1), wanted)
+
+    def test_half_an_answer_is_none_whichever_way_it_ends(self):
+        for half in (b"HTT", HEAD, HEAD + b"Content-Length: 5\r\n\r\nab", HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"):
+            for end in (socket.socket.close, reset):
+                listener, port = self.node()
+                self.listed(port)
+                self.carry()
+                sock = self.loop.accepted(listener)
+                self.loop.read(sock)
+                sock.sendall(half)
+                self.loop.turn(3)
+                end(sock)
+                self.assertIs(self.outcome(len(self.ended) - 1), Outcome.RESET)
+
+    def test_an_answer_that_never_ends_is_cut_at_the_bound(self):
+        listener, port = self.node()
+        self.listed(port)
+        self.carry()
+        sock = self.loop.accepted(listener)
+        self.loop.read(sock)
+        sock.sendall(HEAD + b"\r\n")
+
+        def pour():
+            try:
+                sock.send(b"x" * 65_536)
+            except (BlockingIOError, ConnectionError):
+                pass
+            return self.ended[0]
+        self.assertIs(self.loop.until(pour), Outcome.ERROR)
+        self.assertEqual((self.fleet.octets.held, self.fleet.open), (0, 0))
+
+    def test_interim_answers_octet_by_octet_and_octets_right_behind(self):
+        listener, port = self.node()
+        self.listed(port)
+        self.carry()
+        sock = self.loop.accepted(listener)
+        self.loop.read(sock)
+        for octet in b"HTTP/1.1 100 Continue\r\n\r\n" + WHOLE[:-1]:
+            sock.sendall(bytes([octet]))
+            self.loop.turn()
+        sock.sendall(WHOLE[-1:] + b"HTTP/1.1 500 No\r\n")
+        self.assertEqual(self.outcome(), (Outcome.SATISFIED, b"hi"))
+        self.carry()  # never on the link that brought more
+        self.assertIn(b"X-Txn: 1", self.loop.read(self.loop.accepted(listener)))
+
+    def test_an_answer_before_our_last_octet_is_written_retires_the_link(self):
+        listener, port = self.node()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        self.listed(port)
+        self.carry(body=b"x" * (8 << 20))  # more than both kernels hold
+        sock = self.loop.accepted(listener)
+        self.loop.read(sock)
+        sock.sendall(HEAD.replace(b"200 OK", b"503 Full") + b"X-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n")
+        self.assertEqual(self.outcome(), (Outcome.TURNED_AWAY, b""))
+        self.loop.until(lambda: self.fleet.open == 0)
+
+
+class Leaving(Crossing):
+    """A whole gateway whose client leaves."""
+
+    def setUp(self):
+        super().setUp()
+        self.listener, port = self.node()
+        self.discovery, discovery = self.node()
+        door, self.door = self.node()
+        door.close()
+        settings = SETTINGS | {"limits": SETTINGS["limits"] | {"cancel": False, "dial_timeout_ns": 10_000_000_000}}
+        known = {"version": 4, "full": True, "servers": [NODE | {"addr": f"127.0.0.1:{port}"}]}
+        deployment = deployment_of(GIVEN | {"listen": f"127.0.0.1:{self.door}", "discovery": f"127.0.0.1:{discovery}",
+                                            "settings": settings, "known": known}, {}, 0, lambda text: None)
+        self.gateway = Gateway(deployment, self.loop.reactor, self.loop.now, 0, Quiet())
+        self.gateway.start()
+        self.addCleanup(self.gateway.stop)
+
+    def client(self, data):
+        sock = socket.create_connection(("127.0.0.1", self.door))
+        self.addCleanup(sock.close)
+        sock.sendall(data)
+        return sock
+
+    def dialled(self):
+        return self.gateway.tally["dial", ""]
+
+    def test_a_client_that_leaves_in_the_round_in_which_the_link_comes_up_is_not_served(self):
+        for leave in (socket.socket.close, reset):
+            client = self.client(ask())
+            before = self.dialled()
+            self.loop.until(lambda: self.dialled() > before)  # the next turn finds the link up and the client gone
+            leave(client)
+            self.silent(self.listener)
+            self.assertEqual(self.gateway.host.held, 0)
+
+    def test_a_client_that_leaves_before_its_link_is_up_leaves_nothing_that_begins(self):
+        client = self.client(ask())
+        self.loop.until(self.dialled)
+        self.gateway.host.abandon(next(iter(self.gateway.host.live)))  # no cancel is allowed here
+        self.silent(self.listener)
+        self.assertEqual((self.gateway.tally["ended", "moot"], self.gateway.host.live), (1, {}))
+        client.close()
+
+
+class Quiet:
+    """A log that keeps nothing."""
+
+    def __getattr__(self, name):
+        return lambda *values, **named: None
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_policy_rules.py
+++ b/tests/test_policy_rules.py
@@ -86,6 +86,14 @@
             one.dispatches[0].outcome = Outcome.TIMED_OUT
             self.assertEqual(of.repeat_wait(one, other, now) == 0, lawful, (group, cell, zone, now))
 
+    def test_a_ticketed_repeat_that_waits_for_a_link_begins_within_the_window(self):
+        for now, lawful in ((17_499, True), (17_500, False), (19_999, False)):
+            of, _ = scheduler({"repeats": "ticketed", "group": "all", "repeat_window": 20_000}, dial=2500)
+            one = transfer(of, 1, ends=90_000)
+            of.dispatch(one, node(of), 0)
+            one.dispatches[0].outcome = Outcome.TIMED_OUT
+            self.assertEqual(of.repeat_wait(one, node(of, 8), now) == 0, lawful, now)
+
     def test_no_second_copy_where_copies_are_not_allowed(self):
         of, _ = scheduler(may_copy=False)
         at, one = node(of), transfer(of, 1)
