--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -74,6 +74,30 @@
         self.clock.advance(0)
         self.assertEqual([len(self.module.of(each)) for each in ("taken", "abandoned", "settle")], [1, 1, 1])
 
+    def test_what_still_waits_for_a_link_is_withdrawn_when_its_client_leaves(self):
+        self.pool.begun = False
+        self.host.send(1, 7, 5000)
+        self.host.abandon(1)
+        self.assertEqual(self.pool.withdrawn, 1, "at once, whether or not the module may cancel")
+        self.clock.advance(0)
+        self.assertEqual([each[1].outcome for each in self.module.of("returned")], [Outcome.MOOT])
+        self.assertEqual(self.host.live, {})
+
+    def test_what_is_on_its_way_when_its_client_leaves_is_the_modules_to_cancel(self):
+        self.host.send(1, 7, 5000)
+        self.host.abandon(1)
+        self.clock.advance(0)
+        self.assertEqual((self.pool.withdrawn, self.module.of("returned")), (0, []))
+
+    def test_after_a_stall_what_came_is_read_before_anything_is_settled(self):
+        self.clock.advance(0)
+        self.host.listed(None, [])  # an event of this round
+        self.clock.rightNow += 0.5  # the process stood: a turn of the sockets comes first
+        self.host.settle()
+        self.assertEqual(len(self.module.of("settle")), 1)
+        self.clock.advance(0)
+        self.assertGreater(len(self.module.of("settle")), 1)
+
     def test_a_satisfied_dispatch_answers_once_and_tells_the_module_that_it_is_over(self):
         self.host.send(1, 7, 500)
         self.pool.held[0][1](Outcome.SATISFIED, self.verdict())
