A second answer that lies in an idle link is not taken for the next dispatch's

A client would have got another request's data. Change: octets that come on a link that was used before while ours are not all written end the link; the dispatch, which cannot have run, takes another. Test over loopback; without the mend it printed "nobody dialled" (the wrong octets were its answer).

--- a/milletsill/platform/links.py
+++ b/milletsill/platform/links.py
@@ -104,6 +104,13 @@
     def dataReceived(self, data: bytes) -> None:
         if self.sending is None:  # behind a whole answer, or out of nothing: of no further use
             return self.close()
+        if not self.written and self.uses > 1:
+            # Guards a client against an answer to what this link carried before: octets that come while ours are not all
+            # written. The node begins a request once it has the whole, so ours never ran. Harm: another link for it.
+            sending = self.sending
+            sending.link = None
+            self.close()
+            return self.node.again(sending)
         self.reader.feed(data)
         try:
             message = self.reader.next()
--- a/tests/test_crossings_links.py
+++ b/tests/test_crossings_links.py
@@ -218,6 +218,18 @@
         self.carry()  # never on the link that brought more
         self.assertIn(b"X-Txn: 1", self.loop.read(self.loop.accepted(listener)))
 
+    def test_a_second_answer_that_lies_in_an_idle_link_is_not_the_next_ones(self):
+        listener, port = self.node()
+        self.listed(port)
+        sock = self.served(listener)
+        sock.sendall(HEAD + b"Content-Length: 5\r\n\r\nwrong")  # unread when the next dispatch takes the link
+        self.carry()
+        other = self.loop.accepted(listener)
+        self.assertIn(b"X-Txn: 1", self.loop.read(other))
+        self.assertIn(receive(sock), (None, b""), "nothing went out on the first")
+        other.sendall(WHOLE)
+        self.assertEqual(self.outcome(1), (Outcome.SATISFIED, b"hi"))
+
     def test_an_answer_before_our_last_octet_is_written_retires_the_link(self):
         listener, port = self.node()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
