One NextTurn: what is begun in a later turn is put off once more where the process stood

Cause: the settle after a stall read the sockets first, a dispatch that waited for a link did not; both had their own flags.

--- a/milletsill/edge/host.py
+++ b/milletsill/edge/host.py
@@ -10,6 +10,7 @@
 from typing import Any, Callable, Mapping, Protocol, Sequence
 
 from milletsill.edge.stalls import io_first
+from milletsill.edge.turns import NextTurn
 from milletsill.errors import whereabouts
 from milletsill.interface import Answer, Arrival, Decisions, Facts, Listed, News, Outcome, Port
 
@@ -96,8 +97,8 @@
         self.held = 0  # those without a final answer
         self.timers: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
         self.timer_count, self.alarm, self.alarm_at = 0, None, 0
-        self.settling, self.put_off, self.stopped = False, False, False
-        self.settle_due, self.settle_put_off = 0, False
+        self.put_off, self.stopped = False, False
+        self.turn = NextTurn(reactor, now, self.settle)
         self.settled, self.most_stale = 0, NEVER
         self.module = make(facts, seed, now(), self)
         self.overheard: Callable[[int, Arrival, Answer], None] = lambda now, arrival, answer: None  # of each dispatch's end
@@ -303,18 +304,10 @@
 
     def settle_soon(self) -> None:
         """Events of one round of the reactor are settled together, within one tick."""
-        if not self.settling and not self.stopped:
-            self.settling, self.settle_due = True, self.now()
-            self.reactor.callLater(0, self.settle)
+        if not self.stopped:
+            self.turn.ask()
 
     def settle(self) -> None:
-        """Guards clients and nodes against a process that stood since the events: what has come since, a client's close above
-        all, is read before anything is sent. Harm: a turn of the loop, once."""
-        if io_first(self.now() - self.settle_due, self.settle_put_off) and not self.stopped:
-            self.settle_put_off = True
-            self.reactor.callLater(0, self.settle)
-            return
-        self.settling = self.settle_put_off = False
         if not self.stopped:
             self.settled = self.now()
             self.tell(self.module.settle)
--- a/milletsill/platform/links.py
+++ b/milletsill/platform/links.py
@@ -9,6 +9,7 @@
 from twisted.internet.protocol import Protocol
 
 from milletsill.edge.host import Ended
+from milletsill.edge.turns import NextTurn
 from milletsill.http1.decide import Bounds
 from milletsill.http1.reader import AnswerReader, BadMessage, Message
 from milletsill.http1.writer import request
@@ -183,7 +184,8 @@
     def __init__(self, fleet: Fleet, number: int) -> None:
         self.fleet, self.number = fleet, number
         self.address, self.host_field, self.name = ("", 0), b"", ""
-        self.retired = self.serving = False  # serving: those that wait are looked at in the next turn
+        self.retired = False
+        self.turn = NextTurn(fleet.reactor, fleet.now, self.serve)
         self.links = set[Link]()
         self.free: list[Link] = []
         self.waiting = deque[Sending]()
@@ -264,13 +266,11 @@
     def serve_soon(self) -> None:
         """Those that wait are served in the next turn, once all that lies in the sockets was read. Guards against beginning a
         dispatch whose client's close, or whose node's end, came in the same round. Harm: a turn of the loop."""
-        if self.waiting and not self.serving:
-            self.serving = True
-            self.fleet.reactor.callLater(0, self.serve)
+        if self.waiting:
+            self.turn.ask()
 
     def serve(self) -> None:
         """The one place where a dispatch that had to wait begins."""
-        self.serving = False
         now = self.fleet.now()
         while self.waiting and (self.free or self.kept(self.waiting[0], now)):
             sending = self.waiting.popleft()
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -93,7 +93,7 @@
         self.clock.advance(0)
         self.host.listed(None, [])  # an event of this round
         self.clock.rightNow += 0.5  # the process stood: a turn of the sockets comes first
-        self.host.settle()
+        self.host.turn.ring()
         self.assertEqual(len(self.module.of("settle")), 1)
         self.clock.advance(0)
         self.assertGreater(len(self.module.of("settle")), 1)
