serve, SIGTERM: what is unread at the end is refused, and no close tears a former answer

Seen (a gateway on loopback sockets whose reactor the test turns by hand, old text under the new tests): a request on a resting connection that was unread in the system at the shut got a reset (the client's next write: BrokenPipeError); where the client had 400,000 octets of a former answer still to fetch, 4,096 of them came; half a request got nothing and the connection stayed without an end; the reactor stopped 20 ms after the last answer was written, over what a slow client had not taken (ended at 1.570 of an earliest kill at 1.700 with the answer in our buffer). At fault: Client.close_idle (loseConnection over unread octets), Gateway.emptied (looked at held transfers, not at connections), and stopListening at the shut, which resets what the system had accepted (measured: (b'', 'reset')).

Now two more steps, all three counted from SIGTERM (decide.ends_of), so nothing is unbounded: SHUT (0.2 s before the earliest kill, was 0.15) refuses all that is read with 503, Retry-After where the settings allow; DRAIN (0.05 s later) stops listening, refuses half a request, closes our side of the rest and throws away what crosses; the process ends with the last connection or 0.06 s later. A connection between requests that is closed for idleness ends the same way. The door's other 503 (too late, too many) names a time as well. That our side is handed over is told by IHalfCloseableProtocol; with it a client's FIN is ours to handle: the client has gone, its transfer is abandoned at once as before, and a last answer already written is still handed over, for a second at most. A last answer that is still being taken is cut after 20 s (2.1 s where descriptors are short), not after one.

Ruled out, measured by the same rig: a second SIGTERM moves nothing (the table); SIGHUP while leaving and after the end opens nothing that stays.

Each test with its mend out: stop once nothing is held: "1001.50 != []"; close for end: "False != True : 4096", "1 != 0 : 2"; no span for refusing: "(0, b'', 'ended') != (1, b'HTTP/1.1 503', 'ended')"; half a request not refused: "(b'', 'ended') != (b'HTTP/1.1 503', 'ended')"; no last bound: "0 != 1"; held ones not ended: "the connection is not over"; never empty: "1.615 not less than 1.57"; no pause: "b'Retry-After: 1.500' not found"; not refused by the stage: "the connection is not over"; listening ended at the shut: "(b'', 'reset') != (b'HTTP/1.1 503', 'ended')"; a second SIGTERM that stops: "[1000.300001] != []".

The rig's Wire tells of a write side that is closed, as Twisted does.

--- a/milletsill/platform/decide.py
+++ b/milletsill/platform/decide.py
@@ -10,9 +10,10 @@
 
 # --- A client's connection.
 
-# FRESH: nothing came yet. WAITING: between requests. BUSY: a transfer is open. ENDING: its last answer is written.
+# FRESH: nothing came yet. WAITING: between requests. BUSY: a transfer is open. ENDING: nothing more is read of it; its last
+# answer is being handed over, our side is closed, or the client has closed its own.
 Stage = Enum("Stage", "FRESH WAITING BUSY ENDING CLOSED")
-Cue = Enum("Cue", "TAKEN ANSWERED LAST REFUSED IDLE SLOW LINGERED LOST")
+Cue = Enum("Cue", "TAKEN ANSWERED LAST REFUSED IDLE LEAVE SLOW GONE LINGERED LOST")
 
 CLIENT_TABLE: Mapping[tuple[Stage, Cue], tuple[Stage, str]] = {
     **{(stage, Cue.TAKEN): (Stage.BUSY, "") for stage in (Stage.FRESH, Stage.WAITING)},
@@ -20,7 +21,11 @@
     **{(stage, Cue.LAST): (Stage.ENDING, "end") for stage in (Stage.FRESH, Stage.WAITING, Stage.BUSY)},
     **{(stage, Cue.REFUSED): (Stage.ENDING, "end") for stage in (Stage.FRESH, Stage.WAITING)},
     (Stage.BUSY, Cue.REFUSED): (Stage.ENDING, "abandon and end"),
-    **{(stage, Cue.IDLE): (Stage.CLOSED, "close") for stage in (Stage.FRESH, Stage.WAITING)},
+    (Stage.FRESH, Cue.IDLE): (Stage.CLOSED, "close"),
+    (Stage.WAITING, Cue.IDLE): (Stage.ENDING, "end"),
+    **{(stage, Cue.LEAVE): (Stage.ENDING, "end") for stage in (Stage.FRESH, Stage.WAITING)},
+    **{(stage, Cue.GONE): (Stage.ENDING, "part") for stage in (Stage.FRESH, Stage.WAITING, Stage.ENDING)},
+    (Stage.BUSY, Cue.GONE): (Stage.ENDING, "abandon and part"),
     **{(stage, Cue.SLOW): (Stage.ENDING, "slow") for stage in (Stage.FRESH, Stage.WAITING)},
     (Stage.ENDING, Cue.LINGERED): (Stage.CLOSED, "cut"),
     **{(stage, Cue.LOST): (Stage.CLOSED, "") for stage in (Stage.FRESH, Stage.WAITING, Stage.ENDING)},
@@ -33,7 +38,7 @@
 YOUNG = 500  # where descriptors are short, one on which nothing came is closed from this age on
 LOOK_SHORT = 200  # between looks, where descriptors are short
 SPARED = 21_000  # and one between requests after this
-LINGER = 10_000  # a connection with its last answer written is cut after this
+LINGER = 10_000  # a connection with its last answer handed over is cut after this
 MOST_AHEAD = 16_384  # octets of later requests held while one is open
 MOST_DISCARDED = 1 << 20  # octets read and thrown away behind a refused request
 ANSWER_MARGIN = 60  # an answer is written this long before the client's time is up
@@ -44,10 +49,11 @@
     return CLIENT_TABLE.get((stage, cue), (stage, ""))
 
 
-def due(stage: Stage, begun: bool, quiet: int, short: bool) -> Cue | None:
-    """What the passing of time means for a client's connection; `short` where descriptors are."""
+def due(stage: Stage, begun: bool, quiet: int, short: bool, taking: bool = False) -> Cue | None:
+    """What the passing of time means for a client's connection; `short` where descriptors are. `taking`: the client still
+    takes its last answer, and a cut would tear it. Harm: one that takes none holds a descriptor that much longer."""
     if stage is Stage.ENDING:
-        return Cue.LINGERED if quiet >= LINGER else None
+        return Cue.LINGERED if quiet >= ((SPARED if short else IDLE) if taking else LINGER) else None
     if stage not in (Stage.FRESH, Stage.WAITING):
         return None
     if begun:
@@ -128,20 +134,24 @@
 
 # --- The process.
 
-Process = Enum("Process", "STARTING SERVING LEAVING DRAINING STOPPED")
-Event = Enum("Event", "UP TERM SHUT EMPTY OVERDUE")
+# LEAVING: requests are taken and answered as before. SHUTTING: what is read is refused. DRAINING: our side of every
+# connection is closed, and clients are heard out.
+Process = Enum("Process", "STARTING SERVING LEAVING SHUTTING DRAINING STOPPED")
+Event = Enum("Event", "UP TERM SHUT DRAIN EMPTY OVERDUE")
 PROCESS_TABLE: Mapping[tuple[Process, Event], tuple[Process, str]] = {
     (Process.STARTING, Event.UP): (Process.SERVING, ""),
     (Process.STARTING, Event.TERM): (Process.STOPPED, "stop"),
     (Process.SERVING, Event.TERM): (Process.LEAVING, "leave"),
-    (Process.LEAVING, Event.SHUT): (Process.DRAINING, "drain"),
+    (Process.LEAVING, Event.SHUT): (Process.SHUTTING, "shut"),
+    (Process.SHUTTING, Event.DRAIN): (Process.DRAINING, "drain"),
     (Process.DRAINING, Event.EMPTY): (Process.STOPPED, "stop"),
-    (Process.LEAVING, Event.OVERDUE): (Process.STOPPED, "stop"),
-    (Process.DRAINING, Event.OVERDUE): (Process.STOPPED, "stop"),
+    **{(stage, Event.OVERDUE): (Process.STOPPED, "stop") for stage in (Process.LEAVING, Process.SHUTTING, Process.DRAINING)},
 }
 # After SIGTERM the platform kills no sooner than the longest patience, counted as three seconds at most, and this much.
 KILLED_AFTER, COUNTED = 7_000, 30_000
-LEFT_OVER = 1_500  # of that, to be away in time
+LEFT_OVER = 2_000  # of that, to be away in time:
+REFUSED_FOR = 500  # what had come unread by then, or comes now, is read and refused: rounds of a busy reactor
+HEARD_OUT = 600  # behind the end of our side: a close over unread octets would reset the connection and tear an answer
 
 
 def leave_within(longest: int) -> int:
@@ -151,6 +161,12 @@
     return max(min(longest, COUNTED) + KILLED_AFTER - LEFT_OVER, 0)
 
 
+def ends_of(longest: int) -> tuple[tuple[int, Event], ...]:
+    """Every step after SIGTERM, counted from it: whatever happens in between, none comes later."""
+    shut = leave_within(longest)
+    return ((shut, Event.SHUT), (shut + REFUSED_FOR, Event.DRAIN), (shut + REFUSED_FOR + HEARD_OUT, Event.OVERDUE))
+
+
 def pass_on(process: Process, event: Event) -> tuple[Process, str]:
     """The next stage of the process and what to do."""
     return PROCESS_TABLE.get((process, event), (process, ""))
--- a/milletsill/platform/door.py
+++ b/milletsill/platform/door.py
@@ -4,7 +4,9 @@
 import typing
 from typing import Any, Callable
 
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import Factory, Protocol
+from zope.interface import implementer
 
 from milletsill.http1 import writer
 from milletsill.http1.decide import Bounds
@@ -21,6 +23,7 @@
     reactor: Any
     octets: Octets
     keeps: bool  # whether connections stay open behind an answer
+    pause: int  # told with a refusal at the door, 0 for none
     now: Callable[[], int]
     note: Callable[..., None]
 
@@ -32,6 +35,7 @@
     def left(self, client: Client) -> None: ...
 
 
+@implementer(IHalfCloseableProtocol)
 class Client(Protocol):
     """One connection of a client. It is the asker of its open transfer."""
 
@@ -40,6 +44,7 @@
         self.since = gateway.now()  # of the stage, or of a request's first octet
         self.transfer: int | None = None
         self.keep, self.stuck, self.discarded = True, False, 0
+        self.gone = self.handed = False  # the client has closed its side; all that we had to write is the system's
         self.charged = 0  # octets of an answer that the client has not taken yet
 
     def connectionMade(self) -> None:
@@ -91,6 +96,14 @@
         self.gateway.octets.held -= self.charged
         self.charged = 0
 
+    def readConnectionLost(self) -> None:
+        """The client has closed its side, or all: it has gone. A last answer that is written to it may still be taken."""
+        self.step(Cue.GONE)
+
+    def writeConnectionLost(self) -> None:
+        """Our side is closed behind all that was written."""
+        self.handed, self.since = True, self.gateway.now()
+
     def connectionLost(self, reason: Any = None) -> None:
         self.step(Cue.LOST)
         self.discharge()
@@ -108,6 +121,10 @@
 
     def declined(self, pause: int) -> None:
         self.gateway.note("answer", "declined")
+        self.turn_away(pause)
+
+    def turn_away(self, pause: int) -> None:
+        """A refusal, with the time to come back where there is one to tell."""
         self.answer(503, b"", b"Retry-After: %d.%03d\r\n" % divmod(-(-pause // 10), 1000) if pause else b"")
 
     def aborted(self) -> None:
@@ -148,12 +165,14 @@
             self.transport.unregisterProducer()
             self.transport.loseConnection()
         elif effect == "cut":
-            self.transport.abortConnection()
-        elif effect in ("abandon", "abandon and end") and self.transfer is not None:
+            self.cut()
+        elif effect in ("abandon", "abandon and end", "abandon and part") and self.transfer is not None:
             transfer, self.transfer = self.transfer, None
             self.gateway.abandoned(transfer)
         if effect in ("end", "abandon and end"):
             self.end()
+        elif effect in ("part", "abandon and part"):
+            self.part()
 
     def end(self) -> None:
         """Close our side, and hear the client out for a while: a close with octets unread would tear the answer."""
@@ -162,14 +181,32 @@
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
 
-    def close_idle(self) -> None:
-        """The gateway leaves: closed if nothing is open on it."""
-        if not self.reader.begun:
-            self.step(Cue.IDLE)
+    def part(self) -> None:
+        """The client has gone: closed once what was written is handed over."""
+        self.gone, self.since = True, self.gateway.now()
+        self.reader = RequestReader(BOUNDS)
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
+    def cut(self) -> None:
+        """The end of a connection that its client leaves open. Where all is the system's, what the client has not fetched
+        yet stays for it; a reset would throw it away. Who goes on sending, or takes nothing, gets the reset."""
+        if self.handed and self.discarded <= MOST_DISCARDED:
+            self.transport.loseConnection()
+        else:
+            self.transport.abortConnection()
+
+    def leave(self) -> None:
+        """The gateway leaves: a request half read is refused; the rest ends, and what crosses that was never read."""
+        if self.reader.begun and self.stage in (Stage.FRESH, Stage.WAITING):
+            self.gateway.note("refused", "half a request at the end")
+            self.turn_away(self.gateway.pause)
+        else:
+            self.step(Cue.LEAVE)
 
     def look(self, now: int, short: bool) -> None:
         """What time brings."""
-        cue = due(self.stage, self.reader.begun, now - self.since, short)
+        cue = due(self.stage, self.reader.begun, now - self.since, short, not (self.handed or self.gone))
         if cue is not None:
             self.step(cue)
 
--- a/milletsill/platform/gateway.py
+++ b/milletsill/platform/gateway.py
@@ -11,8 +11,8 @@
 from milletsill.interface import Arrival, News
 from milletsill.platform.asks import BadAsk, Cargo, Categories, cargo_of
 from milletsill.platform.configuration import Deployment, RefusedPlace
-from milletsill.platform.decide import (ANSWER_MARGIN, UNTOLD_DIAL, UNTOLD_IDLE, Event, Octets, Process, leave_within,
-                                        pass_on, shares_of)
+from milletsill.platform.decide import (ANSWER_MARGIN, UNTOLD_DIAL, UNTOLD_IDLE, Event, Octets, Process, ends_of, pass_on,
+                                        shares_of)
 from milletsill.platform.discovery import Follower
 from milletsill.platform.door import Client, Clients
 from milletsill.platform.links import Fleet, Sending
@@ -36,6 +36,7 @@
         self.tally = Counter[tuple[str, str]]()
         self.remarks = 0
         facts = deployment.facts
+        self.pause = facts["longest_pause"] if facts["pause_told"] else 0
         shares = shares_of(deployment.sockets)
         self.categories = Categories(facts)
         self.clients = Clients(self, shares.clients)
@@ -60,6 +61,7 @@
         self.follower.ask()
         host, port = self.deployment.listen
         self.port = self.clients.port = self.reactor.listenTCP(port, self.clients, BACKLOG, host)
+        self.clients.ration()
         self.step(Event.UP)
         self.log.info("listening", address=f"{host}:{self.port.getHost().port}", sockets=self.deployment.sockets)
         self.look(self.now())
@@ -70,18 +72,18 @@
         self.process, effect = pass_on(self.process, event)
         if effect == "leave":
             self.log.info("leaving", held=self.host.held)
-            longest = max(each["patience"] for each in self.deployment.facts["categories"])
-            within = leave_within(longest)
-            self.answers_by = self.now() + within
-            self.later(within, self.step, Event.SHUT)
-            self.later(within + longest, self.step, Event.OVERDUE)
-        elif effect == "drain":
+            ends = ends_of(max(each["patience"] for each in self.deployment.facts["categories"]))
+            self.answers_by = self.now() + ends[0][0]
+            for within, each in ends:
+                self.later(within, self.step, each)
+        elif effect == "shut":
             self.keeps = False
-            self.port.stopListening()
-            for client in list(self.clients.open):
-                client.close_idle()
             self.host.end_all()  # taken before SIGTERM by a client that would wait until after the earliest kill
+        elif effect == "drain":
+            self.port.stopListening()  # not sooner: it resets what waits before the door
             self.emptied()
+            for client in list(self.clients.open):
+                client.leave()
         elif effect == "stop":
             self.stop()
 
@@ -93,8 +95,9 @@
         self.step(Event.TERM)
 
     def emptied(self) -> None:
-        if self.process is Process.DRAINING and not self.host.held:
-            self.later(200, self.step, Event.EMPTY)  # the last answers leave
+        """Away as soon as no client is left: until then answers are being taken, or requests may come unread."""
+        if self.process is Process.DRAINING and not self.clients.open:
+            self.later(0, self.step, Event.EMPTY)
 
     def stop(self) -> None:
         self.process = Process.STOPPED
@@ -103,6 +106,8 @@
         self.host.stop()
         self.follower.stop()
         self.fleet.stop()
+        for client in list(self.clients.open):
+            client.transport.loseConnection()
         for call in self.calls:
             if call.active():
                 call.cancel()
@@ -148,9 +153,10 @@
                 raise BadAsk(409, "x-txn is another's open one")
         except BadAsk as error:
             return client.refuse(error.status, str(error))
-        if arrival.ends <= self.now() or self.host.held >= (self.deployment.facts["most_held"] or BACKLOG):
+        # Once shut, whatever the clocks say: what is sent on then has nobody left to hear its answer. Harm: none, all is refused.
+        if not self.keeps or arrival.ends <= self.now() or self.host.held >= (self.deployment.facts["most_held"] or BACKLOG):
             self.note("answer", "too late or too many")
-            return client.answer(503, b"")
+            return client.turn_away(self.pause)
         client.busy(arrival.id)
         self.note("arrival", "repeat" if arrival.repeat else "first")
         self.host.take(arrival, client, cargo_of(message))
@@ -161,18 +167,16 @@
     def abandoned(self, transfer: int) -> None:
         self.note("answer", "abandoned")
         self.host.abandon(transfer)
-        self.emptied()
 
     def left(self, client: Client) -> None:
         self.clients.left(client)
+        self.emptied()
 
     # What is said.
 
     def note(self, what: str, *values: Any) -> None:
         """Count an event by name and its first value."""
         self.tally[what, str(values[0])[:60] if values else ""] += 1
-        if what == "answer":
-            self.emptied()
 
     def remark(self, event: str, **values: Any) -> None:
         self.remarks += 1
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -1,11 +1,15 @@
 """What the platform gateway's tests share: its file, requests, connections in memory, a stand-in node."""
+import select
+import socket
 import socketserver
+import struct
 import threading
 import time
 import unittest
 from contextlib import contextmanager, suppress
 from types import SimpleNamespace
 
+from twisted.internet.epollreactor import EPollReactor
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
@@ -85,8 +89,13 @@
     def setTcpNoDelay(self, enabled):
         pass
 
+    def registerProducer(self, producer, streaming):
+        super().registerProducer(producer, streaming)
+        self.protocol = producer
+
     def loseWriteConnection(self):
         self.half_closed = True
+        self.protocol.writeConnectionLost()  # as Twisted does once all is handed over
 
     def abortConnection(self):
         self.aborted = self.disconnecting = True
@@ -141,3 +150,154 @@
         if answer:
             node[0].dataReceived(answer)
         return client, node
+
+
+class Loopback(unittest.TestCase):
+    """A gateway on real loopback sockets, in the test's own hand: its reactor turns only when the test says so, and its clock
+    moves only by `pass_time`. So what is in the system and unread at a certain step is the test's choice, however busy the machine."""
+
+    changed = {}
+
+    def setUp(self):
+        self.time, self.log, self.ended, self.left_at = 1000.0, [], [], 0.0
+        self.sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(2)]
+        self.node, self.listener = self.sockets
+        self.reactor = EPollReactor()
+        self.reactor.seconds = lambda: self.time
+        said = SimpleNamespace(info=lambda event, **values: self.log.append((event, values)),
+                               warning=lambda event, **values: self.log.append((event, values)))
+        self.door = self.free_port()
+        given = GIVEN | {"listen": f"127.0.0.1:{self.door}",
+                         "discovery": "127.0.0.1:%d" % self.listener.getsockname()[1],
+                         "known": {"version": 4, "full": True,
+                                   "servers": [NODE | {"addr": "127.0.0.1:%d" % self.node.getsockname()[1]}]}} | self.changed
+        self.gateway = Gateway(deployment_of(given, {}, 0, self.log.append), self.reactor, self.now, 0, said)
+        self.gateway.stopped = lambda: self.ended.append(self.time)
+        self.gateway.start()
+        self.turn()
+
+    def tearDown(self):
+        self.shut()
+
+    def again(self):
+        """All anew, within one test."""
+        self.shut()
+        self.setUp()
+
+    def free_port(self):
+        with socket.create_server(("127.0.0.1", 0)) as one:
+            return one.getsockname()[1]
+
+    def shut(self):
+        if not self.ended:
+            self.gateway.stop()
+        self.reactor.disconnectAll()
+        self.turn()
+        for each in self.sockets:
+            each.close()
+
+    def now(self):
+        return int(self.time * 10_000 + 0.5)
+
+    def turn(self, times=3):
+        for _ in range(times):
+            self.reactor.iterate(0)
+
+    def until(self, true, what="not in time"):
+        """Turn the reactor until it is so; the clock stands."""
+        for _ in range(2000):
+            if true():
+                return
+            self.reactor.iterate(0)
+            time.sleep(0.001)
+        self.fail(what)
+
+    def terminate(self):
+        """SIGTERM; `to` counts from it."""
+        self.left_at = self.time
+        self.gateway.terminate()
+
+    def to(self, at, step=0.005):
+        """Let time pass, in small steps, to just after `at` seconds since SIGTERM."""
+        while self.time < self.left_at + at:
+            self.time = min(self.time + step, self.left_at + at + 1e-6)
+            self.turn(2)
+
+    def pass_time(self, seconds):
+        self.left_at = self.time
+        self.to(seconds, 0.02)
+
+    def client(self, *data, window=None):
+        """A client's socket, accepted; `window` keeps its receive buffer small."""
+        one = socket.socket()
+        if window:
+            one.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window)
+        one.connect(("127.0.0.1", self.door))
+        one.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        one.setblocking(False)
+        self.sockets.append(one)
+        open_before = len(self.gateway.clients.open)
+        self.until(lambda: len(self.gateway.clients.open) > open_before or self.gateway.clients.paused, "not accepted")
+        for each in data:
+            one.sendall(each)
+        return one
+
+    def server_side(self):
+        """The gateway's end of the newest connection."""
+        return list(self.gateway.clients.open)[-1]
+
+    def taken(self, count=1):
+        """The node's end of a new link, once `count` requests have come on it."""
+        self.node.setblocking(False)
+        link, text = [], b""
+
+        def come():
+            nonlocal text
+            if not link:
+                with suppress(BlockingIOError):
+                    link.append(self.node.accept()[0])
+                    link[0].setblocking(False)
+                    self.sockets.append(link[0])
+            else:
+                with suppress(BlockingIOError):
+                    text += link[0].recv(65_536)
+            return text.count(b"X-Txn") >= count
+        self.until(come, "nothing came to the node")
+        return link[0]
+
+    def got(self, one, octets=1 << 20):
+        """What has come to a client: its octets, and how its connection stands: open, ended or reset."""
+        data = b""
+        while True:
+            try:
+                piece = one.recv(octets)
+            except BlockingIOError:
+                return data, "open"
+            except ConnectionError:
+                return data, "reset"
+            if not piece:
+                return data, "ended"
+            data += piece
+
+    def all_of(self, one):
+        """All that comes to a client until its connection is over."""
+        data, how = b"", "open"
+
+        def over():
+            nonlocal data, how
+            piece, how = self.got(one)
+            data += piece
+            return how != "open"
+        self.until(over, "the connection is not over")
+        return data, how
+
+    def unread(self):
+        """Wait until what clients have sent is in the gateway's system, without a turn of its reactor."""
+        sockets = [each.transport.socket for each in self.gateway.clients.open]
+        return select.select(sockets, [], [], 2)[0]
+
+
+def reset(one):
+    """Close with a reset."""
+    one.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    one.close()
--- /dev/null
+++ b/tests/test_crossings_going.py
@@ -0,0 +1,187 @@
+"""The instants in which the platform gateway ends something that is still owed: each crossing forced on loopback sockets."""
+import copy
+import socket
+import unittest
+
+from milletsill.platform.decide import Event, ends_of
+from tests.platform_rig import GIVEN, SETTINGS, TXN, Loopback, ask
+
+READY = b"GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n"
+PATIENCE = 1.0  # of the rig's settings
+SHUT, DRAIN, OVER = (within / 10_000 for within, _ in ends_of(int(PATIENCE * 10_000)))
+KILL = PATIENCE + 0.7
+LONG = 400_000
+
+
+def answer(octets):
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % octets + b"x" * octets
+
+
+class Going(Loopback):
+
+    def served(self, one, octets=2):
+        """A client's request, answered by the node."""
+        one.sendall(ask())
+        self.taken().sendall(answer(octets))
+
+    def leave(self, at):
+        self.terminate()
+        self.to(at)
+
+    def test_what_a_resting_connection_holds_unread_at_the_shut_is_read_and_refused(self):
+        one, other = self.client(), self.client()
+        self.served(one)
+        self.until(lambda: b"xx" in self.got(one)[0])
+        self.leave(SHUT - 0.01)
+        one.sendall(ask(TXN + 1))
+        other.sendall(ask(TXN + 2)[:40])  # half a request
+        self.unread()
+        self.time += 0.02  # the shut comes before the octets are read
+        self.turn()
+        other.sendall(ask(TXN + 2)[40:])
+        for each in (one, other):
+            data, how = self.all_of(each)
+            self.assertEqual((data.count(b"HTTP/1.1 "), data[:12], how), (1, b"HTTP/1.1 503", "ended"))
+            self.assertIn(b"Retry-After: 1.500\r\n", data)
+            self.assertIn(b"Connection: close\r\n", data)
+        self.assertEqual(self.gateway.tally["dispatch", "1"] + self.gateway.tally["dispatch", "0"], 1)
+
+    def test_half_a_request_at_the_end_is_refused_and_a_resting_client_sees_an_end(self):
+        half, resting, fresh = self.client(ask()[:60]), self.client(READY), self.client()
+        self.until(lambda: b" 200 " in self.got(resting)[0])
+        self.leave(SHUT + 0.01)
+        half_at = self.got(half)
+        self.to(DRAIN)
+        self.assertEqual(half_at, (b"", "open"))
+        data, how = self.all_of(half)
+        self.assertEqual((data[:12], how), (b"HTTP/1.1 503", "ended"))
+        self.assertEqual((self.all_of(resting), self.all_of(fresh)), ((b"", "ended"),) * 2)
+        self.assertEqual(self.ended, [])  # they rest, and are heard out
+        self.to(OVER)
+        self.assertEqual(len(self.ended), 1)
+
+    def test_a_request_that_crosses_the_end_tears_no_former_answer_and_is_not_sent_on(self):
+        one = self.client(window=4096)
+        self.served(one, LONG)
+        self.until(lambda: self.gateway.tally["answer", "satisfied"])
+        self.turn(20)
+        self.leave(DRAIN - 0.005)
+        one.sendall(ask(TXN + 1))
+        self.unread()
+        self.time += 0.01
+        self.turn()
+        data = bytearray()
+
+        def whole():
+            piece, how = self.got(one, 4096)
+            data.extend(piece)
+            return how != "open"
+        self.until(whole)
+        self.assertEqual(data.count(b"x") >= LONG, True, len(data))
+        self.assertEqual(self.gateway.tally["dispatch", "0"], 1)
+
+    def test_what_a_slow_client_has_not_taken_keeps_the_process_until_its_bound(self):
+        for takes in (True, False):
+            with self.subTest(takes=takes):
+                self.again()
+                one = self.client(window=4096)
+                self.leave(PATIENCE / 2)
+                self.served(one, LONG)
+                self.until(lambda: self.gateway.tally["answer", "satisfied"])
+                self.turn(20)
+                self.to(SHUT + 0.05)
+                self.assertEqual(self.ended, [])
+                taken = bytearray()
+                if takes:
+                    self.until(lambda: taken.extend(self.got(one)[0]) or taken.count(b"x") >= LONG, "the answer is torn")
+                    one.close()
+                    self.until(lambda: self.ended, "the process stays though nobody is left")
+                else:
+                    self.to(OVER + 0.01)
+                    self.assertEqual(len(self.ended), 1)
+                self.assertLess(self.time - 1000, KILL - 0.05)
+
+    def test_who_waits_beyond_the_end_is_answered_at_the_shut(self):
+        self.changed = {"settings": patient(8.0)}
+        self.again()
+        one = self.client(ask(X_Remaining_Ms="8000"))
+        link = self.taken()
+        self.leave(ends_of(80_000)[0][0] / 10_000 + 0.01)
+        data, how = self.all_of(one)
+        self.assertEqual((data[:12], how), (b"HTTP/1.1 502", "ended"))
+        self.until(lambda: self.got(link)[1] == "reset", "the node is not told")
+        self.assertEqual(self.gateway.host.live, {})
+        self.assertEqual(sum(count for (what, _), count in self.gateway.tally.items() if what == "answer"), 1)
+
+    def test_requests_at_every_step_up_to_the_end_have_one_answer_or_were_never_read(self):
+        for back in range(30, -1, -1):
+            came = DRAIN + 0.01 - back * 0.005
+            self.again()
+            one = self.client(READY)
+            self.until(lambda: b" 200 " in self.got(one)[0])
+            self.leave(PATIENCE / 2)
+            self.to(came)
+            data, how = self.got(one)
+            sent = how == "open"
+            if sent:
+                one.sendall(ask())
+                self.unread()
+                self.to(OVER + 0.01)
+                data, how = self.all_of(one)
+            crossed = came >= DRAIN - 0.0075
+            self.assertTrue(data.count(b"HTTP/1.1 ") == 1 or crossed and not data and how == "ended", (back, sent, data, how))
+            self.assertTrue(came < SHUT - 0.0075 or not self.gateway.tally["dispatch", "0"], back)
+            self.assertEqual(len(self.ended), 0 if not sent else 1, back)
+
+    def test_a_second_sigterm_and_a_sighup_move_nothing(self):
+        resting = self.client(READY)
+        self.until(lambda: b" 200 " in self.got(resting)[0])
+        self.leave(0.3)
+        self.gateway.terminate()
+        self.gateway.reload(self.gateway.deployment)
+        self.to(SHUT + 0.01)
+        self.gateway.terminate()
+        self.gateway.reload(self.gateway.deployment)
+        self.assertEqual(self.ended, [])
+        self.to(OVER + 0.01)
+        self.assertEqual(len(self.ended), 1)
+        self.gateway.terminate()
+        self.gateway.reload(self.gateway.deployment)
+        self.turn()
+        self.assertEqual((len(self.ended), self.gateway.follower.watch and self.gateway.follower.watch.over), (1, True))
+
+    def test_sigterm_at_once_ends_with_nobody_left_in_time(self):
+        self.leave(OVER + 0.01)
+        self.assertEqual(len(self.ended), 1)
+        self.assertLess(self.ended[0] - 1000, DRAIN + 0.02)
+
+    def test_once_shut_nothing_is_sent_on_whatever_the_clocks_say(self):
+        """As where the reactor's clock goes ahead of ours: the time to answer is not over yet."""
+        one = self.client()
+        self.leave(0.1)
+        self.gateway.step(Event.SHUT)
+        one.sendall(ask())
+        data, how = self.all_of(one)
+        self.assertEqual((data[:12], how), (b"HTTP/1.1 503", "ended"))
+        self.assertFalse(self.gateway.tally["dispatch", "0"])
+
+    def test_a_request_before_the_door_at_the_shut_is_let_in_and_refused(self):
+        self.leave(SHUT - 0.01)
+        one = socket.create_connection(("127.0.0.1", self.door))
+        self.sockets.append(one)
+        one.sendall(ask())
+        one.setblocking(False)
+        self.gateway.step(Event.SHUT)
+        data, how = self.all_of(one)
+        self.assertEqual((data[:12], how), (b"HTTP/1.1 503", "ended"))
+
+
+def patient(seconds):
+    settings = copy.deepcopy(SETTINGS)
+    for each in settings["classes"]:
+        each |= {"hard_limit_ns": int(seconds * 1e9), "idempotency": "single_shot"}
+    return settings
+
+
+if __name__ == "__main__":
+    unittest.main()
