--- a/milletsill/platform/door.py
+++ b/milletsill/platform/door.py
@@ -87,6 +87,8 @@
             self.reading = True
             self.read_all()
             self.reading = False
+            if self.stage is Stage.BUSY and self.reader.pending > MOST_AHEAD:
+                self.refuse(400, "too much ahead of an answer")
 
     def read_all(self) -> None:
         while self.stage in (Stage.FRESH, Stage.WAITING) and not self.stuck:
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -239,8 +239,8 @@
         one.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         one.setblocking(False)
         self.sockets.append(one)
-        open_before = len(self.gateway.clients.open)
-        self.until(lambda: len(self.gateway.clients.open) > open_before or self.gateway.clients.paused, "not accepted")
+        port = one.getsockname()[1]
+        self.until(lambda: any(each.transport.getPeer().port == port for each in self.gateway.clients.open), "not accepted")
         for each in data:
             one.sendall(each)
         return one
