serve: its timers follow the monotonic clock; signals before the reactor runs are tested

Seen: a wall clock set back by a minute 0.3 s after SIGTERM puts the end off by as much (the process had not ended 4.7 s after an earliest kill of 1.7 s: "subprocess.TimeoutExpired"), as Twisted's timers follow it; `serve` now does as the SFTP side's process does. SIGTERM, SIGHUP and SIGTERM again before the reactor runs, in that order: heard once each, status 0, no traceback, as before (with the signals not kept: "subprocess.TimeoutExpired"). SIGTERM before `serve` has set its handlers ends it by the signal with nothing taken, which was read in the text, not run.

--- a/milletsill/platform/process.py
+++ b/milletsill/platform/process.py
@@ -60,6 +60,9 @@
     from milletsill.platform.configuration import RefusedPlace, read
     from milletsill.platform.gateway import Gateway
     from milletsill.platform.lines import Lines
+    # Guards every span, the end after SIGTERM first, against a wall clock that is set while the process runs: Twisted's timers
+    # follow it. Harm: none known.
+    reactor.seconds = time.monotonic  # type: ignore[attr-defined]
     log = Lines(sys.stdout, gateway=deployment.name)
     gateway = Gateway(deployment, reactor, monotonic, clock, log)
     for each in faults:
--- a/tests/test_crossings_going.py
+++ b/tests/test_crossings_going.py
@@ -1,6 +1,13 @@
 """The instants in which the platform gateway ends something that is still owed: each crossing forced on loopback sockets."""
 import copy
+import json
+import os
+import signal
 import socket
+import subprocess
+import sys
+import tempfile
+import time
 import unittest
 
 from milletsill.platform.decide import Event, ends_of
@@ -176,6 +183,60 @@
         self.assertEqual((data[:12], how), (b"HTTP/1.1 503", "ended"))
 
 
+class Whole(unittest.TestCase):
+    """`milletsill serve` as a process, begun by a few lines of the test's own."""
+
+    def run_with(self, lines, told=lambda process, folder: None, within=15):
+        """Its status and log, once it has ended by itself; `told` is called once it listens."""
+        with socket.create_server(("127.0.0.1", 0)) as one, socket.create_server(("127.0.0.1", 0)) as other:
+            door, discovery = one.getsockname()[1], other.getsockname()[1]
+        with tempfile.TemporaryDirectory() as folder, open(os.path.join(folder, "log"), "w+") as log:
+            path = os.path.join(folder, "c.json")
+            with open(path, "w") as file:
+                json.dump(GIVEN | {"listen": f"127.0.0.1:{door}", "discovery": f"127.0.0.1:{discovery}"}, file)
+            end = "from milletsill.platform import process\nsys.exit(process.main([]))\n"
+            with subprocess.Popen([sys.executable, "-c", "import os, signal, sys, time\n" + lines + end], stdout=log,
+                                  stderr=subprocess.STDOUT, env=os.environ | {"NODE_CONFIG": path, "FOLDER": folder}) as process:
+                try:
+                    self.listening(process, log)
+                    told(process, folder)
+                    status = process.wait(within)
+                finally:
+                    process.kill()
+            log.seek(0)
+            return status, log.read()
+
+    def listening(self, process, log):
+        """Waits as long as a busy machine takes to start it."""
+        for _ in range(600):
+            log.seek(0)
+            if '"listening"' in log.read() or process.poll() is not None:
+                return
+            time.sleep(0.05)
+        self.fail("it does not listen")
+
+    def test_signals_that_came_before_the_reactor_ran_are_heard_once_each(self):
+        status, log = self.run_with("from milletsill.platform.process import Signals\n"
+                                    "first = Signals.__init__\n"
+                                    "def begin(self):\n"
+                                    "    first(self)\n"
+                                    "    for each in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):\n"
+                                    "        os.kill(os.getpid(), each)\n"
+                                    "Signals.__init__ = begin\n")
+        self.assertEqual((status, [log.count(f'"event": "{each}"') for each in ("leaving", "reloaded", "stopped")], "Traceback" in log),
+                         (0, [1, 1, 1], False), log)
+
+    def test_a_wall_clock_that_is_set_back_puts_no_end_off(self):
+        """By a minute, right after SIGTERM."""
+        def told(process, folder):
+            process.send_signal(signal.SIGTERM)
+            time.sleep(0.3)
+            open(os.path.join(folder, "back"), "w").close()
+        status, log = self.run_with("wall, back = time.time, os.path.join(os.environ['FOLDER'], 'back')\n"
+                                    "time.time = lambda: wall() - 60 * os.path.exists(back)\n", told)
+        self.assertEqual((status, "Traceback" in log), (0, False), log)
+
+
 def patient(seconds):
     settings = copy.deepcopy(SETTINGS)
     for each in settings["classes"]:
