serve: what had come is read before a time-out, an idle close or the end meets it

Seen (loopback sockets): where the process stood still, its timers came before what was unread in the system. Nine clients whose requests were here were closed to make way for others, none answered ("0 != 9"); a request on a connection idle for 20 s, the rest of a request begun 2 s before, and a first request on one silent for 2.2 s met a close or 408 ("nothing came to the node"); a request unread at the end of our side had no answer ("(400000, 0, 'ended') != (400000, 1, 'ended')"). Cause: Twisted runs timers ahead of reading in each turn, and Client.look and Client.leave judged by what had been read. Now both read once before they act (catch_up). Tried and taken out again: a client's end seen by that read as its going; nothing failed without it, as the next turn tells it again.

--- a/milletsill/platform/door.py
+++ b/milletsill/platform/door.py
@@ -216,6 +216,7 @@
 
     def leave(self) -> None:
         """The gateway leaves: a request half read is refused; the rest ends, and what crosses that was never read."""
+        self.catch_up()
         if self.reader.begun and self.stage in (Stage.FRESH, Stage.WAITING):
             self.gateway.note("refused", "half a request at the end")
             self.turn_away(self.gateway.pause)
@@ -223,10 +224,21 @@
             self.step(Cue.LEAVE)
 
     def look(self, now: int, short: bool) -> None:
-        """What time brings."""
-        cue = due(self.stage, self.reader.begun, now - self.since, short, not (self.handed or self.gone))
-        if cue is not None:
-            self.step(cue)
+        """What time brings. What had come by then is read before."""
+        if self.due(now, short) is not None:
+            self.catch_up()
+            cue = self.due(self.gateway.now(), short)
+            if cue is not None:
+                self.step(cue)
+
+    def due(self, now: int, short: bool) -> Cue | None:
+        return due(self.stage, self.reader.begun, now - self.since, short, not (self.handed or self.gone))
+
+    def catch_up(self) -> None:
+        """Guards clients against a process that stood still: timers go before what has come, and an idle close, a time-out or
+        the end would meet a request that is here. Harm: one more read on a connection that is about to end."""
+        if self.stage in (Stage.FRESH, Stage.WAITING):
+            self.transport.doRead()  # an end is told again in the next turn
 
 
 class Clients(Factory):
--- a/tests/test_crossings_descriptors.py
+++ b/tests/test_crossings_descriptors.py
@@ -127,6 +127,18 @@
         self.pass_time(1.0)
         self.assertEqual(self.gateway.tally["refused", "no descriptor for a client"], 0)
 
+    def test_who_makes_way_is_read_first(self):
+        """The share is full of clients whose requests are here; the process stood still for longer than a silent one may stay."""
+        most = self.gateway.clients.most
+        self.burst(most, READY)
+        self.until(lambda: self.gateway.clients.paused)
+        young = [each for each in self.gateway.clients.open if not each.reader.begun and each.stage.name == "FRESH"]
+        self.time += 0.06
+        self.turn()
+        self.assertEqual(len(young), most, "read before the process stood still")
+        answered = sum(b" 200 " in self.got(each)[0] for each in self.sockets[2:])
+        self.assertEqual(answered, most)
+
     def test_a_full_share_leaves_room_for_discovery_a_link_and_health(self):
         self.listener.close()  # discovery is down
         self.gateway.follower.watch.end("down")
--- a/tests/test_crossings_going.py
+++ b/tests/test_crossings_going.py
@@ -68,24 +68,26 @@
         self.assertEqual(len(self.ended), 1)
 
     def test_a_request_that_crosses_the_end_tears_no_former_answer_and_is_not_sent_on(self):
-        one = self.client(window=4096)
-        self.served(one, LONG)
-        self.until(lambda: self.gateway.tally["answer", "satisfied"])
-        self.turn(20)
-        self.leave(DRAIN - 0.005)
-        one.sendall(ask(TXN + 1))
-        self.unread()
-        self.time += 0.01
-        self.turn()
-        data = bytearray()
-
-        def whole():
-            piece, how = self.got(one, 4096)
-            data.extend(piece)
-            return how != "open"
-        self.until(whole)
-        self.assertEqual(data.count(b"x") >= LONG, True, len(data))
-        self.assertEqual(self.gateway.tally["dispatch", "0"], 1)
+        """Unread at the end of our side it is refused; behind it, it is thrown away, and its client sees an end."""
+        for behind in (False, True):
+            with self.subTest(behind=behind):
+                self.again()
+                one = self.client(window=4096)
+                self.served(one, LONG)
+                self.until(lambda: self.gateway.tally["answer", "satisfied"])
+                self.turn(20)
+                self.leave(DRAIN - 0.005)
+                for step in ((0.01, one) if behind else (one, 0.01)):
+                    if step is one:
+                        one.sendall(ask(TXN + 1))
+                        self.unread()
+                    else:
+                        self.time += step
+                    self.turn(2 if behind else 0)
+                self.turn()
+                data, how = self.all_of(one)
+                self.assertEqual((data.count(b"x"), data.count(b"HTTP/1.1 503"), how), (LONG, 0 if behind else 1, "ended"))
+                self.assertEqual(self.gateway.tally["dispatch", "0"], 1)
 
     def test_what_a_slow_client_has_not_taken_keeps_the_process_until_its_bound(self):
         for takes in (True, False):
--- a/tests/test_crossings_leavers.py
+++ b/tests/test_crossings_leavers.py
@@ -3,7 +3,7 @@
 import unittest
 
 from milletsill.interface import News
-from milletsill.platform.decide import IDLE, LINGER, SPARED
+from milletsill.platform.decide import IDLE, LINGER, SILENT, SPARED, WHOLE
 from milletsill.platform.nodes import place_of
 from tests.platform_rig import NODE, TXN, Loopback, ask, reset
 
@@ -182,6 +182,21 @@
         self.until(whole)
         self.assertEqual((data.count(b"x"), self.sent_on()), (LONG, 1))
 
+    def test_a_request_that_is_here_is_read_before_its_time_is_over(self):
+        """The process stood still; its timers come before what had come: an idle close, or the end of half a request."""
+        for begins, rests in ((READY, IDLE), (ask()[:60], WHOLE), (b"", SILENT)):
+            with self.subTest(begins=begins[:9], rests=rests):
+                self.again()
+                one = self.client(begins)
+                self.turn(5)
+                self.got(one)
+                one.sendall(ask()[60:] if rests == WHOLE else ask())
+                self.unread()
+                self.time += rests / 10_000
+                self.turn()
+                self.taken().sendall(answer(2))
+                self.until(lambda: b" 200 " in self.got(one)[0], "not answered")
+
     def test_an_error_reaches_who_closes_its_side_behind_what_cannot_be_read(self):
         one = self.client()
         one.sendall(b"\x00\xff\n\n")
