Discovery: a list is in six seconds after it can be had, whatever call failed before

`Watch.first_word` was QUIET (6 s) where no old watch stood (`Follower.open`); the log shows both calls (503 at 0.45 s, 'nothing came' at 7.2 s) and no stall of the process (late_ms under 6), which rules the loop out. Played on the simulated clock, ten kinds of failure, each phase of 0.6 s, least and most of each draw, these were late as well: the pause of the module (up to half of the settings' ten seconds); two bad calls in turn; after SIGHUP a draw that knew only the old watch's silence; an answer that drips, for every octet put the clock back (never over); a list that comes indented, for it was read line by line (never read, asked for again without end); where lists are pushed the longest patience stood in for the time to ask in.

A call has 2.2 s to its answer's head and 2.2 s more to its first line, always. The clock of a watch is put back by words, not by octets: the head, a whole list, a beat. A list may go over several lines. The module's pause is a share of it that stops growing at a quarter. After SIGHUP the second call keeps to what is left of the four seconds. A known list is no proof that discovery is up: the first 503 of a process is followed by a drawn pause where lists are pushed too.

Tried and left out: a draw for only the first failure beside an old watch. No test fails without it.

--- a/milletsill/platform/configuration.py
+++ b/milletsill/platform/configuration.py
@@ -7,7 +7,8 @@
 from typing import Any, Callable, Mapping
 
 from milletsill.errors import Refused
-from milletsill.facts import facts_of, missing_in, unknown_in
+from milletsill.facts import Part, at_most, facts_of, missing_in, unknown_in
+from milletsill.platform.decide import told_within
 from milletsill.platform.nodes import BadEntry, News, address_of, news_of
 
 MOST_OCTETS = 8 << 20
@@ -63,8 +64,10 @@
     """The checked whole."""
     try:
         facts = facts_of(given.get("settings"))
+        grace = at_most(Part(given["settings"]).part("rules").number("stop_sending_within_ns"))
     except ValueError as error:
         raise ValueError(f"settings: {error}") from None
+    facts["ask_within"] = told_within(not facts["list_on_request"], facts["ask_within"], grace)
     if not facts["categories"]:
         raise ValueError("settings: classes: none, so nothing can be taken")
     for names, what in ((unknown_in(given["settings"]), "not known and passed over"),
--- a/milletsill/platform/decide.py
+++ b/milletsill/platform/decide.py
@@ -4,6 +4,7 @@
 """
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from enum import Enum
 from typing import Mapping
@@ -110,20 +111,37 @@
 
 # --- Discovery.
 
-# An empty line comes every 2 s; what a silent watch misses counts as told 6 s after it fell silent, which may be as soon
-# as its last octet came. Within these a second call can be made after a first that was swallowed, and the list be acted on.
-QUIET = 60_000  # a watch without an octet for this long is over
+# Whatever becomes of calls to discovery, a change counts as told this long after discovery had it and could be reached, or
+# after the watch that would have told it fell silent, which may be as soon as its last word came; after SIGHUP the second.
+# Where lists are pushed, what the agent has counts as told at once, and the drain grace is all that there is.
+TOLD, TOLD_MOVED = 60_000, 40_000
+QUIET = TOLD  # a watch without a word for this long is over
 OVERDUE = (26_000, 32_000)  # drawn: so long without one, and another is opened beside it; spread, where many fall silent at once
 DIAL = 10_000
-FIRST_WORD = 22_000  # the first call made beside a silent watch has this long for its first line: a beat, and a little
-CAUGHT_UP, RETRY_PART = 55_000, 1 / 3  # the next is made by chance within this part of what is left of the silence
+FIRST_WORD = 22_000  # from a call to the answer's head, and from there to its first line: a beat, and a little
+MARGIN, RETRY_PART = 5_000, 1 / 3  # the second call is made by chance within this part of what is left, less the margin
 MOST_LINE = 4 << 20  # octets of one list
+TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
 
-def retry_within(quiet: int) -> int:
-    """How long the second call may be put off where the first one made beside a silent watch failed. Guards a service with
-    too many callers against all of them coming again at once. Harm: the list is that much later, never past its time."""
-    return int(max(CAUGHT_UP - quiet, 0) * RETRY_PART)
+def told_within(pushed: bool, stated: int, grace: int) -> int:
+    """The time within which a change counts as told where calls fail: the least that the settings and the platform's page say.
+    Where lists are pushed nothing is left but the grace to stop sending."""
+    return min(each for each in (TOLD, stated, grace * pushed) if each)
+
+
+def retry_within(quiet: int, moved: int | None) -> int:
+    """How long the second call may be put off where the first one made beside a standing watch failed: `quiet` since that
+    one's last word, `moved` since SIGHUP, if it was. Guards a service with too many callers against all of them coming again
+    at once. Harm: the list is that much later, never past its time."""
+    left = TOLD - quiet if moved is None else min(TOLD - quiet, TOLD_MOVED - moved)
+    return int(max(left - MARGIN, 0) * RETRY_PART)
+
+
+def depth_of(line: bytes) -> int:
+    """Brackets that a line of JSON opens, less those that it closes."""
+    bare = TEXT.sub(b"", line)
+    return bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
 
 
 # --- The process.
--- a/milletsill/platform/discovery.py
+++ b/milletsill/platform/discovery.py
@@ -11,21 +11,50 @@
 from milletsill.http1.reader import BadMessage
 from milletsill.http1.writer import request
 from milletsill.interface import News as Kind
-from milletsill.platform.decide import DIAL, FIRST_WORD, MOST_LINE, OVERDUE, QUIET, retry_within
+from milletsill.platform.decide import DIAL, FIRST_WORD, MOST_LINE, OVERDUE, QUIET, depth_of, retry_within
 from milletsill.platform.nodes import BadEntry, News, news_of
 
 PATH = b"/registry/instances?watch=1&from=%d"
+BEAT = object()  # an empty line: nothing changed
+
+
+class Words:
+    """The lines of a watch as values. A list may come indented, over several lines."""
+
+    def __init__(self) -> None:
+        self.parts: list[bytes] = []
+        self.depth = self.octets = 0
+
+    def feed(self, line: bytes) -> list[Any]:
+        """The value that is whole with this line, if one is; ValueError where none can be."""
+        if not self.parts:
+            try:
+                return [json.loads(line) if line else BEAT]
+            except json.JSONDecodeError as error:
+                if error.pos < len(error.doc):
+                    raise
+            self.depth = self.octets = 0  # it ends too early and is otherwise right: the first of several
+        self.parts.append(line)
+        self.depth += depth_of(line)
+        self.octets += len(line)
+        if self.octets > MOST_LINE:
+            raise ValueError("a list over the bound")
+        if self.depth > 0:
+            return []
+        text, self.parts = b"".join(self.parts), []
+        return [json.loads(text)]
 
 
 class Watch(Protocol):
-    """One open watch."""
+    """One open watch. `heard` is when its last word came: a whole line, before the first the answer's head, before that the
+    call. Octets alone are no word. Guards against an answer that drips. Harm: a list that takes longer on its way is asked for
+    again."""
 
-    def __init__(self, follower: Follower, host: str, version: int, first_word: int, overdue: int) -> None:
+    def __init__(self, follower: Follower, host: str, version: int, overdue: int) -> None:
         self.follower, self.host, self.version = follower, host, version  # the version is -1 once it has spoken
-        self.first_word, self.overdue = first_word, overdue
-        self.answer = AnswerLines(MOST_LINE)
+        self.overdue = overdue
+        self.answer, self.words = AnswerLines(MOST_LINE), Words()
         self.heard, self.over = follower.now(), False
-        self.spare = False  # one that was to take its place has failed
 
     def connectionMade(self) -> None:
         if self.over:
@@ -33,14 +62,17 @@
         self.transport.write(request(b"GET", PATH % self.version, self.host.encode(), [], b""))
 
     def dataReceived(self, data: bytes) -> None:
-        self.heard = self.follower.now()
         try:
+            headless = not self.answer.status
             lines = self.answer.feed(data)
             if self.answer.status not in (0, 200):
                 return self.end(f"answered {self.answer.status}")
+            if headless and self.answer.status:
+                self.heard = self.follower.now()
             for line in lines:
-                if not self.over:
-                    self.follower.line(self, line.strip())
+                for value in () if self.over else self.words.feed(line.strip()):
+                    self.heard = self.follower.now()
+                    self.follower.word(self, value)
         except (BadMessage, BadEntry, ValueError, RecursionError) as error:
             return self.end(line_of(error))
         if self.answer.ended:
@@ -50,7 +82,7 @@
         self.end("the connection ended")
 
     def quiet(self) -> int:
-        """How long nothing has come."""
+        """How long no word has come."""
         return self.follower.now() - self.heard
 
     def end(self, reason: str) -> None:
@@ -101,6 +133,7 @@
         self.watch: Watch | None = None
         self.old: Watch | None = None
         self.asked = self.stopped = False
+        self.moved: int | None = None  # when discovery's address did, until a watch at the new one has spoken
 
     def known(self, news: News) -> None:
         """The list as it was known at the start."""
@@ -116,7 +149,7 @@
     def move(self, address: tuple[str, int]) -> None:
         """Discovery is elsewhere: the old watch stands until the new one has spoken."""
         if address != self.address and not self.stopped:
-            self.address = address
+            self.address, self.moved = address, self.now()
             self.drop()
             self.old, self.watch = self.watch, None
             self.ask()
@@ -128,21 +161,20 @@
         host, port = self.address
         old = self.old
         if old is not None and old.host == f"{host}:{port}" and old.quiet() <= old.overdue:
-            self.watch, self.old, old.spare = old, None, False  # it speaks again
+            self.watch, self.old = old, None  # it speaks again
             return
-        watch = self.watch = Watch(self, f"{host}:{port}", self.version, QUIET if old is None or old.spare else FIRST_WORD,
-                                   int(self.uniform(*OVERDUE)))
+        watch = self.watch = Watch(self, f"{host}:{port}", self.version, int(self.uniform(*OVERDUE)))
         self.reactor.connectTCP(host, port, Dial(watch, lambda: watch.end("not reached")), timeout=DIAL / 10_000)
 
-    def line(self, watch: Watch, line: bytes) -> None:
-        """One line of the watch; an empty one says that nothing changed."""
+    def word(self, watch: Watch, value: Any) -> None:
+        """One word of the watch: a beat, or what a list should be."""
         first = watch is self.watch and watch.version >= 0
-        if line:
-            self.news(news_of(json.loads(line), self.zones, self.clock, self.remark), watch is self.old)
+        if value is not BEAT:
+            self.news(news_of(value, self.zones, self.clock, self.remark), watch is self.old)
         elif first:
             self.told(Kind.CHANGES, ())
         if first:
-            watch.version = -1  # has spoken
+            watch.version, self.moved = -1, None  # has spoken
             self.drop()
 
     def news(self, news: News, old: bool) -> None:
@@ -165,8 +197,8 @@
             if self.old is None:
                 self.failed()
             else:
-                self.old.spare = True
-                self.reactor.callLater(self.uniform(0, retry_within(self.old.quiet())) / 10_000, self.failed)
+                moved = None if self.moved is None else self.now() - self.moved
+                self.reactor.callLater(self.uniform(0, retry_within(self.old.quiet(), moved)) / 10_000, self.failed)
 
     def failed(self) -> None:
         if not self.stopped:
@@ -175,7 +207,7 @@
     def look(self) -> None:
         """Whether a watch has gone quiet: another is opened in time to be in its place, and at last it is over."""
         for watch in (self.watch, self.old):
-            if watch is not None and watch.quiet() > (QUIET if watch.version < 0 else watch.first_word):
+            if watch is not None and watch.quiet() > (QUIET if watch.version < 0 else FIRST_WORD):
                 watch.end("nothing came")
         watch = self.watch
         if watch is not None and watch.version < 0 and self.old is None and watch.quiet() > watch.overdue:
--- a/milletsill/policy/__init__.py
+++ b/milletsill/policy/__init__.py
@@ -9,18 +9,18 @@
 from milletsill.policy.answers import Answers
 from milletsill.policy.ordinary import Ordinary
 from milletsill.policy.records import Node, Transfer, Volume
-from milletsill.policy.tables import (ASK_AGAIN, ENDING_TICKS, FIRST_WINDOW, IDLE, NEVER, PART, SWEPT, UNSENT,
-                                      Cue, Health, Phase, Sign)
+from milletsill.policy.tables import (ASK_AGAIN, ASK_MOST, ENDING_TICKS, FIRST_WINDOW, IDLE, NEVER, PART,
+                                      SWEPT, UNSENT, Cue, Health, Phase, Sign)
 
 
 class Scheduler(Ordinary, Answers):
     def listed(self, now: int, news: News, entries: Sequence[Listed]) -> None:
         if news is News.FAILED:
-            # Guards rule 3 against a lost or refused watch; could harm a slow list: the pause grows.
+            # Guards rule 3 against two failed watches in turn; could harm a slow list: the pause grows.
             span = self.facts["ask_within"] or self.idle // IDLE  # the longest patience, where none is told
-            pause = span * min(ASK_AGAIN * self.asks, 1 / 2) * self.uniform(0.5, 1)
+            pause = span * min(ASK_AGAIN * self.asks, ASK_MOST) * self.uniform(0.5, 1)
             return self.port.wake(now + int(pause), "ask")
-        self.asks *= news is News.CACHED
+        self.asks = int(news is News.CACHED)
         for entry in entries:
             node = self.nodes.get(entry.node)
             fresh = entry.since is not None and (node is None or entry.since != node.since)
--- a/milletsill/policy/tables.py
+++ b/milletsill/policy/tables.py
@@ -15,7 +15,7 @@
 HEARD = 2  # waits of a lost dispatch, or shortest target times, within which its node was heard of late
 CREDITS, DRAWN, STRAIN = 4, 8, 1 / 4  # of a node; drawn for a new object; an answer's weight in the strain
 LOT = 0.4  # of what a cold node may get in a window: the mean of all draws
-ENDING_TICKS, ASK_AGAIN = 2, 1 / 8  # before a client gives up; share of the stated time until a failed watch
+ENDING_TICKS, ASK_AGAIN, ASK_MOST = 2, 1 / 8, 1 / 4  # before a client gives up; shares of the time to ask in
 CROWDED, EASE, LEAST_SURPLUS = 1 / 4, 0.7, 1 / 16  # a volume's surplus: a crowded answer's wait; its window
 IDLE, SWEPT = 16, 2  # longest patiences until what is idle is forgotten; records looked at with each transfer
 
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -1,27 +1,33 @@
-"""A watch that has fallen silent, played against a stand-in of discovery on a clock of the test's own: the list that it missed is
-in the module within the platform's six seconds, counted from when the silence began, whatever becomes of the first new call."""
+"""The clock of discovery, played against a stand-in of it on a clock of the test's own: a list that is missed is in the module
+within the platform's six seconds, counted from when a watch fell silent or from when discovery could be reached again, whatever
+became of the calls before that; after SIGHUP within four; where lists are pushed within the drain grace."""
 import json
 import unittest
 from itertools import product
 
-from milletsill.platform.discovery import Follower
+from milletsill.interface import News
 from milletsill.platform.gateway import Gateway
 from tests import platform_rig as shared
+from tests.helpers import line, scheduler
 
 TOLD, MOVED = 6.0, 4.0  # seconds: the platform counts what a silent watch missed, and what came after SIGHUP, as told by then
+GRACE = 1.0  # after that, to the last dispatch to a draining node; where lists are pushed, what the agent has counts at once
 BEAT, STEP, MANY = 2.0, 0.05, 100
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
 WAYS = ("good", "refused", "not up", "503", "no word")  # what becomes of the first new call
+QUICK = ("refused", "503", "torn")  # the calls that end by themselves
+FAILING = QUICK + ("late 503", "not up", "no word", "head", "half", "drip")
+DRIP = 0.4  # between two octets
 
 
 def chunk(text):
     return b"%x\r\n%s\r\n" % (len(text), text)
 
 
-def said(version, state):
+def said(version, state, indent=None):
     line = {"version": version, "full": True, "servers": [shared.NODE | {"state": state}]}
-    return chunk(json.dumps(line).encode() + b"\n")
+    return chunk(json.dumps(line, indent=indent).encode() + b"\n")
 
 
 class Connector:
@@ -32,11 +38,13 @@
 
 class Service:
     """Discovery as the platform's page has it: a watch's first line when something changed, a beat every two seconds. With
-    `takes`, calls are handled in turn, each in so many seconds, and one that waits for over a second gets a 503."""
+    `takes`, calls are handled in turn, each in so many seconds, and one that would wait for over `bears` seconds gets a 503,
+    at once or after so long. Up to `back`, calls end as `bad` says."""
 
-    def __init__(self, reactor, ways=(), takes=0.0):
+    def __init__(self, reactor, ways=(), takes=0.0, bears=1.0, patient=True):
         self.reactor, self.ways, self.takes, self.seen, self.calls = reactor, list(ways), takes, len(reactor.tcpClients), []
-        self.watches, self.version, self.state, self.free = [], 4, "active", 0.0
+        self.watches, self.drips, self.version, self.state, self.free = [], [], 4, "active", 0.0
+        self.bears, self.patient, self.bad, self.back, self.indent = bears, patient, "good", 0.0, None
 
     def look(self):
         now = self.reactor.seconds()
@@ -44,14 +52,24 @@
             if port in (8500, 8501):
                 self.calls.append(now)
                 wait = max(self.free - now, 0.0)
-                way = "503" if wait > 1 else self.ways.pop(0) if self.ways else "good"
-                self.free = now + wait + self.takes * (wait <= 1)
-                self.reactor.callLater(min(wait, 1), self.call, way, factory, timeout)
+                way = self.way(now, wait)
+                self.free = now + wait + self.takes * (wait <= self.bears and way != "refused")
+                wait = wait if wait <= self.bears else self.bears * self.patient
+                self.reactor.callLater(2 if way == "late 503" else wait, self.call, way, factory, timeout)
         self.seen = len(self.reactor.tcpClients)
         for beat, protocol, wire in self.watches:
             if now >= beat[0] and not wire.aborted:
                 beat[0] += BEAT
                 protocol.dataReceived(chunk(b"\n"))
+        for drip, protocol, wire in self.drips:
+            if now >= drip[0] and not wire.aborted:
+                drip[0] += DRIP
+                protocol.dataReceived(chunk(b" "))
+
+    def way(self, now, wait):
+        if now < self.back:
+            return self.bad
+        return "503" if wait > self.bears else self.ways.pop(0) if self.ways else "good"
 
     def call(self, way, factory, timeout):
         if way in ("refused", "not up"):
@@ -59,20 +77,28 @@
             return self.reactor.callLater(after, factory.clientConnectionFailed, Connector(), None)
         protocol, wire = factory.buildProtocol(None), shared.Wire()
         protocol.makeConnection(wire)
-        if way == "503":
+        text = said(self.version, self.state, self.indent)
+        if way in ("503", "late 503"):
             protocol.dataReceived(BUSY)
+        elif way in ("head", "half", "torn", "drip"):
+            protocol.dataReceived(HEAD + (text[:30] if way in ("half", "torn") else b""))
         elif way == "good" and wire.value():
             asked = int(wire.value().split(b"from=")[1].split()[0])
-            protocol.dataReceived(HEAD + (said(self.version, self.state) if asked < self.version else b""))
+            protocol.dataReceived(HEAD + (text if asked < self.version else b""))
             self.watches.append(([self.reactor.seconds() + BEAT], protocol, wire))
+        if way == "torn":
+            self.reactor.callLater(0.3, protocol.connectionLost)
+        if way == "drip":
+            self.drips.append(([self.reactor.seconds() + DRIP], protocol, wire))
 
     def change(self):
-        """The node drains, and no watch that stands hears of it."""
+        """The node drains, and no watch that stands hears of it; gives these."""
         self.version, self.state = self.version + 1, "leaving"
-        self.watches.clear()
+        gone, self.watches = self.watches, []
+        return gone
 
 
-class Silence(shared.Served):
+class Played(shared.Served):
 
     def start(self, draw=None, **service):
         """A gateway that chance serves worst, or best, and discovery."""
@@ -81,17 +107,20 @@
             self.gateway.follower.uniform = lambda least, most: (least, most)[draw]
         return Service(self.reactor, **service)
 
-    def play(self, service, most, until=lambda: False):
+    def play(self, service, most, until=lambda: False, step=STEP):
         """Seconds until it holds."""
         began = self.reactor.seconds()
         while not until() and self.reactor.seconds() < began + most:
-            self.reactor.advance(STEP)
+            self.reactor.advance(step)
             service.look()
         return self.reactor.seconds() - began
 
     def drains(self, gateway=None):
         return any(node.health.name == "BARRED" for node in (gateway or self.gateway).host.module.nodes.values())
 
+
+class Silence(Played):
+
     def test_what_a_silent_watch_misses_is_in_before_it_counts_as_told(self):
         for way, draw, phase in product(WAYS, (0, 1), range(0, 20, 3)):
             service = self.start(draw)
@@ -145,5 +174,138 @@
         self.assertLess(len(service.calls), 1.4 * MANY)
 
 
+class Outage(Played):
+    """Calls fail in one way up to a moment, from which on discovery has the change and can be reached."""
+
+    def begin(self, draw, mode="on_request", patience=5):
+        """A process that starts, served worst or best by chance. Of lists that are pushed the settings say no time to ask in."""
+        self.setUp()
+        self.gateway.stop()
+        rules = {name: value for name, value in shared.SETTINGS["rules"].items() if mode != "pushed" or name != "ask_within_ns"}
+        classes = [each | {"hard_limit_ns": patience * 10 ** 9} for each in shared.SETTINGS["classes"]]
+        service = Service(self.reactor)
+        settings = shared.SETTINGS | {"membership_mode": mode, "rules": rules, "classes": classes}
+        self.gateway = Gateway(self.deployment(settings=settings), self.reactor, self.now, 0, self.gateway.log)
+        self.gateway.follower.uniform = self.gateway.host.module.uniform = lambda least, most: (least, most)[draw]
+        return service
+
+    def spoil(self, service, way, length):
+        service.bad, service.back, service.calls = way, self.reactor.seconds() + length, []
+        return service.change()
+
+    def owed(self, service):
+        """Seconds from when discovery could be reached to the module's knowing, and the calls before that."""
+        self.play(service, service.back - self.reactor.seconds())
+        calls = len(service.calls)
+        waited = self.play(service, 20, self.drains)
+        self.gateway.stop()
+        return waited, calls
+
+    def started(self, way, draw, length, mode="on_request", ways=()):
+        service = self.begin(draw, mode)
+        self.spoil(service, way, length)
+        service.ways = list(ways)
+        self.gateway.start()
+        return self.owed(service)
+
+    def outage(self, way, draw, length, mode="on_request", ways=()):
+        service = self.begin(draw, mode)
+        self.gateway.start()
+        self.play(service, 6)
+        for _, protocol, _ in self.spoil(service, way, length):
+            protocol.connectionLost()
+        service.ways = list(ways)
+        return self.owed(service)
+
+    def sighup(self, way, draw, length, beats):
+        """At the new address; the old watch goes on to say that nothing changed, or says nothing."""
+        service = self.begin(draw)
+        self.gateway.start()
+        self.play(service, 6)
+        gone = self.spoil(service, way, length)
+        service.watches = gone if beats else []
+        self.gateway.reload(self.deployment(discovery="127.0.0.1:8501"))
+        return self.owed(service)
+
+    def test_whatever_failed_before_the_list_is_in_six_seconds_after_discovery_can_be_reached(self):
+        for play, way, draw, length in product((self.started, self.outage), FAILING, (0, 1), range(0, 130, 7)):
+            waited, calls = play(way, draw, length / 10)
+            self.assertLess(waited, TOLD - 0.2, (play.__name__, way, draw, length))
+            self.assertLessEqual(calls, 3 + length / 7.5, (play.__name__, way, draw, length))  # later ones 0.75 s apart at least
+
+    def test_a_call_that_is_taken_and_never_answered_right_after_the_outage_leaves_time_for_another(self):
+        for play, way, ways, draw, length in product((self.started, self.outage), QUICK, (("no word",), ("head",), ("drip",)), (0, 1),
+                                                     range(0, 130, 11)):
+            self.assertLess(play(way, draw, length / 10, ways=ways)[0], TOLD - 0.1, (play.__name__, way, ways, draw, length))
+
+    def test_a_new_address_that_fails_at_first_has_told_four_seconds_after_it_can_be_reached(self):
+        for way, draw, length, beats in product(FAILING, (0, 1), range(0, 130, 7), (True, False)):
+            self.assertLess(self.sighup(way, draw, length / 10, beats)[0], MOVED - 0.15, (way, draw, length, beats))
+
+    def test_a_call_at_the_new_address_that_is_never_answered_leaves_time_for_another_within_the_four(self):
+        for way, draw, beats in product(WAYS, (0, 1), (True, False)):
+            service = self.begin(draw)
+            self.gateway.start()
+            self.play(service, 8)
+            gone = service.change()
+            service.ways, service.watches = [way], gone if beats else []
+            self.gateway.reload(self.deployment(discovery="127.0.0.1:8501"))
+            self.assertLess(self.play(service, 20, self.drains), MOVED - 0.2, (way, draw, beats))
+
+    def test_where_lists_are_pushed_the_list_is_in_within_the_grace_after_the_return(self):
+        for play, way, draw, length in product((self.started, self.outage), QUICK, (0, 1), range(3, 130, 7)):
+            waited, calls = play(way, draw, length / 10, "pushed")
+            self.assertLess(waited, GRACE - 0.2, (play.__name__, way, draw, length))
+            self.assertLessEqual(calls, 3 + length / 1.25, (play.__name__, way, draw, length))
+
+    def test_a_list_may_come_indented(self):
+        for mode, indent in product(("pushed", "on_request"), (0, 1, 2, "\t")):
+            service = self.begin(0, mode)
+            service.change()
+            service.indent = indent
+            self.gateway.start()
+            self.assertLess(self.play(service, 20, self.drains), 0.3, (mode, indent))
+            self.assertEqual((len(service.calls), len(service.watches)), (1, 1))
+
+    def test_a_first_call_that_is_turned_away_is_followed_by_a_pause_drawn_by_chance(self):
+        for mode in ("pushed", "on_request"):
+            pauses = []
+            for draw in (0, 1):
+                service = self.begin(draw, mode)
+                service.ways = ["503"]
+                self.gateway.start()
+                self.play(service, 3, lambda: len(service.calls) > 1, 0.002)
+                pauses.append(service.calls[1] - service.calls[0])
+            self.assertGreater(pauses[0], 0.06, (mode, pauses))
+            self.assertGreater(pauses[1], 1.4 * pauses[0], (mode, pauses))
+
+
+class Pause(unittest.TestCase):
+    """The module's pause after a failed watch, and the time that it is a share of."""
+
+    def test_a_share_of_the_time_in_which_a_change_counts_as_told_that_grows_to_a_quarter(self):
+        for draw, part in ((0, 0.5), (1, 1.0)):
+            of, port = scheduler(ask_within=60_000)
+            of.uniform = lambda least, most: (least, most)[draw]
+            for asks, share in ((0, 0), (1, 1 / 8), (2, 1 / 4), (3, 1 / 4), (9, 1 / 4), (400, 1 / 4)):
+                of.asks = asks
+                of.listed(1000, News.FAILED, [])
+                self.assertEqual(port.of("wake")[-1], (1000 + int(60_000 * share * part), "ask"))
+
+    def test_the_list_as_it_was_known_is_no_proof_that_discovery_can_be_reached(self):
+        for asked, news, left in ((False, News.CACHED, 1), (True, News.CACHED, 1), (True, News.WHOLE, 0), (True, News.CHANGES, 0)):
+            of, _ = scheduler(list_on_request=asked)
+            of.listed(0, news, [line(7)])
+            self.assertEqual(of.asks, left, (asked, news))
+
+    def test_the_time_is_the_least_that_settings_and_page_say_and_the_grace_where_lists_are_pushed(self):
+        for mode, stated, grace, wanted in (("on_request", 10, 1, 60_000), ("on_request", 4, 1, 39_999), ("on_request", 0, 1, 60_000),
+                                            ("pushed", 0, 1, 9_999), ("pushed", 10, 1, 9_999), ("pushed", 10, 0, 60_000), (None, 0, 0, 60_000)):
+            rules = shared.SETTINGS["rules"] | {"ask_within_ns": stated * 10 ** 9, "stop_sending_within_ns": grace * 10 ** 9}
+            settings = shared.SETTINGS | {"membership_mode": mode, "rules": rules}
+            facts = shared.deployment_of(shared.GIVEN | {"settings": settings}, {}, 0, list[str]().append).facts
+            self.assertEqual(facts["ask_within"], wanted, (mode, stated, grace))
+
+
 if __name__ == "__main__":
     unittest.main()
