--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -1,6 +1,5 @@
 """Real sockets on the loopback, turned by hand: the test says when the reactor looks, so that what is to cross does cross."""
 import socket
-import struct
 import time
 
 from twisted.internet.epollreactor import EPollReactor
@@ -17,12 +16,6 @@
     return sock
 
 
-def reset(sock):
-    """Close with a reset."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    sock.close()
-
-
 class Loop:
     """A reactor of the test's own. `until` turns it until something holds; `turn` once."""
 
--- a/tests/test_crossings_links.py
+++ b/tests/test_crossings_links.py
@@ -5,22 +5,25 @@
 
 from milletsill.interface import Outcome
 from milletsill.platform.asks import Cargo
-from milletsill.platform.configuration import deployment_of
 from milletsill.platform.decide import Octets
-from milletsill.platform.gateway import Gateway
 from milletsill.platform.links import Fleet
 from milletsill.platform.nodes import number_of, place_of
-from tests.loopback import Loop, accept, listening, receive, reset
-from tests.platform_rig import GIVEN, NODE, SETTINGS, ask
+from tests.loopback import Loop, accept, listening, receive
+from tests.platform_rig import NODE, SETTINGS, Loopback, ask, reset
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 WHOLE = HEAD + b"Content-Length: 2\r\n\r\nhi"
 
 
-class Crossing(unittest.TestCase):
+class Links(unittest.TestCase):
+    """The links alone."""
+
     def setUp(self):
         self.loop = Loop()
         self.addCleanup(self.loop.close)
+        self.ended, self.notes = [], []
+        self.fleet = Fleet(self.loop.reactor, self.loop.now, 16, Octets(64), 100_000, 300_000, lambda *values: self.notes.append(values))
+        self.addCleanup(self.fleet.stop)
 
     def node(self):
         sock = listening()
@@ -35,16 +38,6 @@
             self.assertIn(receive(sock), (None, b""), "a request went to it")
             sock.close()
 
-
-class Links(Crossing):
-    """The links alone."""
-
-    def setUp(self):
-        super().setUp()
-        self.ended, self.notes = [], []
-        self.fleet = Fleet(self.loop.reactor, self.loop.now, 16, Octets(64), 100_000, 300_000, lambda *values: self.notes.append(values))
-        self.addCleanup(self.fleet.stop)
-
     def listed(self, port, **entry):
         self.fleet.listed(False, [place_of(NODE | {"addr": f"127.0.0.1:{port}"} | entry, ["z"], 0)])
 
@@ -242,55 +235,38 @@
         self.loop.until(lambda: self.fleet.open == 0)
 
 
-class Leaving(Crossing):
-    """A whole gateway whose client leaves."""
+class Leaving(Loopback):
+    """A whole gateway whose client leaves while its dispatch waits for a link; settings allow no cancel."""
 
-    def setUp(self):
-        super().setUp()
-        self.listener, port = self.node()
-        self.discovery, discovery = self.node()
-        door, self.door = self.node()
-        door.close()
-        settings = SETTINGS | {"limits": SETTINGS["limits"] | {"cancel": False, "dial_timeout_ns": 10_000_000_000}}
-        known = {"version": 4, "full": True, "servers": [NODE | {"addr": f"127.0.0.1:{port}"}]}
-        deployment = deployment_of(GIVEN | {"listen": f"127.0.0.1:{self.door}", "discovery": f"127.0.0.1:{discovery}",
-                                            "settings": settings, "known": known}, {}, 0, lambda text: None)
-        self.gateway = Gateway(deployment, self.loop.reactor, self.loop.now, 0, Quiet())
-        self.gateway.start()
-        self.addCleanup(self.gateway.stop)
-
-    def client(self, data):
-        sock = socket.create_connection(("127.0.0.1", self.door))
-        self.addCleanup(sock.close)
-        sock.sendall(data)
-        return sock
+    changed = {"settings": SETTINGS | {"limits": SETTINGS["limits"] | {"cancel": False, "dial_timeout_ns": 10_000_000_000}}}
 
     def dialled(self):
         return self.gateway.tally["dial", ""]
 
+    def untouched(self):
+        """No octet of a request came to the node, on whatever connection."""
+        self.turn(20)
+        self.node.setblocking(False)
+        while (sock := accept(self.node)) is not None:
+            sock.setblocking(False)
+            self.assertIn(receive(sock), (None, b""), "a request went to it")
+            sock.close()
+
     def test_a_client_that_leaves_in_the_round_in_which_the_link_comes_up_is_not_served(self):
         for leave in (socket.socket.close, reset):
             client = self.client(ask())
             before = self.dialled()
-            self.loop.until(lambda: self.dialled() > before)  # the next turn finds the link up and the client gone
+            self.until(lambda: self.dialled() > before)  # the next turn finds the link up and the client gone
             leave(client)
-            self.silent(self.listener)
+            self.untouched()
             self.assertEqual(self.gateway.host.held, 0)
 
-    def test_a_client_that_leaves_before_its_link_is_up_leaves_nothing_that_begins(self):
-        client = self.client(ask())
-        self.loop.until(self.dialled)
-        self.gateway.host.abandon(next(iter(self.gateway.host.live)))  # no cancel is allowed here
-        self.silent(self.listener)
+    def test_what_has_not_begun_when_its_client_leaves_does_not_begin(self):
+        self.client(ask())
+        self.until(self.dialled)
+        self.gateway.host.abandon(next(iter(self.gateway.host.live)))
+        self.untouched()
         self.assertEqual((self.gateway.tally["ended", "moot"], self.gateway.host.live), (1, {}))
-        client.close()
-
-
-class Quiet:
-    """A log that keeps nothing."""
-
-    def __getattr__(self, name):
-        return lambda *values, **named: None
 
 
 if __name__ == "__main__":
