Rule 4 holds N + 2 root N + 2 for the fleet: no give-back, draws by the new line

At fault: Answers.learn, which gave back what was answered, so a quick node got more than N; cold_wait's `owed <= 0 and units <= part`, by which each gateway sent one small transfer that counts as a whole mean one; cold_wait's part by the age now, not at the window's start; LOT and steep, by the old line.

Change: what left in a window counts until it is over, answered or not, and weighs a usual transfer at least; the part is all of N over the gateways, by the age a window ago; a part below a usual transfer is drawn for. The draws' mean is the least of 0.35 N and line / e^(1 + 12 / line).

Those that stated the give-back state that nothing is given back.

--- a/milletsill/policy/answers.py
+++ b/milletsill/policy/answers.py
@@ -3,7 +3,7 @@
 from milletsill.policy.queues import Queues
 from milletsill.policy.records import Dispatch
 from milletsill.policy.tables import (CLEAR, CLEAR_STEP, CREDITS, CROWDED, ENDING_TICKS, FOLLOW_WAIT, HEARD,
-                                      HIT, MOST_LAPSES, MOST_WINDOW, NARROWER, NEAR, NEVER, NO_WORD, SMOOTH,
+                                      MOST_LAPSES, MOST_WINDOW, NARROWER, NEAR, NEVER, NO_WORD, SMOOTH,
                                       STRAIN, UNSETTLED, Cue, Sign)
 
 
@@ -50,7 +50,6 @@
     def learn(self, sent: Dispatch, answer: Answer, now: int) -> None:
         node, transfer = sent.node, sent.transfer
         node.lapses = max(node.lapses - 1, 0)
-        node.sends.append((now, -transfer.units * (HIT if node.follows(transfer) else 1)))
         node.follow, node.follow_until = transfer, now + int(FOLLOW_WAIT * self.service(node, transfer))
         pace = answer.latency / transfer.units
         self.clear *= 1 + CLEAR_STEP * (CLEAR - (pace * node.size < self.clear))
--- a/milletsill/policy/limits.py
+++ b/milletsill/policy/limits.py
@@ -1,6 +1,8 @@
 """This gateway's parts of what all share: limits (rule 7) and surplus of volumes, cold nodes (rule 4)."""
+from math import exp
+
 from milletsill.policy.records import Dispatch, Node, State, Transfer
-from milletsill.policy.tables import CROWDED, EASE, LEAST_SURPLUS, LOT, MOST_WINDOW, NEVER
+from milletsill.policy.tables import CROWDED, EASE, LEAST_SURPLUS, LOT, MOST_WINDOW, NEVER, RARE
 
 
 class Limits(State):
@@ -50,23 +52,20 @@
             volume.rest_until = now + int(rest)
 
     def cold_wait(self, transfer: Transfer, node: Node, now: int) -> int:
-        """Rule 4: sends less answers stay under this gateway's part of what a cold node bears, cut to leave
-        room for what it can do. A send weighs as a usual transfer at least and gives back its units, a
-        follower less: guards against many small or cheap ones, each as much of a load. Harm: where all are
-        small the node idles."""
+        """Rule 4: what leaves in a window stays under this gateway's part of what a cold node bears, answered
+        or not: guards against a node quicker than promised, which would get more than the settings allow. A
+        send weighs as a usual transfer at least: guards against many small ones. Harm: that node idles."""
         facts, age = self.facts, now - (node.since or -NEVER)
         span = facts["cold_window"] + 2
         while node.sends and node.sends[0][0] + span <= now:
             node.sends.popleft()
         if age >= facts["warm_after"] or not facts["cold_multiple"] * facts["cold_window"]:
             return 0
-        part = self.bears(age) * (1 - 1 / max(facts["cold_multiple"], 1))
-        part /= self.parted("cold", node.id, facts["gateways"], now - span, now)
-        if part < 1 and ("cold", node.id) not in self.parts:
+        part = self.bears(age - span) / self.parted("cold", node.id, facts["gateways"], now - span, now)
+        if part < facts["unit_mean"] and ("cold", node.id) not in self.parts:
             return self.lot_wait(transfer, age, span)
-        owed = sum(units for _, units in node.sends)
         weighs = max(transfer.units, facts["unit_mean"])
-        if owed + weighs <= part or owed <= 0 and transfer.units <= part:
+        if sum(units for _, units in node.sends) + weighs <= part:
             return 0
         return max((node.sends[0][0] if node.sends else now - span) + span - now, 1)
 
@@ -77,13 +76,14 @@
         return units * (1 + grown)
 
     def lot_wait(self, transfer: Transfer, age: int, span: int) -> int:
-        """Where an even part is below one unit each transfer is drawn for once, with odds of the part that
-        filled since this gateway's last one for the cell: the mean over the fleet is LOT of what the node may
-        get, whatever comes where, and its spread is borne (design.md); large ones pay for their weight.
-        Guards rule 4. Harm: most of what is held there never goes."""
+        """Where an even part is below one usual transfer each is drawn for once, with odds of the part that
+        filled since this gateway's last one for the cell: over the fleet the mean is LOT of what the node may
+        get, or less where the spread (RARE, design.md) leaves less; large ones pay for their weight. Guards
+        rule 4. Harm: most of what is held there never goes."""
         mean, gateways = self.facts["unit_mean"], self.facts["gateways"]
         bears = self.bears(age - span) / mean
-        steep = (bears + 3 * bears ** 0.5 + 3) / (LOT * bears)
-        odds = LOT * bears / gateways * transfer.gap / span * steep ** min(1 - transfer.units / mean, 0)
+        line = bears + 2 * bears ** 0.5 + 2
+        drawn = min(LOT * bears, line / exp(1 + RARE / line))
+        odds = drawn / gateways * transfer.gap / span * (line / drawn) ** min(1 - transfer.units / mean, 0)
         transfer.lot = self.uniform(0, 1) if transfer.lot < 0 else transfer.lot
         return 0 if transfer.lot < odds and not transfer.dispatches else span
