Discovery tests: ten crossings over real sockets, and two hundred followers at once

The mends of the clock stood on played calls alone; what crosses on real sockets (a reset, half a line, an end right behind a list, an answer to the call before SIGHUP) was brought about by nothing, and the bound on calls was never stated.

Change. tests/test_crossings_lists.py runs a reactor by hand, holds discovery's end of each connection and sets the clock on itself: nothing is waited for but a step that the sockets owe. tests/test_silence.py plays 200 followers with the module's pauses against a service that takes calls in turn and turns away what would wait for over two seconds.

--- /dev/null
+++ b/tests/test_crossings_lists.py
@@ -0,0 +1,305 @@
+"""What crosses on the way to and from discovery, over real sockets: each crossing is brought about step by step. The test holds
+discovery's end, runs the reactor by hand, and sets the clock on itself, so a busy machine changes nothing."""
+import json
+import socket
+import struct
+import unittest
+
+from twisted.internet.selectreactor import SelectReactor
+
+from milletsill.interface import News
+from milletsill.platform.decide import FIRST_WORD, OVERDUE, TOLD, TOLD_MOVED
+from milletsill.platform.discovery import Follower
+from tests.platform_rig import NODE
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+BEAT = b"1\r\n\n\r\n"
+LOOK = 1_000  # tenths of a millisecond between looks
+PATIENT = 30.0  # seconds of real time in which a step that the sockets owe has to come; none is waited for beyond its coming
+
+
+def said(version, whole=False, **changed):
+    text = json.dumps({"version": version, "full": whole, "servers": [NODE | changed]}).encode() + b"\n"
+    return b"%x\r\n%s\r\n" % (len(text), text)
+
+
+class Discovery:
+    """One address of discovery; calls are taken when the test says so."""
+
+    def __init__(self):
+        self.door = socket.create_server(("127.0.0.1", 0))
+        self.address = self.door.getsockname()
+        self.ends = []
+
+    def close(self):
+        for each in (self.door, *self.ends):
+            each.close()
+
+
+class Crossing(unittest.TestCase):
+
+    def setUp(self):
+        self.reactor = SelectReactor()
+        self.reactor.startRunning(installSignalHandlers=False)
+        self.clock, self.told, self.log, self.due = 0, [], [], []
+        self.reactor.callLater = self.later
+        self.there = self.discovery()
+        self.follower = Follower(self.reactor, lambda: self.clock, self.there.address, ["z"], 0, self.hear, self.log.append,
+                                 lambda least, most: most)
+
+    def tearDown(self):
+        self.follower.stop()
+        self.turn(3)
+        for each in self.reactor.removeAll():
+            each.connectionLost(None)
+
+    def again(self):
+        """The same from the start."""
+        self.tearDown()
+        self.setUp()
+
+    def discovery(self):
+        made = Discovery()
+        self.addCleanup(made.close)
+        return made
+
+    def hear(self, kind, places):
+        self.told.append((kind, *(each.listed.readiness.value for each in places)))
+
+    def later(self, span, call, *values, **named):
+        """The test's own timers: they come when the clock is set on."""
+        timer = Timer(self.clock + span * 10_000, lambda: call(*values, **named))
+        self.due.append(timer)
+        return timer
+
+    def turn(self, times=1):
+        """What the sockets hold, and what is due."""
+        for _ in range(times):
+            self.reactor.doIteration(0.01)
+            for each in [one for one in self.due if one.at <= self.clock]:
+                self.due.remove(each)
+                each.run()
+
+    def until(self, holds):
+        """The sockets' next step; the clock stands."""
+        for _ in range(int(PATIENT / 0.01)):
+            if holds():
+                return
+            self.turn()
+        self.fail(f"it never came: told {self.told}, said {self.log}")
+
+    def go(self, span):
+        """The clock goes on by looks."""
+        for _ in range(int(span) // LOOK):
+            self.clock += LOOK
+            self.follower.look()
+            self.turn()
+
+    def taken(self, there=None):
+        """Discovery takes the next call and has read it whole."""
+        there = there or self.there
+        there.door.settimeout(PATIENT)
+        self.until(lambda: (watch := self.follower.watch) is not None and watch.version >= 0 and watch.transport is not None)
+        end, _ = there.door.accept()
+        there.ends.append(end)
+        end.settimeout(PATIENT)
+        got = b""
+        while not got.endswith(b"\r\n\r\n"):
+            self.turn()
+            got += self.peek(end)
+        return end, int(got.split(b"from=")[1].split()[0])
+
+    def peek(self, end):
+        end.setblocking(False)
+        try:
+            return end.recv(4096)
+        except BlockingIOError:
+            return b""
+        finally:
+            end.setblocking(True)
+
+    def standing(self):
+        """A watch that has spoken."""
+        self.follower.ask()
+        end, _ = self.taken()
+        end.sendall(HEAD + said(7, True))
+        self.until(lambda: self.told)
+        return end
+
+    def failed(self):
+        return [each[0] for each in self.told].count(News.FAILED)
+
+    def reset(self, end):
+        end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        end.close()
+
+    def test_a_call_that_is_taken_and_never_answered_is_over_after_its_time(self):
+        for answer in (b"", HEAD, HEAD + said(9)[:40]):
+            self.told.clear()
+            self.follower.ask()
+            end, _ = self.taken()
+            end.sendall(answer)
+            self.until(lambda: bool(self.follower.watch.answer.status) == bool(answer))
+            self.go(FIRST_WORD)
+            self.assertEqual(self.failed(), 0, answer)
+            self.go(2 * LOOK)
+            self.assertEqual(self.failed(), 1, answer)
+
+    def test_an_answer_octet_by_octet_is_read_whole_or_over_in_the_same_time(self):
+        self.follower.ask()
+        end, _ = self.taken()
+        for place in range(len(HEAD)):
+            end.sendall(HEAD[place:place + 1])
+        self.until(lambda: self.follower.watch.answer.status)
+        text = said(7, True)
+        spent = 0
+        while not self.failed():
+            self.assertLess(spent, FIRST_WORD + 3 * LOOK)
+            end.sendall(text[spent // LOOK:spent // LOOK + 1])
+            self.go(LOOK)
+            spent += LOOK
+        self.follower.ask()
+        end, _ = self.taken()
+        for place in range(len(HEAD + text)):
+            end.sendall((HEAD + text)[place:place + 1])
+            self.turn()
+        self.until(lambda: self.told[-1] == (News.WHOLE, "ready"))
+
+    def test_an_indented_list_that_comes_in_pieces_and_one_that_stops_half_way(self):
+        text = json.dumps({"version": 9, "full": True, "servers": [NODE]}, indent=1).encode() + b"\n"
+        for cut in range(1, len(text), 17):
+            self.told.clear()
+            self.follower.ask()
+            end, _ = self.taken()
+            end.sendall(HEAD + b"%x\r\n%s\r\n" % (cut, text[:cut]))
+            self.until(lambda: self.follower.watch.answer.status)
+            end.sendall(BEAT)  # between two parts it says nothing
+            self.go(FIRST_WORD - LOOK)
+            self.assertEqual(self.told, [], cut)
+            end.sendall(b"%x\r\n%s\r\n" % (len(text) - cut, text[cut:]))
+            self.until(lambda: self.told)
+            self.assertEqual(self.told, [(News.WHOLE, "ready")], cut)
+            self.reset(end)
+            self.until(self.failed)
+
+    def test_half_a_line_then_silence_on_a_watch_that_stands_opens_another_in_time(self):
+        old = self.standing()
+        old.sendall(said(8)[:40])
+        self.until(lambda: self.follower.watch.answer.line)
+        for place in range(OVERDUE[1] // LOOK + 2):  # and it drips
+            old.sendall(said(8)[40 + place:41 + place])
+            self.go(LOOK)
+        end, asked = self.taken()
+        end.sendall(HEAD + said(8, state="leaving"))
+        self.until(lambda: len(self.told) == 2)
+        self.assertEqual((asked, self.told[-1], self.failed()), (7, (News.CHANGES, "draining"), 0))
+        self.assertLess(self.clock, TOLD - FIRST_WORD)
+
+    def test_a_reset_in_mid_line_tells_nothing_of_it_and_asks_from_the_version_held(self):
+        end = self.standing()
+        end.sendall(said(8)[:40])
+        self.until(lambda: self.follower.watch.answer.line)
+        self.reset(end)
+        self.until(self.failed)
+        self.follower.ask()
+        self.assertEqual((self.taken()[1], len(self.told)), (7, 2))
+
+    def test_a_list_with_the_end_right_behind_it_counts_and_the_end_too(self):
+        for end_of_it in (b"0\r\n\r\n", b""):
+            self.told.clear()
+            self.follower.version = 0
+            self.follower.ask()
+            end, _ = self.taken()
+            end.setsockopt(socket.IPPROTO_TCP, socket.TCP_CORK, 1)
+            end.sendall(HEAD + said(7, True) + said(8, state="leaving") + end_of_it)
+            end.shutdown(socket.SHUT_WR)
+            self.until(self.failed)
+            self.assertEqual(self.told, [(News.WHOLE, "ready"), (News.CHANGES, "draining"), (News.FAILED,)])
+
+    def test_the_old_watch_speaks_in_the_moment_of_the_new_ones_first_line(self):
+        for first in ("old", "new"):
+            self.again()
+            old = self.standing()
+            self.go(OVERDUE[1] + 2 * LOOK)
+            new, asked = self.taken()
+            lines = {"old": (old, said(8, state="leaving")), "new": (new, HEAD + said(8, state="leaving"))}
+            for name in (first, "old" if first == "new" else "new"):
+                end, text = lines[name]
+                end.sendall(text)
+            self.until(lambda: self.follower.old is None)
+            self.turn(5)
+            self.assertEqual((asked, self.failed(), {each[1:] for each in self.told[1:]}), (7, 0, {("draining",)}), first)
+            new.sendall(said(9))
+            self.until(lambda: self.told[-1] == (News.CHANGES, "ready"))
+
+    def test_a_watch_that_is_reset_between_the_ask_and_the_open_leaves_one_call(self):
+        old = self.standing()
+        self.clock += OVERDUE[1] + LOOK
+        self.reset(old)
+        self.follower.look()  # asks; in the turn that opens, the reset is read first
+        self.until(lambda: self.follower.old is None)
+        end, asked = self.taken()
+        end.sendall(HEAD + said(8, state="leaving"))
+        self.until(lambda: len(self.told) == 2)
+        self.assertEqual((asked, self.told[-1], self.failed()), (7, (News.CHANGES, "draining"), 0))
+
+    def test_sighup_while_a_call_is_under_way_and_its_answer_crosses(self):
+        for crosses, wanted in (("before the new call", 7), ("after it", 0), ("never", 0)):
+            self.again()
+            self.follower.ask()
+            first, _ = self.taken()
+            there = self.discovery()
+            self.follower.move(there.address)
+            if crosses == "before the new call":
+                first.sendall(HEAD + said(7, True))
+                self.until(lambda: self.told)
+            new, asked = self.taken(there)
+            self.assertEqual(asked, wanted, crosses)
+            if crosses == "after it":
+                first.sendall(HEAD + said(7, True))
+                self.until(lambda: self.told)
+            new.sendall(HEAD + said(8, True, state="leaving"))
+            self.until(lambda: (News.WHOLE, "draining") in self.told)
+            self.until(lambda: self.follower.old is None)
+            self.assertEqual((self.failed(), len(self.told)), (0, 2 - (crosses == "never")), crosses)
+
+    def test_sighup_to_an_address_that_takes_the_call_and_never_answers_while_the_old_watch_beats_on(self):
+        old = self.standing()
+        there = self.discovery()
+        self.follower.move(there.address)
+        moved = self.clock
+        self.taken(there)
+        for _ in range(FIRST_WORD // LOOK // 10 + 1):  # the old one beats on
+            old.sendall(BEAT)
+            self.turn(2)
+            self.go(10 * LOOK)
+        self.assertIsNone(self.follower.watch)
+        while not self.failed():
+            self.assertLess(self.clock - moved, TOLD_MOVED - 3 * LOOK)
+            old.sendall(BEAT)
+            self.go(LOOK)
+        self.follower.ask()
+        end, asked = self.taken(there)
+        end.sendall(HEAD + said(8, state="leaving"))
+        self.until(lambda: self.told[-1] == (News.CHANGES, "draining"))
+        self.assertEqual(asked, 7)
+
+
+class Timer:
+    """One call that is due."""
+
+    def __init__(self, at, run):
+        self.at, self.run, self.live = at, run, True
+
+    def active(self):
+        return self.live
+
+    def cancel(self):
+        self.live, self.run = False, lambda: None
+
+    def reset(self, span):
+        pass
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -4,8 +4,10 @@
 import json
 import unittest
 from itertools import product
+from random import Random
 
-from milletsill.interface import News
+from milletsill.interface import News, Readiness
+from milletsill.platform.discovery import Follower
 from milletsill.platform.gateway import Gateway
 from tests import platform_rig as shared
 from tests.helpers import line, scheduler
@@ -280,6 +282,81 @@
             self.assertGreater(pauses[1], 1.4 * pauses[0], (mode, pauses))
 
 
+class Member:
+    """One of a fleet: a follower and the module's pauses."""
+
+    def __init__(self, reactor, now, seed, within):
+        self.reactor, self.now, self.has = reactor, now, False
+        self.follower = Follower(reactor, now, ("127.0.0.1", 8500), ["z"], 0, self.hear, lambda text: None, Random(seed).uniform)
+        self.module, _ = scheduler(ask_within=within)
+        self.module.port, self.module.uniform = self, Random(-seed - 1).uniform
+        self.follower.ask()
+
+    def hear(self, kind, places):
+        self.has |= any(each.listed.readiness is Readiness.DRAINING for each in places)
+        self.module.listed(self.now(), kind, [each.listed for each in places])
+
+    def wake(self, at, what):
+        if what == "ask":
+            self.reactor.callLater(max(at - self.now(), 0) / 10_000, lambda: self.module.woken(self.now(), what))
+
+    def watch(self):
+        self.follower.ask()
+
+
+class FullFleet(Played):
+    """Two hundred at a service that handles calls in turn and turns away what would wait for over two seconds."""
+
+    FLEET, SPAN = 200, 8
+
+    def fleet(self, within, **service):
+        self.setUp()
+        self.gateway.stop()
+        made = Service(self.reactor, bears=2.0, **service)
+        members = [Member(self.reactor, self.now, seed, within) for seed in range(self.FLEET)]
+        self.looked(made, members, self.SPAN, lambda: False)
+        return made, members
+
+    def looked(self, service, members, most, until):
+        began, looks = self.reactor.seconds(), 0
+        while not until() and self.reactor.seconds() < began + most:
+            self.reactor.advance(0.02)
+            service.look()
+            looks += 1
+            for each in members if not looks % 5 else ():
+                each.follower.look()
+        return self.reactor.seconds() - began
+
+    def back(self, service, members, takes):
+        """Seconds until all have the list, calls each."""
+        service.takes, service.free, service.calls = takes, 0.0, []
+        waited = self.looked(service, members, 25, lambda: all(each.has for each in members))
+        return waited, len(service.calls) / self.FLEET
+
+    def test_after_an_outage_all_have_the_list_as_soon_as_the_service_can_give_it(self):
+        for within, each_second, most, takes, patient in ((60_000, 1.2, 3, 0.01, False), (60_000, 1.2, 3, 0.04, False),
+                                                          (9_999, 5.5, 11, 0.01, False), (9_999, 5.5, 11, 0.04, False),
+                                                          (60_000, 1.2, 3, 0.02, True), (9_999, 5.5, 11, 0.02, True)):
+            service, members = self.fleet(within, patient=patient)
+            service.bad, service.back, service.calls = "refused", self.reactor.seconds() + self.SPAN, []
+            for _, protocol, _ in service.change():
+                protocol.connectionLost()
+            self.looked(service, members, self.SPAN, lambda: False)
+            self.assertLess(len(service.calls) / self.FLEET / self.SPAN, each_second, (within, takes))
+            waited, calls = self.back(service, members, takes)
+            self.assertLess(waited, takes * self.FLEET + (2.0 if patient else 1.0), (within, takes, patient))
+            self.assertLess(calls, most, (within, takes, patient))
+
+    def test_where_all_watches_fall_silent_at_once_all_have_the_list_as_soon_as_the_service_can_give_it(self):
+        for takes, most in ((0.01, 1.1), (0.02, 2), (0.04, 4)):
+            service, members = self.fleet(60_000)
+            service.patient = False
+            service.change()
+            waited, calls = self.back(service, members, takes)
+            self.assertLess(waited, max(takes * self.FLEET + 1.5, 3.5), takes)
+            self.assertLess(calls, most, takes)
+
+
 class Pause(unittest.TestCase):
     """The module's pause after a failed watch, and the time that it is a share of."""
 
