--- a/tests/test_crossings_links.py
+++ b/tests/test_crossings_links.py
@@ -3,7 +3,7 @@
 import socket
 import unittest
 
-from milletsill.interface import Outcome
+from milletsill.interface import News, Outcome
 from milletsill.platform.asks import Cargo
 from milletsill.platform.decide import Octets
 from milletsill.platform.links import Fleet
@@ -235,6 +235,47 @@
         self.loop.until(lambda: self.fleet.open == 0)
 
 
+class Replaced(Loopback):
+    """A whole gateway whose node goes while something is owed there."""
+
+    def goes(self, *others):
+        here = [NODE | {"state": "left"}, *others]
+        self.gateway.listed(News.CHANGES, [place_of(each, ["z"], 0) for each in here])
+
+    def test_a_dispatch_that_waits_at_a_node_that_is_replaced_goes_to_its_successor(self):
+        successor = socket.create_server(("127.0.0.1", 0))
+        self.sockets.append(successor)
+        client = self.client(ask())
+        self.until(lambda: self.gateway.tally["dial", ""])
+        self.goes(NODE | {"id": "s-2", "addr": "127.0.0.1:%d" % successor.getsockname()[1]})
+        first, self.node = self.node, successor
+        link = self.taken()
+        first.setblocking(False)
+        if (sock := accept(first)) is not None:
+            sock.setblocking(False)
+            self.assertIn(receive(sock), (None, b""), "a request went to what is gone")
+            sock.close()
+        link.sendall(WHOLE)
+        self.until(lambda: self.unread_by(client).endswith(b"hi"), "the client has no answer")
+
+    def test_a_node_that_goes_while_it_works_is_heard_out(self):
+        client = self.client(ask())
+        link = self.taken()
+        self.goes()
+        self.pass_time(0.3)  # looks at what is over and forgets it
+        link.sendall(WHOLE)
+        self.until(lambda: self.unread_by(client).endswith(b"hi"), "the client has no answer")
+        self.until(lambda: self.gateway.fleet.open == 0)
+        self.pass_time(0.3)
+        self.assertEqual(self.gateway.fleet.nodes, {})
+
+    def unread_by(self, client):
+        try:
+            return client.recv(1 << 16, socket.MSG_PEEK)
+        except BlockingIOError:
+            return b""
+
+
 class Leaving(Loopback):
     """A whole gateway whose client leaves while its dispatch waits for a link; settings allow no cancel."""
 
