--- a/tests/test_crossings_descriptors.py
+++ b/tests/test_crossings_descriptors.py
@@ -28,10 +28,12 @@
     "silence": (b"", ""),
     "a length below zero": (ask(Content_Length="-5", **KEYED), "a head that cannot be read"),
     "a length that is huge": (ask(Content_Length="9" * 30, **KEYED), "a head that cannot be read"),
-    "two ways to tell the length": (ask(Content_Length="4", Transfer_Encoding="chunked", **KEYED) + b"abcd", "a head that cannot be read"),
+    "two ways to tell the length": (
+        ask(Content_Length="4", Transfer_Encoding="chunked", **KEYED) + b"abcd", "a head that cannot be read"),
     "sixty megabytes": (ask(Content_Length="62914560", **KEYED) + b"x" * 300_000, "a body over the bound"),
     "chunks that are none": (ask(Transfer_Encoding="chunked", **KEYED) + b"zz\r\n", "chunks that cannot be read"),
-    "chunks without an end": (ask(Transfer_Encoding="chunked", **KEYED) + b"1000\r\n" + b"x" * 4096 + b"\r\n", "a request that does not end"),
+    "chunks without an end": (
+        ask(Transfer_Encoding="chunked", **KEYED) + b"1000\r\n" + b"x" * 4096 + b"\r\n", "a request that does not end"),
     "a class that does not exist": (ask(name="none"), "x-lane is not known"),
     "a plan that does not exist": (ask(X_Plan="none"), "x-plan is not known"),
     "a deadline that is no number": (ask(X_Remaining_Ms="NaN"), "x-remaining-ms"),
@@ -201,7 +203,8 @@
                 with open(path, "w") as file:
                     json.dump(GIVEN | {"listen": f"127.0.0.1:{names[2]}", "discovery": f"127.0.0.1:{discovery}",
                                        "limits": {"sockets": limit, "memory_mb": 64},
-                                       "known": {"version": 1, "full": True, "servers": [NODE | {"addr": f"127.0.0.1:{node}"}]}}, file)
+                                       "known": {"version": 1, "full": True,
+                                                 "servers": [NODE | {"addr": f"127.0.0.1:{node}"}]}}, file)
             write(names[0])
             with open(os.path.join(folder, "log"), "w+b") as log, subprocess.Popen(
                     [sys.executable, "-m", "milletsill", "serve"], stdout=log, stderr=subprocess.STDOUT,
--- a/tests/test_crossings_going.py
+++ b/tests/test_crossings_going.py
@@ -225,12 +225,13 @@
                                     "    for each in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):\n"
                                     "        os.kill(os.getpid(), each)\n"
                                     "Signals.__init__ = begin\n")
-        self.assertEqual((status, [log.count(f'"event": "{each}"') for each in ("leaving", "reloaded", "stopped")], "Traceback" in log),
-                         (0, [1, 1, 1], False), log)
+        heard = [log.count(f'"event": "{each}"') for each in ("leaving", "reloaded", "stopped")]
+        self.assertEqual((status, heard, "Traceback" in log), (0, [1, 1, 1], False), log)
 
     def test_the_interpreters_own_end_is_not_waited_for(self):
         """It takes a tenth of a second of a core, and is counted on the span before the earliest kill."""
-        status, log = self.run_with("import atexit\natexit.register(time.sleep, 60)\n", lambda process, folder: process.terminate())
+        status, log = self.run_with("import atexit\natexit.register(time.sleep, 60)\n",
+                                    lambda process, folder: process.terminate())
         self.assertEqual((status, log.count('"event": "stopped"'), log[-2:]), (0, 1, "}\n"), log)
 
     def test_a_wall_clock_that_is_set_back_puts_no_end_off(self):
--- a/tests/test_crossings_leavers.py
+++ b/tests/test_crossings_leavers.py
@@ -1,4 +1,5 @@
-"""Clients that leave, take nothing or send what cannot be read, each at the instant in which something is still owed: loopback sockets."""
+"""Clients that leave, take nothing or send what cannot be read, each at the instant in which something is still owed, on
+loopback sockets."""
 import socket
 import unittest
 
@@ -81,7 +82,8 @@
     def test_who_leaves_while_the_process_stands_still_has_no_further_dispatch(self):
         """The node's failure and the client's end are both unread, half a second later."""
         for how in ("close", "reset"):
-            for said in (b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", b"HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", b""):
+            for said in (b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+                         b"HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", b""):
                 with self.subTest(how=how, said=said):
                     self.again()
                     one = self.client(ask())
