Door: who was answered at once rests like any other; making way has tests of its own

Seen: the first play of the new test of SPARED failed before its span was over. A connection whose first request is answered at once, by no transfer (health, or turned away with a time to come back), stayed FRESH, as one on which nothing ever came: CLIENT_TABLE had no line for (FRESH, ANSWERED). The table has the line now.

New in tests/test_crossings_descriptors.py, class Spared, over loopback sockets with the share full and somebody before the door: who rests between requests makes way after SPARED and not before, with an end in order; a request unread on what makes way is read first, the process having stood still for the whole span; a last answer that is being taken is not torn before it, and who takes nothing of one makes way after it.

Without the mend the tests print: "Lists differ: [(b'', 'ended'), ...] != [(b'', 'open'), ...]" and "'open' != 'reset'".

--- a/milletsill/platform/decide.py
+++ b/milletsill/platform/decide.py
@@ -19,6 +19,7 @@
 CLIENT_TABLE: Mapping[tuple[Stage, Cue], tuple[Stage, str]] = {
     **{(stage, Cue.TAKEN): (Stage.BUSY, "") for stage in (Stage.FRESH, Stage.WAITING)},
     (Stage.BUSY, Cue.ANSWERED): (Stage.WAITING, "read on"),
+    (Stage.FRESH, Cue.ANSWERED): (Stage.WAITING, ""),  # at once, by no transfer: health, or turned away
     **{(stage, Cue.LAST): (Stage.ENDING, "end") for stage in (Stage.FRESH, Stage.WAITING, Stage.BUSY)},
     **{(stage, Cue.REFUSED): (Stage.ENDING, "end") for stage in (Stage.FRESH, Stage.WAITING)},
     (Stage.BUSY, Cue.REFUSED): (Stage.ENDING, "abandon and end"),
--- a/tests/test_crossings_descriptors.py
+++ b/tests/test_crossings_descriptors.py
@@ -12,7 +12,7 @@
 from contextlib import suppress
 from dataclasses import replace
 
-from milletsill.platform.decide import OVER
+from milletsill.platform.decide import OVER, SPARED
 from tests.platform_rig import GIVEN, NODE, TXN, Loopback, ask, node_stand_in
 
 READY = b"GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -189,6 +189,76 @@
         self.assertNotIn(b"Retry-After", self.got(one)[0])
 
 
+class Spared(Loopback):
+    """The share is full; somebody waits before the door. Who rests between requests, or takes a last answer, makes way after
+    `SPARED`, not before, and has lost nothing."""
+
+    changed = {"limits": {"sockets": 64, "memory_mb": 64}}
+    SPAN = SPARED / 10_000
+
+    def resting(self, count):
+        ones = [self.client(READY) for _ in range(count)]
+        for each in ones:
+            self.until(lambda: b" 200 " in self.got(each)[0])
+        return ones
+
+    def before_the_door(self):
+        late = socket.socket()
+        late.setblocking(False)
+        late.connect_ex(("127.0.0.1", self.door))
+        self.sockets.append(late)
+        late.sendall(READY)
+        self.turn(5)
+        self.assertTrue(self.gateway.clients.paused)
+        return late
+
+    def test_who_rests_between_requests_makes_way_after_its_span_and_not_before(self):
+        resting = self.resting(self.gateway.clients.most)
+        late = self.before_the_door()
+        self.pass_time(self.SPAN - 0.1)
+        self.assertEqual([self.got(each) for each in [*resting, late]], [(b"", "open")] * (len(resting) + 1))
+        self.pass_time(0.2)
+        self.assertEqual([self.got(each) for each in resting], [(b"", "ended")] * len(resting), "no end in order")
+        for each in resting:
+            each.close()
+        self.until(lambda: b" 200 " in self.got(late)[0], "nobody made way")
+
+    def test_a_request_unread_on_what_makes_way_is_read_first(self):
+        """The process stood still for the whole span; the request came just before it was over."""
+        resting = self.resting(self.gateway.clients.most)
+        self.before_the_door()
+        resting[0].sendall(ask())
+        self.unread()
+        self.time += self.SPAN + 0.01
+        self.turn()
+        self.taken().sendall(ANSWER)
+        data = bytearray()
+        self.until(lambda: data.extend(self.got(resting[0])[0]) or data.endswith(b"hi"), "not answered")
+        self.assertEqual(data.count(b"HTTP/1.1 "), 1)
+        self.assertEqual([self.got(each)[1] for each in resting[1:]], ["ended"] * (len(resting) - 1))
+
+    def test_a_last_answer_that_is_being_taken_is_not_torn_before_it(self):
+        for takes in (True, False):
+            with self.subTest(takes=takes):
+                self.again()
+                one = self.client(ask(Connection="close"), window=4096)
+                protocol = self.server_side()
+                protocol.transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+                self.taken().sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n" + b"x" * 400_000)
+                self.until(lambda: protocol.stage.name == "ENDING", "not answered")
+                self.resting(self.gateway.clients.most - 1)
+                self.before_the_door()
+                data = bytearray()
+                for _ in range(4 * takes):
+                    self.pass_time((self.SPAN - 0.1) / 4)
+                    data.extend(one.recv(4096))
+                if takes:
+                    self.until(lambda: data.extend(self.got(one)[0]) or data.count(b"x") == 400_000, "the answer is torn")
+                else:
+                    self.pass_time(self.SPAN + 0.2)
+                    self.assertEqual(self.got(one)[1], "reset", "who takes nothing holds its descriptor")
+
+
 class Whole(unittest.TestCase):
 
     def test_a_whole_process_at_its_limit_hears_sighup_finds_discovery_and_serves(self):
