Door: one request is read ahead of an open one; what cannot be read there ends both at once

Client's request, 64 KiB behind it, its end, the process standing still for 0.5 s: one dispatch began.

Now the door reads one request ahead (Client.read_ahead): up to one whole request of any allowed length and 16 KiB behind it are held; long ones count against the quarter of the memory that long answers have (Octets, 72 KiB each), so all clients together hold no more than before. A head is refused as soon as it can become none (REQUEST_BEGINS, ANSWER_BEGINS). Reading never stops while a client may leave; its end is looked for behind all that lies there. To write the open one's answer first was weighed and dropped: a flood would have no word for as long as its first request may take.

--- a/milletsill/http1/decide.py
+++ b/milletsill/http1/decide.py
@@ -10,6 +10,11 @@
 # not CR LF, folded lines, a space before the colon, a zero octet. Harm: a sloppy but honest peer is refused.
 AMBIGUOUS = re.compile(rb"(?<!\r)\n|\r(?!\n)|\n[ \t]|\x00|\n[^:\r\n]*[ \t]+:")
 
+# How a head begins, as far as it is here. Guards against waiting for the end of what can become no head: the rest of a body that
+# was told too short, noise without an end of line. Harm: none to a message that could be read, it is refused sooner.
+REQUEST_BEGINS = re.compile(rb"(?:\r\n|\r\Z)*(?:[A-Z]{1,20} |[A-Z]{0,20}\Z)")
+ANSWER_BEGINS = re.compile(rb"(?:\r\n|\r\Z)*(?:HTTP/|(?:|H|HT|HTT|HTTP)\Z)")
+
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
--- a/milletsill/http1/reader.py
+++ b/milletsill/http1/reader.py
@@ -9,7 +9,7 @@
 import httptools
 
 from milletsill.errors import Malformed
-from milletsill.http1.decide import AMBIGUOUS, MOST_INTERIM, Bounds, length_of
+from milletsill.http1.decide import AMBIGUOUS, ANSWER_BEGINS, MOST_INTERIM, REQUEST_BEGINS, Bounds, length_of
 
 ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 END = b"\r\n\r\n"
@@ -65,6 +65,8 @@
 class Reader:
     """One direction of one connection."""
 
+    BEGINS = REQUEST_BEGINS
+
     def __init__(self, bounds: Bounds) -> None:
         self.bounds = bounds
         self.buffer = b""
@@ -74,8 +76,8 @@
 
     @property
     def pending(self) -> int:
-        """Octets that wait to be read."""
-        return len(self.buffer) + sum(map(len, self.pieces))
+        """Octets that wait to be read, or for the rest of their message."""
+        return len(self.buffer) + sum(map(len, self.pieces)) + (len(self.message.body) if self.message is not None else 0)
 
     @property
     def begun(self) -> bool:
@@ -134,6 +136,8 @@
         if end < 0 and len(self.buffer) <= self.bounds.head:
             if AMBIGUOUS.search(self.buffer[:-1] if self.buffer.endswith(b"\r") else self.buffer):
                 raise BadMessage(400, "a head that can be read in two ways")
+            if not self.BEGINS.match(self.buffer):
+                raise BadMessage(400, "what begins no message")
             return None
         if not 0 <= end <= self.bounds.head - len(END):
             raise BadMessage(431, "a head over the bound")
@@ -195,6 +199,8 @@
 class AnswerReader(Reader):
     """What a server answers to anything but HEAD. One without a length is whole when its connection was closed (`closed`)."""
 
+    BEGINS = ANSWER_BEGINS
+
     def __init__(self, bounds: Bounds) -> None:
         super().__init__(bounds)
         self.interim = 0
--- a/milletsill/platform/decide.py
+++ b/milletsill/platform/decide.py
@@ -41,7 +41,8 @@
 LOOK_SHORT = 200  # between looks, where descriptors are short
 SPARED = 21_000  # and one between requests after this
 LINGER = 10_000  # a connection with its last answer handed over is cut after this
-MOST_AHEAD = 16_384  # octets of later requests held while one is open
+MOST_AHEAD = 16_384  # octets of later requests held while one is open, behind the next one
+MOST_REQUEST = 73_728  # octets of the longest one, counted against the memory where more than that lies ahead
 MOST_DISCARDED = 1 << 20  # octets read and thrown away behind a refused request
 ANSWER_MARGIN = 60  # an answer is written this long before the client's time is up
 
@@ -95,7 +96,7 @@
 
 
 class Octets:
-    """What long answers hold of the memory. Guards the process against being killed for memory by answers that are long or
+    """What long answers, and long requests ahead of one, hold of the memory. Guards the process against being killed for memory by answers that are long or
     clients that do not read. Harm: past the bound a good answer counts as spoilt."""
 
     def __init__(self, memory_mb: int) -> None:
--- a/milletsill/platform/door.py
+++ b/milletsill/platform/door.py
@@ -11,7 +11,7 @@
 from milletsill.http1 import writer
 from milletsill.http1.decide import Bounds
 from milletsill.http1.reader import BadMessage, Message, RequestReader
-from milletsill.platform.decide import LOOK_SHORT, MOST_AHEAD, MOST_DISCARDED, OVER, Cue, Octets, Stage, due, next_stage
+from milletsill.platform.decide import LOOK_SHORT, MOST_AHEAD, MOST_DISCARDED, MOST_REQUEST, OVER, Cue, Octets, Stage, due, next_stage
 from milletsill.platform.links import Verdict
 
 BOUNDS = Bounds()
@@ -47,6 +47,13 @@
         self.reading = False  # within `read_on`
         self.gone = self.handed = False  # the client has closed its side; all that we had to write is the system's
         self.charged = 0  # octets of an answer that the client has not taken yet
+        self.ahead: Message | None = None  # the next request, whole, while one is open or the last answer is not taken
+        self.lent = 0  # octets counted for what is ahead
+
+    @property
+    def begun(self) -> bool:
+        """Whether a part of a request is here."""
+        return self.ahead is not None or self.reader.begun
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -73,47 +80,85 @@
             if self.discarded > MOST_DISCARDED:
                 self.transport.pauseProducing()
             return
-        if not self.reader.begun:
+        if not self.begun:
             self.since = self.gateway.now()
         self.reader.feed(data)
-        if self.stage is not Stage.BUSY and not self.stuck:
-            return self.read_on()
-        if self.reader.pending > MOST_AHEAD:
-            self.refuse(400, "too much ahead of an answer")
+        self.read_on()
 
     def read_on(self) -> None:
         """The next request, once the last one has its answer. Never from within itself: what `has_gone` reads waits."""
         if not self.reading:
             self.reading = True
-            self.read_all()
-            self.reading = False
-            if self.stage is Stage.BUSY and self.reader.pending > MOST_AHEAD:
-                self.refuse(400, "too much ahead of an answer")
-
-    def read_all(self) -> None:
-        while self.stage in (Stage.FRESH, Stage.WAITING) and not self.stuck:
             try:
-                message = self.reader.next()
-            except BadMessage as error:
-                return self.refuse(error.status, error.reason)
-            if message is None:
-                return
-            self.keep = message.keep
-            self.gateway.asked(self, message)
-
-    def has_gone(self) -> bool:
-        """Whether the client's end came right behind its request. Guards nodes against work for who has left while the
-        process stood still or the request waited before the door: octets are read a round before the end behind them.
-        Harm: one more read for each request that is taken."""
-        if self.transport.doRead() is None:
+                while self.read_ahead() and self.ready and self.ahead is not None:
+                    message, self.ahead = self.ahead, None
+                    self.give_back()
+                    if self.read_ahead():
+                        self.keep = message.keep
+                        self.gateway.asked(self, message)
+            finally:
+                self.reading = False
+
+    @property
+    def ready(self) -> bool:
+        """Whether the next request may be taken."""
+        return self.stage in (Stage.FRESH, Stage.WAITING) and not self.stuck
+
+    def read_ahead(self) -> bool:
+        """Read one request ahead, also while one is open. Guards a node against the first part of a body whose length was told
+        too short, and the client's next ones against waiting behind what cannot be read: an error is known, and said, as soon
+        as it is here. Harm: it takes the place of the open one's answer, for a client that does not tell its own requests
+        apart. False once refused."""
+        if self.stage in (Stage.ENDING, Stage.CLOSED):
             return False
-        self.step(Cue.GONE)
+        try:
+            if self.ahead is None:
+                self.ahead = self.reader.next()
+        except BadMessage as error:
+            self.refuse(error.status, error.reason)
+            return False
+        if self.ready:
+            return True
+        if self.ahead is not None and self.reader.pending > (MOST_AHEAD if self.stage is Stage.BUSY else MOST_REQUEST):
+            self.refuse(400, "too much ahead of an answer")
+            return False
+        return self.lend()
+
+    def lend(self) -> bool:
+        """Room for what is ahead, up to one whole request and a little; short ones are not counted."""
+        held = self.reader.pending + (len(self.ahead.body) if self.ahead is not None else 0)
+        if held > MOST_AHEAD and not self.lent:
+            if not self.gateway.octets.take(MOST_REQUEST):
+                self.refuse(503, "no room for a request ahead of an answer")
+                return False
+            self.lent = MOST_REQUEST
         return True
 
+    def has_gone(self) -> bool:
+        """Whether the client's end came behind its request, whatever lies between. Guards nodes against work for who has left
+        while the process stood still or the request waited before the door: octets are read a round before the end behind
+        them. Harm: one more read for each request that is taken, and for each one more of what lies behind it."""
+        came = -1
+        while came < self.reader.pending <= MOST_REQUEST:  # beyond, it is refused anyway
+            came = self.reader.pending
+            if self.transport.doRead() is not None:
+                self.step(Cue.GONE)
+                return True
+        return False
+
     def discharge(self) -> None:
         self.gateway.octets.held -= self.charged
         self.charged = 0
 
+    def forget(self) -> None:
+        """Nothing more is read."""
+        self.reader, self.ahead = RequestReader(BOUNDS), None
+        self.give_back()
+
+    def give_back(self) -> None:
+        self.gateway.octets.held -= self.lent
+        self.lent = 0
+
     def readConnectionLost(self) -> None:
         """The client has closed its side, or all: it has gone. A last answer that is written to it may still be taken."""
         self.step(Cue.GONE)
@@ -125,6 +170,7 @@
     def connectionLost(self, reason: Any = None) -> None:
         self.step(Cue.LOST)
         self.discharge()
+        self.forget()
         self.gateway.left(self)
 
     # What goes.
@@ -173,7 +219,7 @@
         """Read the table and act."""
         self.stage, effect = next_stage(self.stage, cue)
         if effect == "read on":
-            if self.reader.begun:
+            if self.begun:
                 self.read_on()
         elif effect == "slow":
             self.gateway.note("refused", "a request that does not end")
@@ -195,14 +241,14 @@
     def end(self) -> None:
         """Close our side, and hear the client out for a while: a close with octets unread would tear the answer."""
         self.since = self.gateway.now()
-        self.reader = RequestReader(BOUNDS)
+        self.forget()
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
 
     def part(self) -> None:
         """The client has gone: closed once what was written is handed over."""
         self.gone, self.since = True, self.gateway.now()
-        self.reader = RequestReader(BOUNDS)
+        self.forget()
         self.transport.unregisterProducer()
         self.transport.loseConnection()
 
@@ -217,7 +263,7 @@
     def leave(self) -> None:
         """The gateway leaves: a request half read is refused; the rest ends, and what crosses that was never read."""
         self.catch_up()
-        if self.reader.begun and self.stage in (Stage.FRESH, Stage.WAITING):
+        if self.begun and self.stage in (Stage.FRESH, Stage.WAITING):
             self.gateway.note("refused", "half a request at the end")
             self.turn_away(self.gateway.pause)
         else:
@@ -232,7 +278,7 @@
                 self.step(cue)
 
     def due(self, now: int, short: bool) -> Cue | None:
-        return due(self.stage, self.reader.begun, now - self.since, short, not (self.handed or self.gone))
+        return due(self.stage, self.begun, now - self.since, short, not (self.handed or self.gone))
 
     def catch_up(self) -> None:
         """Guards clients against a process that stood still: timers go before what has come, and an idle close, a time-out or
--- a/tests/test_crossings_leavers.py
+++ b/tests/test_crossings_leavers.py
@@ -115,7 +115,7 @@
                 one, protocol = self.stuck()
                 one.sendall(ask(TXN + 1))
                 self.turn()
-                self.assertTrue(protocol.reader.begun)
+                self.assertTrue(protocol.begun)
                 leaves(one, how)
                 self.turn(10)
                 self.assertIn(protocol.stage.name, ("ENDING", "CLOSED"))
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -41,6 +41,18 @@
         self.refused(b"GET /a HTTP/1.1\r\n\r\n", 400)
         self.refused(head + b"Transfer-Encoding: gzip, chunked\r\n\r\n", 501)
 
+    def test_what_can_become_no_head_is_refused_before_its_end(self):
+        for data in (b"\x00", b"noise", b"GE\xff", b"GET\t", b" GET / HTTP/1.1", b"A" * 21, b"\r\nGET-"):
+            self.refused(data, 400)
+        for data in (b"", b"\r", b"\r\n", b"G", b"\r\nGET", b"GET ", b"GET /\xff", b"\r\nPUT /a HTTP/1.1\r\nHost"):
+            reader = RequestReader(Bounds())
+            self.assertEqual(read(reader, *[data[at:at + 1] for at in range(len(data))]), [], data)
+        for data in (b"\x00", b"noise", b"HTTQ", b"GET /", b"HTTP1"):
+            with self.assertRaises(BadMessage, msg=data):
+                read(AnswerReader(Bounds()), data)
+        for data in (b"", b"H", b"HTTP", b"HTTP/1.1 2"):
+            self.assertEqual(read(AnswerReader(Bounds()), *[data[at:at + 1] for at in range(len(data))]), [], data)
+
     def test_bounds_are_kept_without_reading_on(self):
         head = b"PUT /a HTTP/1.1\r\n" + HOST
         self.refused(head + b"Content-Length: 62914560\r\n\r\n", 413)
