Door: what lies ahead of an answer is counted by its octets

Counted was one longest request where up to 16 KiB more could lie behind it. What is held beyond 16 KiB is counted as it grows now, and given back when it is taken or its connection ends. test_crossings_ahead passes before and after.

--- a/milletsill/platform/decide.py
+++ b/milletsill/platform/decide.py
@@ -42,7 +42,7 @@
 SPARED = 21_000  # and one between requests after this
 LINGER = 10_000  # a connection with its last answer handed over is cut after this
 MOST_AHEAD = 16_384  # octets of later requests held while one is open, behind the next one
-MOST_REQUEST = 73_728  # octets of the longest one, counted against the memory where more than that lies ahead
+MOST_REQUEST = 73_728  # octets of the longest one
 MOST_DISCARDED = 1 << 20  # octets read and thrown away behind a refused request
 ANSWER_MARGIN = 60  # an answer is written this long before the client's time is up
 
--- a/milletsill/platform/door.py
+++ b/milletsill/platform/door.py
@@ -127,11 +127,11 @@
     def lend(self) -> bool:
         """Room for what is ahead, up to one whole request and a little; short ones are not counted."""
         held = self.reader.pending + (len(self.ahead.body) if self.ahead is not None else 0)
-        if held > MOST_AHEAD and not self.lent:
-            if not self.gateway.octets.take(MOST_REQUEST):
+        if held > max(MOST_AHEAD, self.lent):
+            if not self.gateway.octets.take(held - self.lent):
                 self.refuse(503, "no room for a request ahead of an answer")
                 return False
-            self.lent = MOST_REQUEST
+            self.lent = held
         return True
 
     def has_gone(self) -> bool:
