Door: an id is refused until its first client's patience is over; what ends each bad client

A second run under one number is what rule 2 is about, and a client that holds on to such a request has no word within the 3 s owed to it. Every request has a fresh id, a client's repeat too, so gateway.py remembers each taken one until its client's time is over (Spent, 16,384 at most) and answers 409 before. A request that crossed a close is not one: what comes behind the end of our side is never read, and so not remembered.

tests/test_crossings_descriptors.py: the id of another's request while open, answered, declined, left; without the mend "the connection is not over" three times.

--- a/milletsill/platform/decide.py
+++ b/milletsill/platform/decide.py
@@ -7,6 +7,7 @@
 import re
 from dataclasses import dataclass
 from enum import Enum
+from itertools import islice
 from typing import Mapping
 
 # --- A client's connection.
@@ -66,6 +67,31 @@
     return Cue.IDLE if quiet >= (SPARED if short else IDLE) else None
 
 
+# --- Ids.
+
+MOST_SPENT = 16_384  # ids that are remembered
+
+
+class Spent:
+    """Ids of transfers whose clients may still wait for them, also where they are over. Guards rule 2 and nodes against the id of
+    another's request sent once more: every request has a fresh one, a client's repeat too. Harm: who uses one again within the
+    patience of its first use is refused, and so is who comes behind a stranger that used its id."""
+
+    def __init__(self) -> None:
+        self.until = dict[int, int]()  # in the order of their coming
+
+    def take(self, id: int, until: int, now: int) -> None:
+        """Remember one; the oldest, and those before it whose time is over, are forgotten."""
+        for other in list(islice(self.until, 8)):
+            if self.until[other] > now and len(self.until) < MOST_SPENT:
+                break
+            del self.until[other]
+        self.until[id] = until
+
+    def known(self, id: int, now: int) -> bool:
+        return self.until.get(id, now) > now
+
+
 # --- Descriptors.
 
 SPARE = 48  # standard streams, the reactor's own, discovery, a list read, the listening socket, and OVER
@@ -96,8 +122,8 @@
 
 
 class Octets:
-    """What long answers, and long requests ahead of one, hold of the memory. Guards the process against being killed for memory by answers that are long or
-    clients that do not read. Harm: past the bound a good answer counts as spoilt."""
+    """What long answers, and long requests ahead of one, hold of the memory. Guards the process against being killed for memory by
+    answers that are long or clients that do not read. Harm: past the bound a good answer counts as spoilt."""
 
     def __init__(self, memory_mb: int) -> None:
         self.most, self.held = int(memory_mb * HELD_PART) << 20, 0
--- a/milletsill/platform/gateway.py
+++ b/milletsill/platform/gateway.py
@@ -11,7 +11,7 @@
 from milletsill.interface import Arrival, News
 from milletsill.platform.asks import BadAsk, Cargo, Categories, cargo_of
 from milletsill.platform.configuration import Deployment, RefusedPlace
-from milletsill.platform.decide import (ANSWER_MARGIN, UNTOLD_DIAL, UNTOLD_IDLE, Event, Octets, Process, ends_of, pass_on,
+from milletsill.platform.decide import (ANSWER_MARGIN, UNTOLD_DIAL, UNTOLD_IDLE, Event, Octets, Process, Spent, ends_of, pass_on,
                                         shares_of)
 from milletsill.platform.discovery import Follower
 from milletsill.platform.door import Client, Clients
@@ -40,7 +40,7 @@
         shares = shares_of(deployment.sockets)
         self.categories = Categories(facts)
         self.clients = Clients(self, shares.clients)
-        self.octets = Octets(deployment.memory_mb)
+        self.octets, self.spent = Octets(deployment.memory_mb), Spent()
         self.fleet = Fleet(reactor, now, shares.links, self.octets, facts["dial"] or UNTOLD_DIAL,
                            facts["link_idle"] or UNTOLD_IDLE, self.note)
         self.follower = Follower(reactor, now, deployment.discovery, facts["zones"], clock, self.listed,
@@ -149,7 +149,7 @@
             return
         try:
             arrival = self.categories.arrival(message, self.now(), ANSWER_MARGIN, self.answers_by)
-            if arrival.id in self.host.live:
+            if arrival.id in self.host.live or self.spent.known(arrival.id, self.now()):
                 raise BadAsk(409, "x-txn is another's open one")
         except BadAsk as error:
             return client.refuse(error.status, str(error))
@@ -160,6 +160,7 @@
         if client.has_gone():
             return self.note("arrival", "its client has left")
         client.busy(arrival.id)
+        self.spent.take(arrival.id, arrival.ends, self.now())
         self.note("arrival", "repeat" if arrival.repeat else "first")
         self.host.take(arrival, client, cargo_of(message))
 
--- a/tests/test_crossings_descriptors.py
+++ b/tests/test_crossings_descriptors.py
@@ -12,7 +12,7 @@
 from contextlib import suppress
 from dataclasses import replace
 
-from milletsill.platform.decide import OVER, SPARED
+from milletsill.platform.decide import IDLE, OVER, SPARED
 from tests.platform_rig import GIVEN, NODE, TXN, Loopback, ask, node_stand_in
 
 READY = b"GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -22,9 +22,12 @@
 OWED = 3.0  # seconds within which a bad client has an error or a close
 BAD = {  # what is sent, and by what it is counted; nothing: by its close alone
     "noise": (b"\x00\xff\n\n", "a head that can be read in two ways"),
+    "noise without a line": (b"\x16\x03\x01\x02", "what begins no message"),
     "a request that is none": (b"EAT /me\r\n\r\n", "a head that cannot be read"),
     "an endless head": (b"GET / HTTP/1.1\r\n" + b"X: y\r\n" * 4000, "a head over the bound"),
     "half a request": (ask()[:60], "a request that does not end"),
+    "a body that never comes": (ask(Content_Length="100", **KEYED), "a request that does not end"),
+    "half a body": (ask(Content_Length="65536", **KEYED) + b"x" * 30_000, "a request that does not end"),
     "silence": (b"", ""),
     "a length below zero": (ask(Content_Length="-5", **KEYED), "a head that cannot be read"),
     "a length that is huge": (ask(Content_Length="9" * 30, **KEYED), "a head that cannot be read"),
@@ -85,14 +88,74 @@
                 self.assertEqual(len(self.gateway.clients.open), 1, "the bad client holds its descriptor")
                 one.close()
 
+    def test_the_id_of_anothers_request_is_refused_at_once_also_where_that_one_is_over(self):
+        """Answered, declined, or left by its client the moment before; until its client's time is over."""
+        for over in ("open", "answered", "declined", "left"):
+            with self.subTest(over):
+                self.again()
+                elsewhere = {"X_IO": "volume=00000003b4d60021,units=2,shard=3,hosts=1"} if over == "declined" else {}
+                other = self.client(ask(**elsewhere))
+                if over == "declined":  # no node leads there
+                    while not self.gateway.tally["answer", "declined"] and self.time < 1001:
+                        self.pass_time(0.02)
+                else:
+                    link = self.taken()
+                    if over == "answered":
+                        link.sendall(ANSWER)
+                        self.until(lambda: b" 200 " in self.got(other)[0])
+                    elif over == "left":
+                        other.close()
+                        self.until(lambda: self.gateway.tally["answer", "abandoned"])
+                sent = self.gateway.tally["dispatch", "0"]
+                one = self.client(ask())
+                data, how = self.all_of(one)  # the clock stands
+                self.assertEqual((data[:12], how, self.gateway.tally["dispatch", "0"]), (b"HTTP/1.1 409", "ended", sent))
+                self.assertEqual(self.refused(), {"x-txn is another's open one": 1})
+                if over != "open":
+                    self.pass_time(1.0)
+                    late = self.client(ask(**elsewhere))
+                    self.until(lambda: self.gateway.host.held == 1, "not taken")
+                    late.close()
+
     def test_one_octet_at_a_time_without_an_end_is_refused_in_time(self):
-        one, sent = self.client(), 0
-        while not self.got(one)[0] and sent < 80:
-            one.sendall(b"GET / HTTP/1.1\r\nX: " [sent:sent + 1] or b"y")
-            sent += 1
-            self.pass_time(0.05)
-        self.assertLess(sent * 0.05, OWED)
-        self.assertEqual(self.refused(), {"a request that does not end": 1})
+        """A head, a body told by its length, one in chunks; at once and behind a request that was answered."""
+        for begins in (b"GET / HTTP/1.1\r\nX: ", ask(Content_Length="900", **KEYED),
+                       ask(Transfer_Encoding="chunked", **KEYED) + b"200\r\n"):
+            for behind in (False, True):
+                with self.subTest(begins[:9], behind=behind):
+                    self.again()
+                    one, sent = self.client(), 0
+                    if behind:
+                        one.sendall(ask(TXN + 1))
+                        self.taken().sendall(ANSWER)
+                        self.until(lambda: b" 200 " in self.got(one)[0])
+                    one.sendall(begins[:-1])
+                    data = b""
+                    while not data and sent < 80:
+                        one.sendall(begins[-1:] if not sent else b"y")
+                        sent += 1
+                        self.pass_time(0.05)
+                        data = self.got(one)[0]
+                    self.assertEqual((data.count(b"HTTP/1.1 "), data[:12]), (1, b"HTTP/1.1 408"))
+                    self.assertLess(sent * 0.05, OWED)
+                    self.assertEqual(self.refused(), {"a request that does not end": 1})
+
+    def test_who_asks_on_and_on_and_reads_nothing_is_refused_holds_little_and_costs_others_nothing(self):
+        other = self.client(ask(TXN + 7))
+        link = self.taken()
+        one = self.client(window=4096)
+        protocol = self.server_side()
+        protocol.transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        for _ in range(400):
+            with suppress(OSError):
+                one.send(LIVE * 1500)
+            self.turn(1)
+        self.assertEqual(self.refused(), {"too much ahead of an answer": 1})
+        self.assertLess(len(protocol.transport.dataBuffer) + sum(map(len, protocol.transport._tempDataBuffer)), 1 << 18)
+        link.sendall(ANSWER)
+        self.until(lambda: b" 200 " in self.got(other)[0], "the usual client is not served")
+        self.pass_time(IDLE / 10_000 + 1.5)
+        self.assertEqual((len(self.gateway.clients.open), self.gateway.octets.held), (0, 0))
 
     def test_the_same_again_the_moment_it_is_turned_away_holds_nobody_up(self):
         other = self.client(ask())
--- a/tests/test_platform_lists.py
+++ b/tests/test_platform_lists.py
@@ -15,7 +15,7 @@
 from milletsill.interface import News, Readiness
 from milletsill.platform.asks import BadAsk, Categories, report_in
 from milletsill.platform.configuration import RefusedPlace, deployment_of, read
-from milletsill.platform.decide import OVER, SILENT, WHOLE, Stage, due, ends_of, leave_within, shares_of
+from milletsill.platform.decide import MOST_SPENT, OVER, SILENT, WHOLE, Spent, Stage, due, ends_of, leave_within, shares_of
 from milletsill.platform.discovery import Follower
 from milletsill.platform.gateway import Gateway
 from milletsill.platform.lines import Lines
@@ -122,6 +122,18 @@
             steps = [within for within, _ in ends_of(longest)]
             self.assertEqual((steps, steps[-1] + 900 == kill), (sorted(steps), True))
 
+    def test_ids_are_spent_for_their_time_and_within_a_bound(self):
+        spent = Spent()
+        for id in range(3 * MOST_SPENT):
+            spent.take(id, id + 1000, id)
+            self.assertEqual([spent.known(each, id) for each in (id, id - 999, id - 1000)], [True, id >= 999, False])
+        self.assertLessEqual(len(spent.until), 1001)
+        for id in range(3 * MOST_SPENT):
+            spent.take(id, 1 << 40, 0)
+        self.assertEqual(len(spent.until), MOST_SPENT)
+        self.assertEqual([spent.known(each, 0) for each in (3 * MOST_SPENT - 1, 2 * MOST_SPENT, 2 * MOST_SPENT - 1)],
+                         [True, True, False])
+
     def test_a_report_is_read_field_by_field(self):
         self.assertEqual(report_in(b"inflight=7,queue=nan,util=-1,depth=x,concurrent=2.5,\xff=1,,="), {"inflight": 2.5})
         self.assertEqual(report_in(None), {})
