Door: what lies whole behind an open request at the end has its refusal; a late beginner its word in time

Two crossings found by reading, forced over loopback sockets: - At the shut an open request that would wait beyond the earliest kill is answered with 502, and its connection was closed behind that: a whole request behind it, read by then, had no answer. The connection stands now until each whole one behind has its 503. The same behind an answer that is still being taken at the end of our side: one 503, then the end. - A request was whole 2 s after its first octet, or refused; on a new connection that said nothing for 2.1 s before that was 4.1 s after it came, and a bad client is owed a word within 3 s. It counts as begun 0.9 s after the connection came at the latest.

--- a/milletsill/platform/decide.py
+++ b/milletsill/platform/decide.py
@@ -37,6 +37,9 @@
 
 SILENT = 22_000  # a connection on which nothing ever came is closed after this
 WHOLE = 20_000  # a request is whole this long after its first octet, or is refused
+# On a new connection it counts as begun this long after that came, at the latest. Guards the 3 s within which a bad client is owed a
+# word. Harm: one that comes late and then slowly is refused sooner.
+BEGUN_BY = 9_000
 IDLE = 200_000  # a connection between requests is closed after this
 YOUNG = 500  # where descriptors are short, one on which nothing came is closed from this age on
 LOOK_SHORT = 200  # between looks, where descriptors are short
--- a/milletsill/platform/door.py
+++ b/milletsill/platform/door.py
@@ -11,7 +11,8 @@
 from milletsill.http1 import writer
 from milletsill.http1.decide import Bounds
 from milletsill.http1.reader import BadMessage, Message, RequestReader
-from milletsill.platform.decide import LOOK_SHORT, MOST_AHEAD, MOST_DISCARDED, MOST_REQUEST, OVER, Cue, Octets, Stage, due, next_stage
+from milletsill.platform.decide import (BEGUN_BY, LOOK_SHORT, MOST_AHEAD, MOST_DISCARDED, MOST_REQUEST, OVER, Cue, Octets,
+                                        Stage, due, next_stage)
 from milletsill.platform.links import Verdict
 
 BOUNDS = Bounds()
@@ -81,7 +82,8 @@
                 self.transport.pauseProducing()
             return
         if not self.begun:
-            self.since = self.gateway.now()
+            now = self.gateway.now()
+            self.since = min(now, self.since + BEGUN_BY) if self.stage is Stage.FRESH else now
         self.reader.feed(data)
         self.read_on()
 
@@ -198,7 +200,7 @@
     def answer(self, status: int, body: bytes, extra: bytes = b"") -> None:
         """The one answer to the request that is open."""
         self.transfer = None
-        keep = self.keep and self.gateway.keeps
+        keep = self.keep and (self.gateway.keeps or self.ahead is not None)  # what is read whole has its answer
         if self.stage is not Stage.CLOSED:
             self.transport.write(writer.answer(status, body, keep, extra))
             if self.stuck and not self.charged:
@@ -265,6 +267,7 @@
         self.catch_up()
         if self.begun and self.stage in (Stage.FRESH, Stage.WAITING):
             self.gateway.note("refused", "half a request at the end")
+            self.keep = False
             self.turn_away(self.gateway.pause)
         else:
             self.step(Cue.LEAVE)
--- a/tests/test_crossings_ahead.py
+++ b/tests/test_crossings_ahead.py
@@ -1,9 +1,11 @@
 """Requests that lie behind an open one on their connection: long ones, many, some that cannot be read, and clients that go while
 they lie there; on loopback sockets."""
+import socket
 import unittest
 
-from milletsill.platform.decide import MOST_AHEAD
+from milletsill.platform.decide import MOST_AHEAD, ends_of
 from tests.platform_rig import TXN, Loopback, ask
+from tests.test_crossings_going import patient
 from tests.test_crossings_leavers import leaves
 
 BODY = bytes(range(256)) * 256  # the longest that the page allows: 64 KiB
@@ -128,6 +130,39 @@
                 self.until(lambda: self.got(link)[1] == "reset", "the node is not told")
                 self.assertEqual((self.counted("answer"), self.gateway.host.live), ({"abandoned": 1}, {}))
 
+    def test_what_lies_behind_an_open_one_at_the_shut_is_refused_in_its_turn(self):
+        """The open one waits beyond the earliest kill; whole ones behind it; half a one was never taken."""
+        for behind, answers in ((self.many(0), 1), (ask(TXN + 1), 2), (ask(TXN + 1) + ask(TXN + 2), 3), (ask(TXN + 1)[:60], 1)):
+            with self.subTest(behind[:60], answers=answers):
+                self.changed = {"settings": patient(8.0)}
+                self.again()
+                one = self.client(ask(X_Remaining_Ms="8000"))
+                link = self.taken()
+                one.sendall(behind)
+                self.turn(5)
+                self.terminate()
+                self.to(ends_of(80_000)[1][0] / 10_000 + 0.01)
+                self.assertEqual(self.gateway.process.name, "DRAINING")
+                data, how = self.all_of(one)
+                self.assertEqual([each[:3] for each in data.split(b"HTTP/1.1 ")[1:]], [b"502"] + [b"503"] * (answers - 1))
+                self.assertEqual((how, data.count(b"Connection: close"), self.sent_on()), ("ended", 1, 1))
+                self.until(lambda: self.got(link)[1] == "reset", "the node is not told")
+
+    def test_what_lies_behind_an_answer_that_is_being_taken_at_the_end_is_refused_behind_it(self):
+        one = self.client(ask(), window=4096)
+        protocol = self.server_side()
+        protocol.transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        self.taken().sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n" + b"x" * 400_000)
+        self.until(lambda: protocol.stuck, "all was taken")
+        one.sendall(ask(TXN + 1))
+        self.turn(5)
+        self.assertTrue(protocol.ahead)
+        self.terminate()
+        self.to(ends_of(10_000)[1][0] / 10_000 + 0.01)
+        data, how = self.all_of(one)  # the clock stands
+        self.assertEqual((data.count(b"x"), data.count(b"HTTP/1.1 503"), data.count(b"Connection: close"), how), (400_000, 1, 1, "ended"))
+        self.assertEqual(self.sent_on(), 1)
+
     def many(self, count):
         return b"".join(ask(TXN + number, body=BODY[:700 * (number % 3)], **KEYED) if number % 2 else ask(TXN + number)
                         for number in range(count))
--- a/tests/test_crossings_descriptors.py
+++ b/tests/test_crossings_descriptors.py
@@ -140,6 +140,16 @@
                     self.assertLess(sent * 0.05, OWED)
                     self.assertEqual(self.refused(), {"a request that does not end": 1})
 
+    def test_who_begins_late_has_its_word_in_time_too(self):
+        for waits in (0.5, 1.5, 2.1):
+            with self.subTest(waits=waits):
+                self.again()
+                one = self.client()
+                self.pass_time(waits)
+                one.sendall(ask()[:60])
+                self.pass_time(OWED - 0.02 - waits)
+                self.assertEqual(self.got(one)[0][:12], b"HTTP/1.1 408")
+
     def test_who_asks_on_and_on_and_reads_nothing_is_refused_holds_little_and_costs_others_nothing(self):
         other = self.client(ask(TXN + 7))
         link = self.taken()
