--- a/milletsill/platform/decide.py
+++ b/milletsill/platform/decide.py
@@ -7,6 +7,7 @@
 import re
 from dataclasses import dataclass
 from enum import Enum
+from itertools import islice
 from typing import Mapping
 
 # --- A client's connection.
@@ -19,6 +20,7 @@
 CLIENT_TABLE: Mapping[tuple[Stage, Cue], tuple[Stage, str]] = {
     **{(stage, Cue.TAKEN): (Stage.BUSY, "") for stage in (Stage.FRESH, Stage.WAITING)},
     (Stage.BUSY, Cue.ANSWERED): (Stage.WAITING, "read on"),
+    (Stage.FRESH, Cue.ANSWERED): (Stage.WAITING, ""),  # at once, by no transfer: health, or turned away
     **{(stage, Cue.LAST): (Stage.ENDING, "end") for stage in (Stage.FRESH, Stage.WAITING, Stage.BUSY)},
     **{(stage, Cue.REFUSED): (Stage.ENDING, "end") for stage in (Stage.FRESH, Stage.WAITING)},
     (Stage.BUSY, Cue.REFUSED): (Stage.ENDING, "abandon and end"),
@@ -35,12 +37,16 @@
 
 SILENT = 22_000  # a connection on which nothing ever came is closed after this
 WHOLE = 20_000  # a request is whole this long after its first octet, or is refused
+# On a new connection it counts as begun this long after that came, at the latest. Guards the 3 s within which a bad client is owed a
+# word. Harm: one that comes late and then slowly is refused sooner.
+BEGUN_BY = 9_000
 IDLE = 200_000  # a connection between requests is closed after this
 YOUNG = 500  # where descriptors are short, one on which nothing came is closed from this age on
 LOOK_SHORT = 200  # between looks, where descriptors are short
 SPARED = 21_000  # and one between requests after this
 LINGER = 10_000  # a connection with its last answer handed over is cut after this
-MOST_AHEAD = 16_384  # octets of later requests held while one is open
+MOST_AHEAD = 16_384  # octets of later requests held while one is open, behind the next one
+MOST_REQUEST = 73_728  # octets of the longest one
 MOST_DISCARDED = 1 << 20  # octets read and thrown away behind a refused request
 ANSWER_MARGIN = 60  # an answer is written this long before the client's time is up
 
@@ -64,6 +70,31 @@
     return Cue.IDLE if quiet >= (SPARED if short else IDLE) else None
 
 
+# --- Ids.
+
+MOST_SPENT = 16_384  # ids that are remembered
+
+
+class Spent:
+    """Ids of transfers whose clients may still wait for them, also where they are over. Guards rule 2 and nodes against the id of
+    another's request sent once more: every request has a fresh one, a client's repeat too. Harm: who uses one again within the
+    patience of its first use is refused, and so is who comes behind a stranger that used its id."""
+
+    def __init__(self) -> None:
+        self.until = dict[int, int]()  # in the order of their coming
+
+    def take(self, id: int, until: int, now: int) -> None:
+        """Remember one; the oldest, and those before it whose time is over, are forgotten."""
+        for other in list(islice(self.until, 8)):
+            if self.until[other] > now and len(self.until) < MOST_SPENT:
+                break
+            del self.until[other]
+        self.until[id] = until
+
+    def known(self, id: int, now: int) -> bool:
+        return self.until.get(id, now) > now
+
+
 # --- Descriptors.
 
 SPARE = 48  # standard streams, the reactor's own, discovery, a list read, the listening socket, and OVER
@@ -94,8 +125,8 @@
 
 
 class Octets:
-    """What long answers hold of the memory. Guards the process against being killed for memory by answers that are long or
-    clients that do not read. Harm: past the bound a good answer counts as spoilt."""
+    """What long answers, and long requests ahead of one, hold of the memory. Guards the process against being killed for memory by
+    answers that are long or clients that do not read. Harm: past the bound a good answer counts as spoilt."""
 
     def __init__(self, memory_mb: int) -> None:
         self.most, self.held = int(memory_mb * HELD_PART) << 20, 0
