Door: a request longer than 64 KiB is taken, within the memory that there is, not refused

Cause: `door.BOUNDS` held requests to the 64 KiB of the protocol's page, as answers once were.

Change: one bound for both (`MOST_BODY`, 1 MiB). What is over 64 KiB is counted against the quarter of the memory that long answers have, while it comes in and, twice, while its transfer is open, since a link's buffer holds it once more; past that it is turned away with 503 and a time to come back.

Tests: by length and in chunks, 65,537 octets to 1 MiB, whole at the node; given back when answered or when the client leaves at either step; past the memory one is turned away and a usual one beside it is taken; one octet over the bound is 413. Without the mend the first prints "not whole at the node" (413 was answered).

--- a/milletsill/platform/decide.py
+++ b/milletsill/platform/decide.py
@@ -46,7 +46,7 @@
 SPARED = 21_000  # and one between requests after this
 LINGER = 10_000  # a connection with its last answer handed over is cut after this
 MOST_AHEAD = 16_384  # octets of later requests held while one is open, behind the next one
-MOST_REQUEST = 73_728  # octets of the longest one
+MOST_REQUEST = 73_728  # octets of a usual one, with its head; a longer one is counted against the memory
 MOST_DISCARDED = 1 << 20  # octets read and thrown away behind a refused request
 ANSWER_MARGIN = 60  # an answer is written this long before the client's time is up
 
@@ -117,16 +117,17 @@
     return Shares(clients, free - clients)
 
 
-# --- Long answers.
+# --- Long requests and answers.
 
-MOST_ANSWER = 1 << 20  # octets of one answer's body; the platform's page says 64 KiB, its reads bring up to six times that
-SHORT_ANSWER = 1 << 16  # up to this an answer is not counted
-HELD_PART = 0.25  # of the memory: for long answers, coming in or waiting for clients that read slowly
+MOST_BODY = 1 << 20  # octets of one body; the platform's page says 64 KiB, its reads bring up to six times that
+SHORT_BODY = 1 << 16  # up to this a body is not counted
+HELD_PART = 0.25  # of the memory: for long requests, and long answers coming in or waiting for clients that read slowly
 
 
 class Octets:
-    """What long answers, and long requests ahead of one, hold of the memory. Guards the process against being killed for memory by
-    answers that are long or clients that do not read. Harm: past the bound a good answer counts as spoilt."""
+    """What long requests and answers, and requests ahead of one, hold of the memory. Guards the process against being killed for
+    memory by bodies that are long or clients that do not read. Harm: past the bound a good answer counts as spoilt, and a long
+    request is turned away."""
 
     def __init__(self, memory_mb: int) -> None:
         self.most, self.held = int(memory_mb * HELD_PART) << 20, 0
--- a/milletsill/platform/door.py
+++ b/milletsill/platform/door.py
@@ -11,11 +11,11 @@
 from milletsill.http1 import writer
 from milletsill.http1.decide import Bounds
 from milletsill.http1.reader import BadMessage, Message, RequestReader
-from milletsill.platform.decide import (BEGUN_BY, LOOK_SHORT, MOST_AHEAD, MOST_DISCARDED, MOST_REQUEST, OVER, Cue, Octets,
-                                        Stage, due, next_stage)
+from milletsill.platform.decide import (BEGUN_BY, LOOK_SHORT, MOST_AHEAD, MOST_BODY, MOST_DISCARDED, MOST_REQUEST, OVER,
+                                        SHORT_BODY, Cue, Octets, Stage, due, next_stage)
 from milletsill.platform.links import Verdict
 
-BOUNDS = Bounds()
+BOUNDS = Bounds(body=MOST_BODY)
 
 
 class Around(typing.Protocol):
@@ -49,7 +49,7 @@
         self.gone = self.handed = False  # the client has closed its side; all that we had to write is the system's
         self.charged = 0  # octets of an answer that the client has not taken yet
         self.ahead: Message | None = None  # the next request, whole, while one is open or the last answer is not taken
-        self.lent = 0  # octets counted for what is ahead
+        self.lent = self.borne = 0  # octets counted for what is ahead or comes in; for the open transfer's body
 
     @property
     def begun(self) -> bool:
@@ -97,10 +97,19 @@
                     self.give_back()
                     if self.read_ahead():
                         self.keep = message.keep
-                        self.gateway.asked(self, message)
+                        self.ask(message)
             finally:
                 self.reading = False
 
+    def ask(self, message: Message) -> None:
+        """One whole request. The body of a long one is counted twice: a link's buffer holds it once more."""
+        octets = 2 * len(message.body) if len(message.body) > SHORT_BODY else 0
+        if octets and not self.gateway.octets.take(octets):
+            self.gateway.note("refused", "no room for a long request")
+            return self.turn_away(self.gateway.pause)
+        self.borne = octets
+        self.gateway.asked(self, message)
+
     @property
     def ready(self) -> bool:
         """Whether the next request may be taken."""
@@ -119,19 +128,18 @@
         except BadMessage as error:
             self.refuse(error.status, error.reason)
             return False
-        if self.ready:
-            return True
-        if self.ahead is not None and self.reader.pending > (MOST_AHEAD if self.stage is Stage.BUSY else MOST_REQUEST):
+        if not self.ready and self.ahead is not None and self.reader.pending > (MOST_AHEAD if self.stage is Stage.BUSY else MOST_REQUEST):
             self.refuse(400, "too much ahead of an answer")
             return False
         return self.lend()
 
     def lend(self) -> bool:
-        """Room for what is ahead, up to one whole request and a little; short ones are not counted."""
+        """Room for what is ahead, or for a long one that comes in: up to one whole request and a little. Short ones are not
+        counted."""
         held = self.reader.pending + (len(self.ahead.body) if self.ahead is not None else 0)
-        if held > max(MOST_AHEAD, self.lent):
+        if held > max(MOST_REQUEST if self.ready else MOST_AHEAD, self.lent):
             if not self.gateway.octets.take(held - self.lent):
-                self.refuse(503, "no room for a request ahead of an answer")
+                self.refuse(503, "no room for a request that is long or ahead of an answer")
                 return False
             self.lent = held
         return True
@@ -156,11 +164,17 @@
         """Nothing more is read."""
         self.reader, self.ahead = RequestReader(BOUNDS), None
         self.give_back()
+        self.unburden()
 
     def give_back(self) -> None:
         self.gateway.octets.held -= self.lent
         self.lent = 0
 
+    def unburden(self) -> None:
+        """The open transfer is over."""
+        self.gateway.octets.held -= self.borne
+        self.borne = 0
+
     def readConnectionLost(self) -> None:
         """The client has closed its side, or all: it has gone. A last answer that is written to it may still be taken."""
         self.step(Cue.GONE)
@@ -200,6 +214,7 @@
     def answer(self, status: int, body: bytes, extra: bytes = b"") -> None:
         """The one answer to the request that is open."""
         self.transfer = None
+        self.unburden()
         keep = self.keep and (self.gateway.keeps or self.ahead is not None)  # what is read whole has its answer
         if self.stage is not Stage.CLOSED:
             self.transport.write(writer.answer(status, body, keep, extra))
--- a/milletsill/platform/links.py
+++ b/milletsill/platform/links.py
@@ -15,11 +15,11 @@
 from milletsill.http1.writer import request
 from milletsill.interface import Outcome, Readiness
 from milletsill.platform.asks import Cargo, number_in, report_in
-from milletsill.platform.decide import IDLE_PART, MOST_ANSWER, MOST_EACH, MOST_WAITING, SHORT_ANSWER, Octets, kept_from
+from milletsill.platform.decide import IDLE_PART, MOST_BODY, MOST_EACH, MOST_WAITING, SHORT_BODY, Octets, kept_from
 from milletsill.platform.discovery import Dial
 from milletsill.platform.nodes import Place
 
-BOUNDS = Bounds(body=MOST_ANSWER)
+BOUNDS = Bounds(body=MOST_BODY)
 
 
 class Verdict:
@@ -125,8 +125,8 @@
 
     def charge(self) -> None:
         """A long answer is on its way: there must be room for it."""
-        length = self.reader.expected(SHORT_ANSWER)
-        if length > SHORT_ANSWER and not self.charged:
+        length = self.reader.expected(SHORT_BODY)
+        if length > SHORT_BODY and not self.charged:
             if not self.node.fleet.octets.take(length):
                 self.node.fleet.note("spoilt", "no room for a long answer")
                 return self.finish(Outcome.ERROR, None, False)
--- a/tests/test_crossings_forms.py
+++ b/tests/test_crossings_forms.py
@@ -2,13 +2,16 @@
 import json
 import socket
 import unittest
+from contextlib import suppress
 from time import thread_time
 
 from milletsill.http1.decide import AMBIGUOUS
+from milletsill.platform.decide import MOST_BODY
 from tests.platform_rig import NODE, TXN, Loopback, ask
 
 OWS = (b" ", b"\t", b" \t  ")
 BODY = b"x" * 40
+BEHIND = b"the end of it"
 
 
 def spaced(message, before, behind):
@@ -110,6 +113,82 @@
                         self.again()
 
 
+class Long(Loopback):
+    """Bodies over the page's 64 KiB, which its own days bring: taken whole, within the memory that there is."""
+
+    def served(self, one, request):
+        """Send it piece by piece, answer it at the node, and give what came there."""
+        came, at, link = b"", 0, None
+        self.node.setblocking(False)
+
+        def step():
+            nonlocal came, at, link
+            with suppress(BlockingIOError):
+                at += one.send(request[at:at + 30_000])
+            with suppress(BlockingIOError):
+                if link is None:
+                    link = self.node.accept()[0]
+                    link.setblocking(False)
+                    self.sockets.append(link)
+                came += link.recv(1 << 20)
+            return came.endswith(BEHIND)
+        self.until(step, "not whole at the node")
+        return came, link
+
+    def test_a_long_request_is_passed_on_whole_by_length_and_in_chunks(self):
+        for octets in (65_537, 400_000, MOST_BODY):
+            for form in (lambda each: each, chunked):
+                with self.subTest(octets=octets, form=form):
+                    self.again()
+                    body = bytes(range(256)) * (octets // 256 + 1)
+                    body = body[:octets - len(BEHIND)] + BEHIND
+                    one = self.client()
+                    came, link = self.served(one, form(ask(method="PUT", name="put", body=body, Idempotency_Key="k")))
+                    self.assertEqual(came.partition(b"\r\n\r\n")[2], body)
+                    self.assertEqual(self.gateway.octets.held, 2 * octets)
+                    link.sendall(ANSWERS[0])
+                    self.until(lambda: b" 200 " in self.got(one)[0], "no answer")
+                    self.assertEqual(self.gateway.octets.held, 0)
+
+    def test_what_a_long_request_held_is_given_back_when_its_client_leaves(self):
+        for whole in (True, False):
+            one = self.client()
+            body = b"x" * 300_000 + BEHIND
+            request = ask(TXN + whole, method="PUT", name="put", body=body, Idempotency_Key="k")
+            if whole:
+                self.served(one, request)
+            else:
+                one.sendall(request[:150_000])
+                self.until(lambda: self.gateway.octets.held > 65_536, "not counted")
+            one.close()
+            self.until(lambda: not self.gateway.clients.open and not self.gateway.host.live, "not left")
+            self.assertEqual(self.gateway.octets.held, 0)
+
+    def test_past_the_memory_a_long_request_is_turned_away_and_a_usual_one_served(self):
+        self.gateway.octets.most = 700_000
+        ones = [self.client() for _ in range(2)]
+        request = [ask(TXN + number, method="PUT", name="put", body=b"x" * 300_000 + BEHIND, Idempotency_Key="k")
+                   for number in range(2)]
+        self.served(ones[0], request[0])
+        said, at = b"", 0
+
+        def refused():
+            nonlocal said, at
+            with suppress(OSError):
+                at += ones[1].send(request[1][at:at + 30_000])
+            said += self.got(ones[1])[0]
+            return b"\r\n\r\n" in said
+        self.until(refused, "no word")
+        self.assertTrue(said.startswith(b"HTTP/1.1 503 "), said)
+        usual = self.client(ask(TXN + 9))
+        self.until(lambda: self.gateway.host.held == 2, "a usual one is not taken")
+        usual.close()
+
+    def test_one_over_the_bound_is_refused(self):
+        one = self.client(ask(method="PUT", name="put", Content_Length=str(MOST_BODY + 1), Idempotency_Key="k"))
+        self.assertEqual(self.all_of(one)[0][:12], b"HTTP/1.1 413")
+
+
 class Bounded(unittest.TestCase):
     def test_a_head_of_spaces_costs_as_little_as_any_other(self):
         """One octet at a time each look would go over all of it: one look must not cost the square of the head's length."""
