HTTP: lines behind a body in chunks say nothing of the message

Found by reading: the parser tells lines behind the last chunk by the same call as those of the head, and they were taken with them. An answer could say there that its dispatch never ran (X-Turned-Away), a request an id that its head lacked. They are passed over now; the bound on the whole body with its framing holds for them. Without it the test prints "(b'hi', b'b', {b'a'}) != (b'hi', b'b', set())".

--- a/milletsill/http1/reader.py
+++ b/milletsill/http1/reader.py
@@ -29,12 +29,13 @@
     """One request or answer. `fields` by lower-case name, the first of each; `doubled` names came again."""
 
     __slots__ = ("method", "target", "status", "fields", "doubled", "body", "keep", "length", "chunked", "open_ended",
-                 "parser", "ended", "count", "most", "pieces", "size", "line", "told", "chunks", "rest")
+                 "parser", "ended", "count", "most", "pieces", "size", "line", "told", "chunks", "rest",
+                 "headed")
 
     def __init__(self, most: int) -> None:
         self.method, self.target, self.status, self.body = b"", b"", 0, b""
         self.fields, self.doubled = dict[bytes, bytes](), set[bytes]()
-        self.keep = self.chunked = self.open_ended = self.ended = False  # open-ended: up to the connection's close
+        self.keep = self.chunked = self.open_ended = self.ended = self.headed = False  # open-ended: up to the connection's close
         self.length = self.count = 0
         self.most = most
         # Of a body in chunks: what came of it and how much, the line of the next chunk's size, whether that is whole, how many
@@ -48,6 +49,9 @@
         self.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        # Guards what the head says against lines behind a body in chunks: an id, or that a dispatch never ran. Harm: they are lost.
+        if self.headed:
+            return
         self.count += 1
         name = name.lower()
         if name in self.fields:
@@ -56,6 +60,7 @@
             self.fields[name] = value
 
     def on_headers_complete(self) -> None:
+        self.headed = True
         self.keep = self.parser.should_keep_alive()  # asked later, of a message without a body, it says no
 
     def on_chunk_header(self) -> None:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -63,6 +63,17 @@
         self.refused(head + b"Transfer-Encoding: chunked\r\n\r\nfffff\r\n" + b"x" * 70_000, 413)
         self.refused(b"\x16\x03\x01\x02\x00\n\n", 400)
 
+    def test_lines_behind_a_body_in_chunks_say_nothing(self):
+        for kind, head in ((RequestReader, b"PUT /a HTTP/1.1\r\n" + HOST), (AnswerReader, b"HTTP/1.1 503 Busy\r\n")):
+            data = head + b"A: b\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX-Txn: 1\r\nA: c\r\nX-Turned-Away: 1\r\n\r\n"
+            for size in (1, len(data)):
+                reader = kind(Bounds())
+                for at in range(0, len(data), size):
+                    reader.feed(data[at:at + size])
+                    message = reader.next()
+                self.assertEqual((message.body, message.fields[b"a"], message.doubled), (b"hi", b"b", set()))
+                self.assertFalse({b"x-txn", b"x-turned-away"} & message.fields.keys())
+
     def test_a_request_hidden_behind_a_body_is_a_request_of_its_own(self):
         first = b"PUT /a HTTP/1.1\r\n" + HOST + b"Content-Length: 4\r\n\r\nbody"
         self.assertEqual(read(RequestReader(Bounds()), first + b"GET /b HTTP/1.1\r\n" + HOST + b"\r\n"),
