serve: what lies unread on a watch is read before it is ended for silence

Follower.look ended the watch ("nothing came") with the line that told a drain, or a move, in its socket; the list came with the next call, after the pause, and meanwhile dispatches began at what had left (1,833 ms after it was told, grace 1 s) or at the old address.

The watch reads once more before it is found silent, as the door's clients do before a time-out.

Without the mend the test prints, for a first line and for one behind a beat: AssertionError: Tuples differ: (4, False) != (5, True).

--- a/milletsill/platform/discovery.py
+++ b/milletsill/platform/discovery.py
@@ -85,6 +85,17 @@
         """How long no word has come."""
         return self.follower.now() - self.heard
 
+    @property
+    def overlong(self) -> bool:
+        """Whether it has been silent for longer than any watch is."""
+        return not self.over and self.quiet() > (QUIET if self.version < 0 else FIRST_WORD)
+
+    def catch_up(self) -> None:
+        """Guards the list against a process that stood still: timers go before what has come, and words that lie here unread
+        would go with the watch that is ended for their want. Harm: one more read on a watch that is about to end."""
+        if self.transport is not None:
+            self.transport.doRead()  # an end is told again in the next turn
+
     def end(self, reason: str) -> None:
         """Over, for whatever reason; told once."""
         if not self.over:
@@ -207,8 +218,10 @@
     def look(self) -> None:
         """Whether a watch has gone quiet: another is opened in time to be in its place, and at last it is over."""
         for watch in (self.watch, self.old):
-            if watch is not None and watch.quiet() > (QUIET if watch.version < 0 else FIRST_WORD):
-                watch.end("nothing came")
+            if watch is not None and watch.overlong:
+                watch.catch_up()
+                if watch.overlong:
+                    watch.end("nothing came")
         watch = self.watch
         if watch is not None and watch.version < 0 and self.old is None and watch.quiet() > watch.overdue:
             self.old, self.watch = watch, None
