--- /dev/null
+++ b/tests/crossing_guards.py
@@ -0,0 +1,104 @@
+"""Guards of the gateway taken out one at a time: what the hunt of crossings has to find."""
+from contextlib import contextmanager
+from unittest.mock import patch
+
+from milletsill.edge import host, turns
+from milletsill.edge.host import Host
+from milletsill.platform import links
+from milletsill.platform.discovery import Watch
+from milletsill.platform.door import Client
+from milletsill.platform.gateway import Gateway
+from milletsill.platform.links import Link, Node
+
+
+def retire(self):
+    self.retired = True
+    self.clear()
+
+
+def lost(self, reason=None):
+    """As it is, but for the look at how the connection ended."""
+    whole = self.reader.closed()
+    sending, self.sending = self.sending, None
+    self.gone()
+    if sending is not None and whole is not None:
+        sending.end(links.outcome_of(whole), links.Verdict(whole))
+    elif sending is not None:
+        sending.end(links.Outcome.RESET)
+
+
+def idle(self, link):
+    link.since = self.fleet.now()
+    self.free.append(link)
+    self.serve_soon()
+
+
+def close(self, live):
+    live.answered = True
+    self.held -= 1
+    self.clear(live)
+
+
+def received(self, data):
+    """As it is, but octets before all of ours is written are taken for the answer."""
+    self.uses, uses = 1, self.uses
+    try:
+        TAKEN(self, data)
+    finally:
+        self.uses = uses
+
+
+TAKEN = Link.dataReceived
+
+
+def finish(self, outcome, verdict, keep):
+    FINISHED(self, outcome, verdict, True)
+
+
+FINISHED = Link.finish
+
+
+def end(self):
+    self.since = self.gateway.now()
+    self.reader = type(self.reader)(self.reader.bounds)
+    self.transport.unregisterProducer()
+    self.transport.loseConnection()
+
+
+def asked(self, client, message):
+    self.keeps, keeps = True, self.keeps
+    try:
+        ASKED(self, client, message)
+    finally:
+        self.keeps = keeps
+
+
+ASKED = Gateway.asked
+
+
+def never(*values):
+    return False
+
+
+GUARDS = {
+    "what came is read before anything is begun": lambda: patch.object(turns, "io_first", never),
+    "what came is read before a time-out": lambda: patch.object(host, "io_first", never),
+    "what waits at a node that retires is moot": lambda: patch.object(Node, "retire", retire),
+    "a client's end is looked for behind its request": lambda: patch.object(Client, "has_gone", never),
+    "a reset is no end": lambda: patch.object(Link, "connectionLost", lost),
+    "a dispatch begins within a dial of its decision": lambda: patch.object(links, "kept_from", never),
+    "a link to where the node was is of no use": lambda: patch.object(Node, "idle", idle),
+    "what waits for a link goes with its transfer": lambda: patch.object(Host, "close", close),
+    "octets before ours are written are no answer": lambda: patch.object(Link, "dataReceived", received),
+    "a link that brought more is not used again": lambda: patch.object(Link, "finish", finish),
+    "our side alone is closed": lambda: patch.object(Client, "end", end),
+    "what is read once shut is refused": lambda: patch.object(Gateway, "asked", asked),
+    "what lies unread is read before an end": lambda: patch.object(Client, "catch_up", never),
+    "what lies unread is read before a watch is over": lambda: patch.object(Watch, "catch_up", never),
+}
+
+
+@contextmanager
+def without(name):
+    with GUARDS[name]():
+        yield
