serve: what came in time is read before what is held ends after SIGTERM

Ruled out: the time-outs (Host.ring puts those off already), answers over 64 KiB (several reads) and answers after their client's time are not counted.

What is read is refused from the step on, as before; what is held ends in the turn behind it. The steps are one chain now, each set when the one before is done, so that their order holds where several are due at once.

Without the mend the test prints, for 0.055, 0.1 and 1.2 s: AssertionError: Tuples differ: (b'HTTP/1.1 502 Ba', b'\r\n', 'ended') != (b'HTTP/1.1 200 OK', b'hi', 'ended').

--- a/milletsill/platform/gateway.py
+++ b/milletsill/platform/gateway.py
@@ -33,6 +33,7 @@
         self.deployment, self.reactor, self.now, self.log = deployment, reactor, now, log
         self.process, self.keeps = Process.STARTING, True
         self.answers_by: int | None = None  # once it leaves
+        self.ends = list[tuple[int, Event]]()  # its steps then
         self.tally = Counter[tuple[str, str]]()
         self.remarks = 0
         facts = deployment.facts
@@ -73,12 +74,11 @@
         if effect == "leave":
             self.log.info("leaving", held=self.host.held)
             ends = ends_of(max(each["patience"] for each in self.deployment.facts["categories"]))
-            self.answers_by = self.now() + ends[0][0]
-            for within, each in ends:
-                self.later(within, self.step, each)
+            self.ends = [(self.now() + within, each) for within, each in ends]
+            self.answers_by = self.ends[0][0]
+            self.go_on()
         elif effect == "shut":
             self.keeps = False
-            self.host.end_all()  # taken before SIGTERM by a client that would wait until after the earliest kill
         elif effect == "drain":
             self.port.stopListening()  # not sooner: it resets what waits before the door
             self.emptied()
@@ -87,6 +87,22 @@
         elif effect == "stop":
             self.stop()
 
+    def go_on(self) -> None:
+        """The steps after SIGTERM, in order, each when it is due."""
+        while self.ends and self.ends[0][0] <= self.now():
+            _, event = self.ends.pop(0)
+            self.step(event)
+            if event is Event.SHUT:
+                return self.later(0, self.end_all)
+        if self.ends:
+            self.later(self.ends[0][0] - self.now(), self.go_on)
+
+    def end_all(self) -> None:
+        """The end of what is held once shut. In the turn behind it: guards answers that came in time against a process that stood
+        still, where timers go before what lies in the sockets. Harm: one turn of the loop, of what is left before the kill."""
+        self.host.end_all()  # taken before SIGTERM by a client that would wait until after the earliest kill
+        self.go_on()
+
     def later(self, span: int, call: Callable[..., None], *values: Any) -> None:
         self.calls.append(self.reactor.callLater(span / 10_000, call, *values))
 
--- a/tests/test_crossings_found.py
+++ b/tests/test_crossings_found.py
@@ -3,9 +3,10 @@
 import select
 import unittest
 
-from tests.platform_rig import NODE, Loopback
+from tests.platform_rig import NODE, Loopback, ask
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
 
 
 def said(version, state):
@@ -48,5 +49,24 @@
             self.again()
 
 
+class Leaving(Loopback):
+    def test_an_answer_that_came_while_the_process_stood_goes_before_the_end_after_sigterm(self):
+        for stands in (0.055, 0.1, 1.2):  # to just behind the first of the steps, over two, over all
+            self.again()
+            with self.subTest(stands):
+                self.terminate()
+                self.to(1.45)
+                client = self.client(ask())
+                link = self.taken()
+                link.sendall(WHOLE)
+                ours = [each.transport.socket for node in self.gateway.fleet.nodes.values() for each in node.links]
+                self.until(lambda: select.select(ours, [], [], 0)[0], "not on its way")
+                self.time += stands
+                self.turn()
+                self.pass_time(0.2)
+                data, how = self.all_of(client)
+                self.assertEqual((data[:15], data[-2:], how), (b"HTTP/1.1 200 OK", b"hi", "ended"))
+
+
 if __name__ == "__main__":
     unittest.main()
