--- a/tests/test_crossings_bad.py
+++ b/tests/test_crossings_bad.py
@@ -52,6 +52,13 @@
                 data = data[one.send(data):]
             self.turn(1)
 
+    def served(self, client, link, txn):
+        """A usual request from end to end, without the clock moving."""
+        client.sendall(ask(txn))
+        self.until(lambda: b"X-Txn" in self.got(link)[0], "it did not come to the node")
+        link.sendall(ANSWER)
+        self.until(lambda: b" 200 " in self.got(client)[0], "the usual client is not served")
+
     def test_each_bad_client_has_one_error_or_a_close_in_time_and_a_usual_one_is_served_beside_it(self):
         for name, (data, cause) in BAD.items():
             with self.subTest(name):
@@ -118,16 +125,20 @@
             for behind in (False, True):
                 with self.subTest(begins[:9], behind=behind):
                     self.again()
+                    usual = self.client(ask(TXN + 7))
+                    link = self.taken()
+                    link.sendall(ANSWER)
+                    self.until(lambda: b" 200 " in self.got(usual)[0])
                     one, sent = self.client(), 0
                     if behind:
-                        one.sendall(ask(TXN + 1))
-                        self.taken().sendall(ANSWER)
-                        self.until(lambda: b" 200 " in self.got(one)[0])
+                        self.served(one, link, TXN + 1)
                     one.sendall(begins[:-1])
                     data = b""
                     while not data and sent < 80:
                         one.sendall(begins[-1:] if not sent else b"y")
                         sent += 1
+                        if sent % 10 == 0:
+                            self.served(usual, link, TXN + 8 + sent)
                         self.pass_time(0.05)
                         data = self.got(one)[0]
                     self.assertEqual((data.count(b"HTTP/1.1 "), data[:12]), (1, b"HTTP/1.1 408"))
