--- a/milletsill/http1/decide.py
+++ b/milletsill/http1/decide.py
@@ -4,12 +4,19 @@
 import re
 from dataclasses import dataclass
 
+END = b"\r\n\r\n"  # of a head
 MOST_INTERIM = 8  # 1xx answers ahead of one answer
 MOST_CHUNKS = 8192  # of one body. Guards neighbours against what each costs, however short. Harm: none to a usual body
 LONGEST_LENGTH = 12  # digits of a Content-Length
 # A parser may be lax where two programs read a head differently, and one request hides in another: line ends that are
 # not CR LF, folded lines, a space before the colon, a zero octet. Harm: a sloppy but honest peer is refused.
-AMBIGUOUS = re.compile(rb"(?<!\r)\n|\r(?!\n)|\n[ \t]|\x00|\n[^:\r\n]*[ \t]+:")
+AMBIGUOUS = re.compile(rb"(?<!\r)\n|\r(?!\n)|\n[ \t]|\x00|\n[^:\r\n]*[ \t]:")
+
+
+def bare(head: bytes) -> bytes:
+    """A head without the whitespace that may stand behind a field's value and is no part of it. Guards against llhttp, which
+    leaves it there, and takes a body for unchunked where it stands behind the coding. Harm: none; it carries no meaning."""
+    return b"\r\n".join(line.rstrip(b" \t") or line for line in head.split(b"\r\n"))
 
 # How a head begins, as far as it is here. Guards against waiting for the end of what can become no head: the rest of a body that
 # was told too short, noise without an end of line. Harm: none to a message that could be read, it is refused sooner.
--- a/milletsill/http1/reader.py
+++ b/milletsill/http1/reader.py
@@ -9,10 +9,10 @@
 import httptools
 
 from milletsill.errors import Malformed
-from milletsill.http1.decide import AMBIGUOUS, ANSWER_BEGINS, MOST_CHUNKS, MOST_INTERIM, REQUEST_BEGINS, Bounds, length_of
+from milletsill.http1.decide import (AMBIGUOUS, ANSWER_BEGINS, END, MOST_CHUNKS, MOST_INTERIM, REQUEST_BEGINS, Bounds, bare,
+                                     length_of)
 
 ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
-END = b"\r\n\r\n"
 
 
 class BadMessage(Malformed):
@@ -95,7 +95,7 @@
 
     def __init__(self, bounds: Bounds) -> None:
         self.bounds = bounds
-        self.buffer = b""
+        self.buffer, self.blank = b"", False  # an empty line was passed over
         self.message: Message | None = None  # whose head was read
         self.pieces: list[bytes] = []  # of its body, where that is told by its length or ends with the connection
         self.gathered = 0  # octets in them
@@ -169,7 +169,10 @@
         return True
 
     def head(self) -> Message | None:
-        """Cut a head off and read it. What was looked at before is not again: a head may come octet by octet."""
+        """Cut a head off and read it. What was looked at before is not again: a head may come octet by octet. One empty line
+        ahead of it is passed over."""
+        if self.buffer.startswith(b"\r\n") and not self.blank:
+            self.blank, self.buffer, self.looked = True, self.buffer[2:], 0
         looked = max(self.looked - len(END), 0)
         end = self.buffer.find(END, looked)
         if end < 0 and len(self.buffer) <= self.bounds.head:
@@ -187,9 +190,10 @@
         message = Message(self.bounds.body)
         message.parser = self.parser(message)
         try:
-            message.parser.feed_data(head)
+            message.parser.feed_data(bare(head))
         except ERRORS as error:
             raise BadMessage(400, f"a head that cannot be read: {error}"[:200]) from None
+        self.blank = False
         if message.count > self.bounds.fields:
             raise BadMessage(431, "too many lines in a head")
         self.read(message)
