Door: an end behind much of a very long request is seen before the one ahead of it is taken

Requests of up to 1 MiB are taken now, and the look for a client's end behind its request stopped at 72 KiB of what lies between: a request, 150 KB of another one of 1 MiB and the end, the process standing still for half a second, began one dispatch. It reads up to the longest request now: seventeen reads at most, of a client that sends one request behind another. Without it the new test in test_crossings_ahead prints "(1, {}, 0) != (0, {}, 0)".

--- a/milletsill/platform/door.py
+++ b/milletsill/platform/door.py
@@ -149,7 +149,7 @@
         while the process stood still or the request waited before the door: octets are read a round before the end behind
         them. Harm: one more read for each request that is taken, and for each one more of what lies behind it."""
         came = -1
-        while came < self.reader.pending <= MOST_REQUEST:  # beyond, it is refused anyway
+        while came < self.reader.pending <= MOST_BODY + MOST_REQUEST:  # beyond, it is refused anyway
             came = self.reader.pending
             if self.transport.doRead() is not None:
                 self.step(Cue.GONE)
--- a/tests/test_crossings_ahead.py
+++ b/tests/test_crossings_ahead.py
@@ -1,6 +1,7 @@
 """Requests that lie behind an open one on their connection: long ones, many, some that cannot be read, and clients that go while
 they lie there; on loopback sockets."""
 import socket
+import time
 import unittest
 
 from milletsill.platform.decide import MOST_AHEAD, ends_of
@@ -220,6 +221,21 @@
                     self.pass_time(0.3)
                     self.assertEqual((self.sent_on(), self.gateway.host.live, self.gateway.octets.held), (0, {}, 0))
 
+    def test_who_left_before_it_was_read_behind_much_of_a_very_long_one_has_nothing_begun(self):
+        self.gateway.port.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)  # all of it is here, its end too
+        one = self.client()
+        one.sendall(ask() + ask(TXN + 1, Content_Length=str(1 << 20), **KEYED) + b"x" * 150_000)
+        one.shutdown(socket.SHUT_WR)
+        fin_wait_2 = 5
+        for _ in range(2000):
+            if one.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == fin_wait_2:
+                break
+            time.sleep(0.001)
+        self.time += 0.5
+        self.turn(20)
+        self.pass_time(0.3)
+        self.assertEqual((self.sent_on(), self.gateway.host.live, self.gateway.octets.held), (0, {}, 0))
+
     def test_who_goes_with_a_long_one_half_sent_behind_an_open_one_has_nothing_more_begun(self):
         for how in ("close", "half", "reset"):
             for octets in (1, 60, 5000, 60_000, 65_536 + len(ask(TXN + 1, body=BODY, **KEYED)) - len(BODY)):
