Links to boxes: what waits for a handshake never begins at a box that drains, goes or moves

Found in the review of the paths that end things: on the SFTP side `Pool.serve_waiting` put what waited for a handshake on the link once that stood, and nothing told the pool that its box drained; a box that left or moved closed its pool, and what waited there began all the same when the handshake was over. So a dispatch could begin after the grace (rule 3), up to the dial's span after it was decided on, and told the box what had been left to the client then.

Change: `Edge.moved` says at each list whether a box may be sent to (`Pool.bar`); what waits is over as `MOOT` at once, nothing was written, and the module places it elsewhere.

--- a/milletsill/edge/service.py
+++ b/milletsill/edge/service.py
@@ -20,7 +20,7 @@
 from milletsill.edge.metrics import Figures
 from milletsill.errors import CannotListen, Fault
 from milletsill.files.extensions import Order
-from milletsill.interface import Arrival, Listed, News
+from milletsill.interface import Arrival, Listed, News, Readiness
 from milletsill.links.pool import Pool, Sending
 from milletsill.policy import Scheduler
 from milletsill.registry.decide import Box
@@ -291,10 +291,11 @@
             if pool is None or pool.address != box.address:
                 if pool is not None:
                     pool.close()
-                self.pools[box.id] = Pool(
+                pool = self.pools[box.id] = Pool(
                     self.reactor, self.now, box.address, self.bounds, self.file.name, self.incarnation,
                     self.file.links.most_packet, lambda text, id=box.id: self.remark("link", box=id, reason=text),
                     metered=self.flows.box(box.id, box.address) if self.flows is not None else None)
+            pool.bar(box.readiness is not Readiness.READY)
         for id in self.pools.keys() - {each.id for each in boxes}:
             self.pools.pop(id).close()
 
--- a/milletsill/links/pool.py
+++ b/milletsill/links/pool.py
@@ -4,6 +4,7 @@
 """
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any, Callable
 
 from twisted.internet.endpoints import TCP4ClientEndpoint
@@ -176,7 +177,9 @@
         sending.link, sending.id = self, self.ids
         self.out[self.ids] = sending
         self.load.out = len(self.out)
-        sending.octets = self.send(extensions.put_order(self.ids, sending.order))
+        waited = (self.pool.now() - sending.since) // 10  # what is left to the client was told when it was decided on
+        order = replace(sending.order, left=max(sending.order.left - waited, 1))
+        sending.octets = self.send(extensions.put_order(self.ids, order))
 
     def withdraw(self, sending: Sending) -> None:
         """Tell the box that nobody waits any more; its answer, if one comes, is dropped."""
@@ -200,13 +203,23 @@
         self.links: list[Link] = []
         self.waiting: list[Sending] = []
         self.look_call: Any = None
-        self.closed = False
+        self.closed = self.barred = False
+
+    def bar(self, barred: bool) -> None:
+        """Whether the box drains or is gone: then nothing begins here, and what waits for a link is told so at once, to be
+        placed elsewhere. Guards rule 3 against a handshake that ends long after the list said it. Harm: none."""
+        self.barred = barred
+        if barred:
+            waiting, self.waiting = self.waiting, []
+            for each in waiting:
+                self.ended(each, Outcome.MOOT)
+                each.end(Outcome.MOOT)
 
     def dispatch(self, order: Order, ended: Ended, gate: Any = None) -> Sending:
         """Send a dispatch as the bounds allow; `ended` is told how it went. A `gate` is asked again where it had to wait."""
         sending = Sending(self, order, ended, self.now(), gate)
         way, place = route([each.load for each in self.links], len(self.waiting), self.bounds)
-        if self.closed:
+        if self.closed or self.barred:
             way = Way.REFUSE
         if way is Way.USE:
             self.links[place].dispatch(sending)
@@ -301,6 +314,7 @@
     def close(self) -> None:
         """The box has left: idle links close now, busy ones when their time comes."""
         self.closed = True
+        self.bar(True)
         for link in list(self.links):
             if link.out:
                 continue
