Discovery tests: the stand-in in a file of its own, and its connections come up at once

And the stand-in of discovery brought a connection up only when its turn came or its late 503 was due, so a call that waits for its turn looked like a dial that is not up; a real service's system takes the connection at once. A mend that tells the two apart cannot be judged by that.

Change: tests/discovery_rig.py holds the stand-in, the plays and the fleet of followers, moved and not altered but for `taken`: a connection is up at once, or never, and the call on it is answered in its turn. Calls that were given up by then still cost the service their turn, as before: the harder reading.

--- /dev/null
+++ b/tests/discovery_rig.py
@@ -0,0 +1,229 @@
+"""A stand-in of discovery on a clock of the test's own, and gateways that call it: what the tests of discovery's clock share."""
+import json
+from random import Random
+
+from milletsill.interface import Readiness
+from milletsill.platform.discovery import Follower
+from milletsill.platform.gateway import Gateway
+from tests import platform_rig as shared
+from tests.helpers import scheduler
+
+TOLD, MOVED = 6.0, 4.0  # seconds: the platform counts what a silent watch missed, and what came after SIGHUP, as told by then
+GRACE = 1.0  # after that, to the last dispatch to a draining node; where lists are pushed, what the agent has counts at once
+BEAT, STEP, MANY = 2.0, 0.05, 100
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+WAYS = ("good", "refused", "not up", "503", "no word")  # what becomes of the first new call
+QUICK = ("refused", "503", "torn")  # the calls that end by themselves
+FAILING = QUICK + ("late 503", "not up", "no word", "head", "half", "drip")
+DRIP = 0.4  # between two octets
+
+
+def chunk(text):
+    return b"%x\r\n%s\r\n" % (len(text), text)
+
+
+def said(version, state, indent=None):
+    line = {"version": version, "full": True, "servers": [shared.NODE | {"state": state}]}
+    return chunk(json.dumps(line, indent=indent).encode() + b"\n")
+
+
+class Connector:
+    """What a dial that failed gives its factory."""
+
+    transport = None
+
+
+class Service:
+    """Discovery as the platform's page has it: a watch's first line when something changed, a beat every two seconds. With
+    `takes`, calls are handled in turn, each in so many seconds, and one that would wait for over `bears` seconds gets a 503,
+    at once or after so long. Up to `back`, calls end as `bad` says."""
+
+    def __init__(self, reactor, ways=(), takes=0.0, bears=1.0, patient=True):
+        self.reactor, self.ways, self.takes, self.seen, self.calls = reactor, list(ways), takes, len(reactor.tcpClients), []
+        self.watches, self.drips, self.version, self.state, self.free = [], [], 4, "active", 0.0
+        self.bears, self.patient, self.bad, self.back, self.indent = bears, patient, "good", 0.0, None
+
+    def look(self):
+        now = self.reactor.seconds()
+        for _, port, factory, timeout, _ in self.reactor.tcpClients[self.seen:]:
+            if port in (8500, 8501):
+                self.calls.append(now)
+                wait = max(self.free - now, 0.0)
+                way = self.way(now, wait)
+                self.free = now + wait + self.takes * (wait <= self.bears and way != "refused")
+                wait = wait if wait <= self.bears else self.bears * self.patient
+                self.taken(way, 2 if way == "late 503" else wait, factory, timeout)
+        self.seen = len(self.reactor.tcpClients)
+        for beat, protocol, wire in self.watches:
+            if now >= beat[0] and not wire.aborted:
+                beat[0] += BEAT
+                protocol.dataReceived(chunk(b"\n"))
+        for drip, protocol, wire in self.drips:
+            if now >= drip[0] and not wire.aborted:
+                drip[0] += DRIP
+                protocol.dataReceived(chunk(b" "))
+
+    def way(self, now, wait):
+        if now < self.back:
+            return self.bad
+        return "503" if wait > self.bears else self.ways.pop(0) if self.ways else "good"
+
+    def taken(self, way, wait, factory, timeout):
+        """A connection is up at once, or never; the call on it waits for its turn, also if it was given up by then."""
+        if way in ("refused", "not up"):
+            after = timeout if way == "not up" else 0
+            return self.reactor.callLater(after, factory.clientConnectionFailed, Connector(), None)
+        protocol, wire = factory.buildProtocol(None), shared.Wire()
+        protocol.makeConnection(wire)
+        self.reactor.callLater(wait, self.answer, way, protocol, wire)
+
+    def answer(self, way, protocol, wire):
+        if wire.aborted:
+            return
+        text = said(self.version, self.state, self.indent)
+        if way in ("503", "late 503"):
+            protocol.dataReceived(BUSY)
+        elif way in ("head", "half", "torn", "drip"):
+            protocol.dataReceived(HEAD + (text[:30] if way in ("half", "torn") else b""))
+        elif way == "good" and wire.value():
+            asked = int(wire.value().split(b"from=")[1].split()[0])
+            protocol.dataReceived(HEAD + (text if asked < self.version else b""))
+            self.watches.append(([self.reactor.seconds() + BEAT], protocol, wire))
+        if way == "torn":
+            self.reactor.callLater(0.3, protocol.connectionLost)
+        if way == "drip":
+            self.drips.append(([self.reactor.seconds() + DRIP], protocol, wire))
+
+    def change(self):
+        """The node drains, and no watch that stands hears of it; gives these."""
+        self.version, self.state = self.version + 1, "leaving"
+        gone, self.watches = self.watches, []
+        return gone
+
+
+class Played(shared.Served):
+
+    def start(self, draw=None, **service):
+        """A gateway that chance serves worst, or best, and discovery."""
+        self.setUp()
+        if draw is not None:
+            self.gateway.follower.uniform = lambda least, most: (least, most)[draw]
+        return Service(self.reactor, **service)
+
+    def play(self, service, most, until=lambda: False, step=STEP):
+        """Seconds until it holds."""
+        began = self.reactor.seconds()
+        while not until() and self.reactor.seconds() < began + most:
+            self.reactor.advance(step)
+            service.look()
+        return self.reactor.seconds() - began
+
+    def drains(self, gateway=None):
+        return any(node.health.name == "BARRED" for node in (gateway or self.gateway).host.module.nodes.values())
+
+
+class Called(Played):
+    """Calls fail in one way up to a moment, from which on discovery has the change and can be reached."""
+
+    def begin(self, draw, mode="on_request", patience=5):
+        """A process that starts, served worst or best by chance. Of lists that are pushed the settings say no time to ask in."""
+        self.setUp()
+        self.gateway.stop()
+        rules = {name: value for name, value in shared.SETTINGS["rules"].items() if mode != "pushed" or name != "ask_within_ns"}
+        classes = [each | {"hard_limit_ns": patience * 10 ** 9} for each in shared.SETTINGS["classes"]]
+        service = Service(self.reactor)
+        settings = shared.SETTINGS | {"membership_mode": mode, "rules": rules, "classes": classes}
+        self.gateway = Gateway(self.deployment(settings=settings), self.reactor, self.now, 0, self.gateway.log)
+        self.gateway.follower.uniform = self.gateway.host.module.uniform = lambda least, most: (least, most)[draw]
+        return service
+
+    def spoil(self, service, way, length):
+        service.bad, service.back, service.calls = way, self.reactor.seconds() + length, []
+        return service.change()
+
+    def owed(self, service):
+        """Seconds from when discovery could be reached to the module's knowing, and the calls before that."""
+        self.play(service, service.back - self.reactor.seconds())
+        calls = len(service.calls)
+        waited = self.play(service, 20, self.drains)
+        self.gateway.stop()
+        return waited, calls
+
+    def started(self, way, draw, length, mode="on_request", ways=()):
+        service = self.begin(draw, mode)
+        self.spoil(service, way, length)
+        service.ways = list(ways)
+        self.gateway.start()
+        return self.owed(service)
+
+    def outage(self, way, draw, length, mode="on_request", ways=()):
+        service = self.begin(draw, mode)
+        self.gateway.start()
+        self.play(service, 6)
+        for _, protocol, _ in self.spoil(service, way, length):
+            protocol.connectionLost()
+        service.ways = list(ways)
+        return self.owed(service)
+
+    def sighup(self, way, draw, length, beats):
+        """At the new address; the old watch goes on to say that nothing changed, or says nothing."""
+        service = self.begin(draw)
+        self.gateway.start()
+        self.play(service, 6)
+        gone = self.spoil(service, way, length)
+        service.watches = gone if beats else []
+        self.gateway.reload(self.deployment(discovery="127.0.0.1:8501"))
+        return self.owed(service)
+
+
+class Member:
+    """One of a fleet: a follower and the module's pauses."""
+
+    def __init__(self, reactor, now, seed, within):
+        self.reactor, self.now, self.has = reactor, now, False
+        self.follower = Follower(reactor, now, ("127.0.0.1", 8500), ["z"], 0, self.hear, lambda text: None, Random(seed).uniform)
+        self.module, _ = scheduler(ask_within=within)
+        self.module.port, self.module.uniform = self, Random(-seed - 1).uniform
+        self.follower.ask()
+
+    def hear(self, kind, places):
+        self.has |= any(each.listed.readiness is Readiness.DRAINING for each in places)
+        self.module.listed(self.now(), kind, [each.listed for each in places])
+
+    def wake(self, at, what):
+        if what == "ask":
+            self.reactor.callLater(max(at - self.now(), 0) / 10_000, lambda: self.module.woken(self.now(), what))
+
+    def watch(self):
+        self.follower.ask()
+
+
+class Fleet(Played):
+    """Two hundred at a service that handles calls in turn and turns away what would wait for over two seconds."""
+
+    FLEET, SPAN = 200, 8
+
+    def fleet(self, within, **service):
+        self.setUp()
+        self.gateway.stop()
+        made = Service(self.reactor, bears=2.0, **service)
+        members = [Member(self.reactor, self.now, seed, within) for seed in range(self.FLEET)]
+        self.looked(made, members, self.SPAN, lambda: False)
+        return made, members
+
+    def looked(self, service, members, most, until):
+        began, looks = self.reactor.seconds(), 0
+        while not until() and self.reactor.seconds() < began + most:
+            self.reactor.advance(0.02)
+            service.look()
+            looks += 1
+            for each in members if not looks % 5 else ():
+                each.follower.look()
+        return self.reactor.seconds() - began
+
+    def back(self, service, members, takes):
+        """Seconds until all have the list, calls each."""
+        service.takes, service.free, service.calls = takes, 0.0, []
+        waited = self.looked(service, members, 25, lambda: all(each.has for each in members))
+        return waited, len(service.calls) / self.FLEET
