Discovery: a second call beside one that gets no further, where lists are pushed and after SIGHUP

A call ends by our patience alone where it is not up (1 s) or says nothing (2.2 s for each word), and only then came the next: where lists are pushed a call under way when discovery returned was past the grace (not up 1.25 s, a line that stops 2.6 s), and after SIGHUP two failures in turn passed the four seconds in 47 of 64 pairs (refused, then no word: 4.40 s; no word twice: 5.90 s), also because the module draws a pause behind its second failure. What was looked at first: calling soon beside every call that is not answered. It holds the grace for all kinds (0.15 to 0.25 s) and swamps a service with too many callers: 200 gateways after an outage of 8 s, 20 ms a call, have the list after 11.3 s with 14 calls each (3.8 s with 2.5 before), at 40 ms after 20.5 s with 35. With a second call that stays instead of one that gives way to a third: 6.7 s and 7.8 calls, 13.6 s and 22. Such a service cannot be told from one that is silent while a call waits; it speaks within two seconds, be it a 503.

A call is DIALLED, TAKEN or BEGUN (a part of its first line is here). Where lists are pushed another is made beside it after an eighth to a quarter of the grace if it is DIALLED (the service has not heard of it; of two the one that is not up gives way to a third) or BEGUN; where it is TAKEN only behind a call that was silent for all of its 2.2 s, after 0.7 to 1.1 s, until any answer comes. After SIGHUP, lists pushed or not, beside a DIALLED one after 0.25 to 0.5 s, else 2.7 to 3.1 s after SIGHUP; and behind a second failure there the next call is made without the module's pause, which stays as it is. Two calls at most, the first that speaks wins, the other is closed; a failure of one of two is not told. Where lists are asked for nothing changes but after SIGHUP. Spans and conditions: platform/decide.py.

FullFleet gets its pause from `ask_within` now, told whether lists are pushed; its bounds are as they were.

Failed on the way: `stopConnecting` at a dial that has just failed raises; tests.test_crossings_descriptors saw it (Traceback in the log of a whole process) where none of the played tests could. `disconnect` does not.

--- a/milletsill/platform/configuration.py
+++ b/milletsill/platform/configuration.py
@@ -8,7 +8,7 @@
 
 from milletsill.errors import Refused
 from milletsill.facts import Part, at_most, facts_of, missing_in, unknown_in
-from milletsill.platform.decide import told_within
+from milletsill.platform.decide import ask_within
 from milletsill.platform.nodes import BadEntry, News, address_of, news_of
 
 MOST_OCTETS = 8 << 20
@@ -38,6 +38,7 @@
     memory_mb: int
     facts: Mapping[str, Any]
     known: News | None
+    grace: int  # to stop sending, where lists are pushed; else 0
 
 
 def read(environ: Mapping[str, str], clock: int, remark: Callable[[str], None]) -> Deployment:
@@ -67,7 +68,8 @@
         grace = at_most(Part(given["settings"]).part("rules").number("stop_sending_within_ns"))
     except ValueError as error:
         raise ValueError(f"settings: {error}") from None
-    facts["ask_within"] = told_within(not facts["list_on_request"], facts["ask_within"], grace)
+    pushed = not facts["list_on_request"]
+    facts["ask_within"] = ask_within(pushed, facts["ask_within"], grace)
     if not facts["categories"]:
         raise ValueError("settings: classes: none, so nothing can be taken")
     for names, what in ((unknown_in(given["settings"]), "not known and passed over"),
@@ -85,7 +87,7 @@
                       address_of(given.get("listen") or environ.get("NODE_LISTEN")),
                       address_of(given.get("discovery") or environ.get("NODE_DISCOVERY")), seed,
                       sockets or os.sysconf("SC_OPEN_MAX"), memory or LEAST_MEMORY, facts,
-                      news_of(known, facts["zones"], clock, remark) if known is not None else None)
+                      news_of(known, facts["zones"], clock, remark) if known is not None else None, grace * pushed)
 
 
 def limit_of(limits: Any, name: str) -> int:
--- a/milletsill/platform/decide.py
+++ b/milletsill/platform/decide.py
@@ -134,22 +134,58 @@
 DIAL = 10_000
 FIRST_WORD = 22_000  # from a call to the answer's head, and from there to its first line: a beat, and a little
 MARGIN, RETRY_PART = 5_000, 1 / 3  # the second call is made by chance within this part of what is left, less the margin
+LEAST_RETRY = 1_000
 MOST_LINE = 4 << 20  # octets of one list
 TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
 
-def told_within(pushed: bool, stated: int, grace: int) -> int:
-    """The time within which a change counts as told where calls fail: the least that the settings and the platform's page say.
-    Where lists are pushed nothing is left but the grace to stop sending."""
+def ask_within(pushed: bool, stated: int, grace: int) -> int:
+    """The span of which the module draws its pauses, up to a quarter: the time within which a change counts as told where calls
+    fail, the least that the settings and the platform's page say. Where lists are pushed nothing is left but the grace to
+    stop sending."""
     return min(each for each in (TOLD, stated, grace * pushed) if each)
 
 
-def retry_within(quiet: int, moved: int | None) -> int:
-    """How long the second call may be put off where the first one made beside a standing watch failed: `quiet` since that
-    one's last word, `moved` since SIGHUP, if it was. Guards a service with too many callers against all of them coming again
-    at once. Harm: the list is that much later, never past its time."""
+def retry_within(quiet: int, moved: int | None, hurried: bool = False) -> tuple[int, int, bool]:
+    """Between what bounds the next call is put off where one failed that was made beside a standing watch, or after SIGHUP:
+    `quiet` since the standing one's last word, `moved` since SIGHUP, if it was. And whether it is made without the
+    module: where that has heard of a failure since SIGHUP (`hurried`), its next pause may be longer than what is left. Guards a
+    service with too many callers against all of them coming again at once. Harm: the list is that much later, never past its
+    time."""
     left = TOLD - quiet if moved is None else min(TOLD - quiet, TOLD_MOVED - moved)
-    return int(max(left - MARGIN, 0) * RETRY_PART)
+    most = int(max(left - MARGIN, 0) * RETRY_PART)
+    alone = hurried and most > LEAST_RETRY
+    return most // 2 if alone else 0, most, alone
+
+
+# A call until it has spoken. DIALLED: not up yet. TAKEN: up; it may wait for its turn, or for the first beat behind its
+# answer's head. BEGUN: a part of its first line is here.
+Call = Enum("Call", "DIALLED TAKEN BEGUN")
+BESIDE = 1 / 8, 1 / 4  # of the grace
+BESIDE_MUTE, BESIDE_SOON = (7_000, 11_000), (2_500, 5_000)
+BESIDE_MOVED = 27_000, 31_000  # since SIGHUP
+
+
+def beside_within(stage: Call, mute: bool, grace: int, moved: int | None) -> tuple[int, int] | None:
+    """Between what bounds a call that gets no further has another beside it, None: never. Guards against one that ends by our
+    patience alone. Where lists are pushed (`grace`): soon, but not where the call is taken: a service with too many callers lets
+    it wait, and speaks within two seconds; only where the last one was silent for all of its time (`mute`), half way
+    through. After SIGHUP (`moved`: so long ago): just in time, or where the service has not heard of it. Harm: up to
+    twice the calls."""
+    spans = []
+    if grace and stage is not Call.TAKEN:
+        spans.append((int(grace * BESIDE[0]), int(grace * BESIDE[1])))
+    elif grace and mute:
+        spans.append(BESIDE_MUTE)
+    if moved is not None and moved < TOLD_MOVED - MARGIN:
+        late = max(BESIDE_MOVED[0] - moved, BESIDE_SOON[0]), max(BESIDE_MOVED[1] - moved, BESIDE_SOON[1])
+        spans.append(BESIDE_SOON if stage is Call.DIALLED else late)
+    return min(spans, default=None)
+
+
+def is_mute(mute: bool, quiet: int, status: int) -> bool:
+    """Whether discovery takes calls and says nothing: since one was given up for that, until any is answered."""
+    return quiet > FIRST_WORD or mute and not status
 
 
 def depth_of(line: bytes) -> int:
--- a/milletsill/platform/discovery.py
+++ b/milletsill/platform/discovery.py
@@ -11,7 +11,8 @@
 from milletsill.http1.reader import BadMessage
 from milletsill.http1.writer import request
 from milletsill.interface import News as Kind
-from milletsill.platform.decide import DIAL, FIRST_WORD, MOST_LINE, OVERDUE, QUIET, depth_of, retry_within
+from milletsill.platform.decide import (DIAL, FIRST_WORD, MOST_LINE, OVERDUE, QUIET, Call, beside_within, depth_of, is_mute,
+                                        retry_within)
 from milletsill.platform.nodes import BadEntry, News, news_of
 
 PATH = b"/registry/instances?watch=1&from=%d"
@@ -54,12 +55,19 @@
         self.follower, self.host, self.version = follower, host, version  # the version is -1 once it has spoken
         self.overdue = overdue
         self.answer, self.words = AnswerLines(MOST_LINE), Words()
-        self.heard, self.over = follower.now(), False
+        self.heard, self.over, self.stage = follower.now(), False, Call.DIALLED
+        self.connector: Any = None
 
     def connectionMade(self) -> None:
         if self.over:
             return self.transport.abortConnection()
         self.transport.write(request(b"GET", PATH % self.version, self.host.encode(), [], b""))
+        self.reach(Call.TAKEN)
+
+    def reach(self, stage: Call) -> None:
+        """The call is so far; from here on another one beside it may be due at another time."""
+        self.stage = stage
+        self.follower.soon(self)
 
     def dataReceived(self, data: bytes) -> None:
         try:
@@ -73,6 +81,8 @@
                 for value in () if self.over else self.words.feed(line.strip()):
                     self.heard = self.follower.now()
                     self.follower.word(self, value)
+            if self.stage is Call.TAKEN and self.version >= 0 and (self.answer.line or self.words.parts):
+                self.reach(Call.BEGUN)
         except (BadMessage, BadEntry, ValueError, RecursionError) as error:
             return self.end(line_of(error))
         if self.answer.ended:
@@ -96,6 +106,8 @@
         self.over = True
         if self.transport is not None:
             self.transport.abortConnection()
+        elif self.connector is not None:
+            self.connector.disconnect()
 
 
 class Dial(ClientFactory):
@@ -121,18 +133,21 @@
 
 
 class Follower:
-    """Keeps at most two watches: the one that stands, and the one that takes its place, at a new address or because it is
-    silent. `uniform` draws within two bounds."""
+    """Keeps the watch that stands or the call that is to be it, the old one that it takes the place of, at a new address or
+    because that is silent, and a second call beside one that is not answered. `uniform` draws within two bounds; `grace` is the
+    time to stop sending where lists are pushed, else 0."""
 
     def __init__(self, reactor: Any, now: Callable[[], int], address: tuple[str, int], zones: Sequence[str], clock: int,
                  told: Callable[[Kind, Sequence[Any]], None], remark: Callable[[str], None],
-                 uniform: Callable[[float, float], float]) -> None:
+                 uniform: Callable[[float, float], float], grace: int = 0) -> None:
         self.reactor, self.now, self.address, self.zones, self.clock = reactor, now, address, zones, clock
-        self.told, self.remark, self.uniform = told, remark, uniform
+        self.told, self.remark, self.uniform, self.grace = told, remark, uniform, grace
         self.version = 0
         self.watch: Watch | None = None
         self.old: Watch | None = None
-        self.asked = self.stopped = False
+        self.beside: Watch | None = None  # only while `watch` has not spoken
+        self.asked = self.stopped = self.mute = False
+        self.hurried = False  # the module has heard of a failure since SIGHUP
         self.moved: int | None = None  # when discovery's address did, until a watch at the new one has spoken
 
     def known(self, news: News) -> None:
@@ -149,7 +164,7 @@
     def move(self, address: tuple[str, int]) -> None:
         """Discovery is elsewhere: the old watch stands until the new one has spoken."""
         if address != self.address and not self.stopped:
-            self.address, self.moved = address, self.now()
+            self.address, self.moved, self.hurried = address, self.now(), False
             self.drop()
             self.old, self.watch = self.watch, None
             self.ask()
@@ -163,18 +178,49 @@
         if old is not None and old.host == f"{host}:{port}" and old.quiet() <= old.overdue:
             self.watch, self.old = old, None  # it speaks again
             return
-        watch = self.watch = Watch(self, f"{host}:{port}", self.version, int(self.uniform(*OVERDUE)))
-        self.reactor.connectTCP(host, port, Dial(watch, lambda: watch.end("not reached")), timeout=DIAL / 10_000)
+        self.watch = self.call()
+
+    def call(self) -> Watch:
+        host, port = self.address
+        watch = Watch(self, f"{host}:{port}", self.version, int(self.uniform(*OVERDUE)))
+        watch.connector = self.reactor.connectTCP(host, port, Dial(watch, lambda: watch.end("not reached")), timeout=DIAL / 10_000)
+        self.soon(watch)
+        return watch
+
+    def soon(self, watch: Watch) -> None:
+        """Looks again at a call when another beside it would be due, if it is still no further then."""
+        moved = None if self.moved is None else self.now() - self.moved
+        span = beside_within(watch.stage, self.mute, self.grace, moved)
+        if span is not None:
+            self.reactor.callLater(self.uniform(*span) / 10_000, self.double, watch, watch.stage)
+
+    def double(self, watch: Watch, stage: Call) -> None:
+        """Another call beside one that is no further; the first that speaks wins. Of two one that is not up gives way to a third:
+        the service has not heard of it. None beside an old watch that is silent: until six seconds after its last word there is
+        time for one after the other."""
+        if watch.over or watch.stage is not stage or watch.version < 0 or self.stopped or self.old and self.moved is None:
+            return
+        if watch is not (self.watch if self.beside is None else self.beside):
+            return
+        if self.beside is not None and self.watch is not None:
+            gone, stays = (watch, self.watch) if stage is Call.DIALLED else (self.watch, watch)
+            if gone.stage is not Call.DIALLED:
+                return
+            gone.close()
+            self.watch = stays
+        self.beside = self.call()
 
     def word(self, watch: Watch, value: Any) -> None:
         """One word of the watch: a beat, or what a list should be."""
+        if watch is self.beside:
+            self.watch, self.beside = watch, self.watch
         first = watch is self.watch and watch.version >= 0
         if value is not BEAT:
             self.news(news_of(value, self.zones, self.clock, self.remark), watch is self.old)
         elif first:
             self.told(Kind.CHANGES, ())
         if first:
-            watch.version, self.moved = -1, None  # has spoken
+            watch.version, self.moved, self.mute, self.hurried = -1, None, False, False  # has spoken
             self.drop()
 
     def news(self, news: News, old: bool) -> None:
@@ -183,22 +229,33 @@
             self.told(Kind.WHOLE if news.whole else Kind.CHANGES, news.places)
 
     def drop(self) -> None:
-        if self.old is not None:
-            self.old.close()
-            self.old = None
+        for each in (self.old, self.beside):
+            if each is not None:
+                each.close()
+        self.old = self.beside = None
 
     def ended(self, watch: Watch, reason: str) -> None:
         """A watch is over: the module hears of it, and says when to ask again."""
         if watch is self.old:
             self.old = None
+            return
+        self.mute = is_mute(self.mute, watch.quiet(), watch.answer.status)
+        if self.beside is not None and watch in (self.watch, self.beside):
+            self.watch, self.beside = (self.beside if watch is self.watch else self.watch), None
+            self.remark(f"one of two calls at {watch.host} is over: {reason}")
+            if watch.quiet() > FIRST_WORD:
+                self.double(self.watch, self.watch.stage)
+            else:
+                self.soon(self.watch)
         elif watch is self.watch:
             self.watch = None
             self.remark(f"the watch at {watch.host} is over: {reason}")
-            if self.old is None:
-                self.failed()
-            else:
-                moved = None if self.moved is None else self.now() - self.moved
-                self.reactor.callLater(self.uniform(0, retry_within(self.old.quiet(), moved)) / 10_000, self.failed)
+            if self.old is None and self.moved is None:
+                return self.failed()
+            moved = None if self.moved is None else self.now() - self.moved
+            *span, alone = retry_within(0 if self.old is None else self.old.quiet(), moved, self.hurried)
+            self.hurried = self.moved is not None
+            self.reactor.callLater(self.uniform(*span) / 10_000, self.ask if alone else self.failed)
 
     def failed(self) -> None:
         if not self.stopped:
@@ -206,7 +263,7 @@
 
     def look(self) -> None:
         """Whether a watch has gone quiet: another is opened in time to be in its place, and at last it is over."""
-        for watch in (self.watch, self.old):
+        for watch in (self.watch, self.beside, self.old):
             if watch is not None and watch.quiet() > (QUIET if watch.version < 0 else FIRST_WORD):
                 watch.end("nothing came")
         watch = self.watch
--- a/milletsill/platform/gateway.py
+++ b/milletsill/platform/gateway.py
@@ -44,7 +44,8 @@
         self.fleet = Fleet(reactor, now, shares.links, self.octets, facts["dial"] or UNTOLD_DIAL,
                            facts["link_idle"] or UNTOLD_IDLE, self.note)
         self.follower = Follower(reactor, now, deployment.discovery, facts["zones"], clock, self.listed,
-                                 lambda text: self.remark("list", reason=text), Random(f"{deployment.seed} list").uniform)
+                                 lambda text: self.remark("list", reason=text), Random(f"{deployment.seed} list").uniform,
+                                 deployment.grace)
         self.host = Host(reactor, now, facts, deployment.seed, make, self.carry, self.follower.ask,
                          lambda text: self.remark("module", reason=text), self.note)
         self.port: Any = None
--- a/tests/discovery_rig.py
+++ b/tests/discovery_rig.py
@@ -3,6 +3,7 @@
 from random import Random
 
 from milletsill.interface import Readiness
+from milletsill.platform.decide import ask_within
 from milletsill.platform.discovery import Follower
 from milletsill.platform.gateway import Gateway
 from tests import platform_rig as shared
@@ -43,6 +44,7 @@
         self.reactor, self.ways, self.takes, self.seen, self.calls = reactor, list(ways), takes, len(reactor.tcpClients), []
         self.watches, self.drips, self.version, self.state, self.free = [], [], 4, "active", 0.0
         self.bears, self.patient, self.bad, self.back, self.indent = bears, patient, "good", 0.0, None
+        self.wires = []
 
     def look(self):
         now = self.reactor.seconds()
@@ -76,6 +78,7 @@
             return self.reactor.callLater(after, factory.clientConnectionFailed, Connector(), None)
         protocol, wire = factory.buildProtocol(None), shared.Wire()
         protocol.makeConnection(wire)
+        self.wires.append(wire)
         self.reactor.callLater(wait, self.answer, way, protocol, wire)
 
     def answer(self, way, protocol, wire):
@@ -95,6 +98,11 @@
         if way == "drip":
             self.drips.append(([self.reactor.seconds() + DRIP], protocol, wire))
 
+    def open(self):
+        """The connections that stand."""
+        self.wires = [each for each in self.wires if not each.aborted]
+        return self.wires
+
     def change(self):
         """The node drains, and no watch that stands hears of it; gives these."""
         self.version, self.state = self.version + 1, "leaving"
@@ -180,9 +188,9 @@
 class Member:
     """One of a fleet: a follower and the module's pauses."""
 
-    def __init__(self, reactor, now, seed, within):
+    def __init__(self, reactor, now, seed, within, grace):
         self.reactor, self.now, self.has = reactor, now, False
-        self.follower = Follower(reactor, now, ("127.0.0.1", 8500), ["z"], 0, self.hear, lambda text: None, Random(seed).uniform)
+        self.follower = Follower(reactor, now, ("127.0.0.1", 8500), ["z"], 0, self.hear, lambda text: None, Random(seed).uniform, grace)
         self.module, _ = scheduler(ask_within=within)
         self.module.port, self.module.uniform = self, Random(-seed - 1).uniform
         self.follower.ask()
@@ -204,11 +212,14 @@
 
     FLEET, SPAN = 200, 8
 
-    def fleet(self, within, **service):
+    def fleet(self, pushed=False, **service):
+        """A service that nothing was asked of for some seconds, and those that watch it."""
         self.setUp()
         self.gateway.stop()
+        grace = 9_999 * pushed
+        within = ask_within(pushed, 0, grace)
         made = Service(self.reactor, bears=2.0, **service)
-        members = [Member(self.reactor, self.now, seed, within) for seed in range(self.FLEET)]
+        members = [Member(self.reactor, self.now, seed, within, grace) for seed in range(self.FLEET)]
         self.looked(made, members, self.SPAN, lambda: False)
         return made, members
 
--- /dev/null
+++ b/tests/test_crossings_beside.py
@@ -0,0 +1,136 @@
+"""A second call beside one that discovery does not answer, over real sockets: what crosses between the two."""
+import socket
+import unittest
+
+from milletsill.interface import News
+from milletsill.platform.decide import BESIDE, BESIDE_MOVED, BESIDE_MUTE, DIAL, FIRST_WORD, MARGIN, TOLD_MOVED, Call
+from tests.discovery_door import HEAD, LOOK, Held, said
+
+GRACE = 8_000  # to stop sending, where lists are pushed
+
+
+class Beside(Held):
+
+    def test_where_lists_are_pushed_a_list_that_stops_in_mid_line_has_another_call_beside_it_in_time(self):
+        for wins in ("second", "first"):
+            self.again()
+            self.follower.grace = GRACE
+            self.follower.ask()
+            first, _ = self.taken()
+            first.sendall(HEAD + said(8, True)[:40])
+            self.until(lambda: self.follower.watch.stage is Call.BEGUN)
+            self.go(GRACE * BESIDE[1])
+            second = self.second()
+            end, other, rest = (second, first, HEAD + said(8, True)) if wins == "second" else (first, second, said(8, True)[40:])
+            end.sendall(rest)
+            self.until(lambda: self.told)
+            self.over(other)
+            self.go(FIRST_WORD)
+            self.assertEqual((self.told, self.follower.beside), ([(News.WHOLE, "ready")], None), wins)
+            end.sendall(said(9, state="leaving"))
+            self.until(lambda: self.told[-1] == (News.CHANGES, "draining"))
+
+    def test_a_second_call_that_is_reset_is_followed_by_another_and_costs_the_first_nothing(self):
+        self.follower.grace = GRACE
+        self.follower.ask()
+        first, _ = self.taken()
+        first.sendall(HEAD + said(8, True)[:40])
+        self.until(lambda: self.follower.watch.stage is Call.BEGUN)
+        self.go(GRACE * BESIDE[1])
+        self.reset(self.second())
+        self.until(lambda: self.follower.beside is None)
+        self.go(GRACE * BESIDE[1])
+        self.second()
+        first.sendall(said(8, True)[40:])
+        self.until(lambda: self.told)
+        self.assertEqual(self.told, [(News.WHOLE, "ready")])
+
+    def test_where_lists_are_pushed_a_dial_that_is_not_up_has_another_beside_it_and_two_at_most(self):
+        hole = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.addCleanup(hole.close)
+        for _ in range(3):  # its queue is full: what comes now is never up
+            one = socket.socket()
+            self.addCleanup(one.close)
+            one.setblocking(False)
+            one.connect_ex(hole.getsockname())
+        dial, dials = self.reactor.connectTCP, []
+
+        def held_back(host, port, factory, timeout):
+            dials.append(port)
+            return dial(host, hole.getsockname()[1] if len(dials) <= 2 else port, factory, timeout=timeout)
+        self.reactor.connectTCP = held_back
+        self.follower.grace = GRACE
+        self.follower.ask()
+        self.turn(3)
+        self.go(GRACE * BESIDE[1])
+        self.turn(3)
+        self.assertEqual((len(dials), len(self.reactor.getWriters())), (2, 2))
+        self.go(GRACE * BESIDE[1])
+        self.assertEqual((len(dials), self.failed()), (3, 0))
+        self.assertLess(self.clock, DIAL)
+        second = self.second()
+        self.turn(3)
+        self.assertEqual(len(self.reactor.getWriters()), 1)  # the first, which may still come up
+        second.sendall(HEAD + said(8, True))
+        self.until(lambda: self.told)
+        self.turn(3)
+        self.assertEqual((self.told, self.reactor.getWriters(), self.follower.beside), ([(News.WHOLE, "ready")], [], None))
+
+    def test_where_lists_are_pushed_a_call_that_is_taken_has_another_beside_it_only_behind_one_that_never_was_answered(self):
+        self.follower.grace = GRACE
+        self.follower.ask()
+        self.taken()
+        self.go(FIRST_WORD)
+        self.assertFalse(self.called())
+        self.go(2 * LOOK)
+        self.assertEqual(self.failed(), 1)
+        self.follower.ask()
+        first, _ = self.taken()
+        self.go(BESIDE_MUTE[1])
+        second = self.second()
+        second.sendall(HEAD + said(8, True))
+        self.until(lambda: len(self.told) == 2)
+        self.over(first)
+        self.assertEqual(self.told, [(News.FAILED,), (News.WHOLE, "ready")])
+
+    def test_after_sighup_a_call_that_is_reset_and_one_that_is_never_answered_leave_time_for_a_third(self):
+        self.standing()
+        there = self.discovery()
+        self.follower.move(there.address)
+        moved = self.clock
+        self.reset(self.taken(there)[0])
+        self.until(lambda: self.follower.watch is None)
+        while not self.failed():
+            self.go(LOOK)
+        self.follower.ask()
+        first, _ = self.taken(there)
+        self.go(BESIDE_MOVED[1] - (self.clock - moved))
+        second = self.second(there)
+        second.sendall(HEAD + said(8, state="leaving"))
+        self.until(lambda: self.told[-1] == (News.CHANGES, "draining"))
+        self.over(first)
+        self.assertLess(self.clock - moved, TOLD_MOVED - MARGIN)
+        self.assertEqual(self.failed(), 1)
+
+    def test_after_sighup_the_call_behind_two_that_are_reset_waits_for_no_pause_of_the_modules(self):
+        self.standing()
+        there = self.discovery()
+        self.follower.move(there.address)
+        moved = self.clock
+        self.reset(self.taken(there)[0])
+        self.until(lambda: self.follower.watch is None)
+        while not self.failed():
+            self.go(LOOK)
+        self.follower.ask()  # as the module does: the first time at once, the second time after a pause
+        self.reset(self.taken(there)[0])
+        self.until(lambda: self.follower.watch is None)
+        while self.follower.watch is None:
+            self.assertLess(self.clock - moved, TOLD_MOVED - MARGIN)
+            self.go(LOOK)
+        self.taken(there)[0].sendall(HEAD + said(8, state="leaving"))
+        self.until(lambda: self.told[-1] == (News.CHANGES, "draining"))
+        self.assertEqual(self.failed(), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -124,22 +124,22 @@
 class FullFleet(Fleet):
 
     def test_after_an_outage_all_have_the_list_as_soon_as_the_service_can_give_it(self):
-        for within, each_second, most, takes, patient in ((60_000, 1.2, 3, 0.01, False), (60_000, 1.2, 3, 0.04, False),
-                                                          (9_999, 5.5, 11, 0.01, False), (9_999, 5.5, 11, 0.04, False),
-                                                          (60_000, 1.2, 3, 0.02, True), (9_999, 5.5, 11, 0.02, True)):
-            service, members = self.fleet(within, patient=patient)
+        for pushed, each_second, most, takes, patient in ((False, 1.2, 3, 0.01, False), (False, 1.2, 3, 0.04, False),
+                                                          (True, 5.5, 11, 0.01, False), (True, 5.5, 11, 0.04, False),
+                                                          (False, 1.2, 3, 0.02, True), (True, 5.5, 11, 0.02, True)):
+            service, members = self.fleet(pushed, patient=patient)
             service.bad, service.back, service.calls = "refused", self.reactor.seconds() + self.SPAN, []
             for _, protocol, _ in service.change():
                 protocol.connectionLost()
             self.looked(service, members, self.SPAN, lambda: False)
-            self.assertLess(len(service.calls) / self.FLEET / self.SPAN, each_second, (within, takes))
+            self.assertLess(len(service.calls) / self.FLEET / self.SPAN, each_second, (pushed, takes))
             waited, calls = self.back(service, members, takes)
-            self.assertLess(waited, takes * self.FLEET + (2.0 if patient else 1.0), (within, takes, patient))
-            self.assertLess(calls, most, (within, takes, patient))
+            self.assertLess(waited, takes * self.FLEET + (2.0 if patient else 1.0), (pushed, takes, patient))
+            self.assertLess(calls, most, (pushed, takes, patient))
 
     def test_where_all_watches_fall_silent_at_once_all_have_the_list_as_soon_as_the_service_can_give_it(self):
         for takes, most in ((0.01, 1.1), (0.02, 2), (0.04, 4)):
-            service, members = self.fleet(60_000)
+            service, members = self.fleet()
             service.patient = False
             service.change()
             waited, calls = self.back(service, members, takes)
@@ -167,11 +167,13 @@
 
     def test_the_time_is_the_least_that_settings_and_page_say_and_the_grace_where_lists_are_pushed(self):
         for mode, stated, grace, wanted in (("on_request", 10, 1, 60_000), ("on_request", 4, 1, 39_999), ("on_request", 0, 1, 60_000),
-                                            ("pushed", 0, 1, 9_999), ("pushed", 10, 1, 9_999), ("pushed", 10, 0, 60_000), (None, 0, 0, 60_000)):
+                                            ("pushed", 0, 1, 9_999), ("pushed", 10, 1, 9_999), ("pushed", 10, 0, 60_000), ("pushed", 0, 9, 60_000),
+                                            (None, 0, 0, 60_000)):
             rules = shared.SETTINGS["rules"] | {"ask_within_ns": stated * 10 ** 9, "stop_sending_within_ns": grace * 10 ** 9}
             settings = shared.SETTINGS | {"membership_mode": mode, "rules": rules}
-            facts = shared.deployment_of(shared.GIVEN | {"settings": settings}, {}, 0, list[str]().append).facts
-            self.assertEqual(facts["ask_within"], wanted, (mode, stated, grace))
+            made = shared.deployment_of(shared.GIVEN | {"settings": settings}, {}, 0, list[str]().append)
+            self.assertEqual(made.facts["ask_within"], wanted, (mode, stated, grace))
+            self.assertEqual(made.grace, max(grace * 10_000 - 1, 0) if mode == "pushed" else 0, (mode, stated, grace))
 
 
 if __name__ == "__main__":
