--- a/milletsill/platform/decide.py
+++ b/milletsill/platform/decide.py
@@ -135,6 +135,7 @@
 FIRST_WORD = 22_000  # from a call to the answer's head, and from there to its first line: a beat, and a little
 MARGIN, RETRY_PART = 5_000, 1 / 3  # the second call is made by chance within this part of what is left, less the margin
 LEAST_RETRY = 1_000
+PACE = 1.5  # of the grace, of which the module's longest pause is a quarter
 MOST_LINE = 4 << 20  # octets of one list
 TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
@@ -142,8 +143,8 @@
 def ask_within(pushed: bool, stated: int, grace: int) -> int:
     """The span of which the module draws its pauses, up to a quarter: the time within which a change counts as told where calls
     fail, the least that the settings and the platform's page say. Where lists are pushed nothing is left but the grace to
-    stop sending."""
-    return min(each for each in (TOLD, stated, grace * pushed) if each)
+    stop sending; the longest pause, and what passes until another call is made beside one, are under two thirds of it."""
+    return min(each for each in (TOLD, stated, int(grace * PACE) * pushed) if each)
 
 
 def retry_within(quiet: int, moved: int | None, hurried: bool = False) -> tuple[int, int, bool]:
--- a/tests/test_crossings_beside.py
+++ b/tests/test_crossings_beside.py
@@ -5,6 +5,7 @@
 from milletsill.interface import News
 from milletsill.platform.decide import BESIDE, BESIDE_MOVED, BESIDE_MUTE, DIAL, FIRST_WORD, MARGIN, TOLD_MOVED, Call
 from tests.discovery_door import HEAD, LOOK, Held, said
+from tests.platform_rig import SETTINGS, Loopback
 
 GRACE = 8_000  # to stop sending, where lists are pushed
 
@@ -132,5 +133,26 @@
         self.assertEqual(self.failed(), 1)
 
 
+class Down(Loopback):
+    """A whole gateway, lists pushed, grace 1 s, on a clock of the test's own."""
+
+    changed = {"settings": SETTINGS | {"membership_mode": "pushed"}}
+
+    def test_an_outage_costs_at_most_four_calls_a_second_and_its_end_is_seen_within_half_the_grace(self):
+        address = self.listener.getsockname()
+        self.listener.close()
+        self.gateway.follower.watch.end("down")
+        told, failed = self.gateway.follower.told, []
+        self.gateway.follower.told = lambda kind, places: (failed.append(kind), told(kind, places))
+        self.pass_time(20.0)
+        self.assertEqual({News.FAILED}, set(failed))
+        self.assertLess(len(failed) / 20, 4)
+        back = socket.create_server(address)
+        self.sockets.append(back)
+        back.setblocking(False)
+        self.pass_time(0.5)
+        back.accept()[0].close()
+
+
 if __name__ == "__main__":
     unittest.main()
