Discovery: a list that comes without a line end is told at once

What stands behind the last line end is told as soon as it is a whole JSON object (`Words.rest`), over one line or, indented, several; the line end that follows is a beat. What is no whole one yet is left alone. Only up to 64 KiB: a longer list in many pieces would be looked at with each, and waits for its line's end as before.

--- a/milletsill/platform/decide.py
+++ b/milletsill/platform/decide.py
@@ -137,6 +137,7 @@
 LEAST_RETRY = 1_000
 PACE = 1.5  # of the grace, of which the module's longest pause is a quarter
 MOST_LINE = 4 << 20  # octets of one list
+MOST_OPEN = 1 << 16  # up to here a list counts without its line's end. Guards against a long one in many pieces, each looked at
 TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
 
--- a/milletsill/platform/discovery.py
+++ b/milletsill/platform/discovery.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import json
+from contextlib import suppress
 from typing import Any, Callable, Sequence
 
 from twisted.internet.protocol import ClientFactory, Protocol
@@ -11,7 +12,7 @@
 from milletsill.http1.reader import BadMessage
 from milletsill.http1.writer import request
 from milletsill.interface import News as Kind
-from milletsill.platform.decide import (DIAL, FIRST_WORD, MOST_LINE, OVERDUE, QUIET, Call, beside_within, depth_of, is_mute,
+from milletsill.platform.decide import (DIAL, FIRST_WORD, MOST_LINE, MOST_OPEN, OVERDUE, QUIET, Call, beside_within, depth_of, is_mute,
                                         retry_within)
 from milletsill.platform.nodes import BadEntry, News, news_of
 
@@ -45,6 +46,18 @@
         text, self.parts = b"".join(self.parts), []
         return [json.loads(text)]
 
+    def rest(self, line: bytes) -> list[Any]:
+        """The value that is whole with what came without a line's end, if one is: a list whose last line end is left out, or
+        comes with the next beat."""
+        depth, octets = (self.depth, self.octets) if self.parts else (0, 0)
+        if not line.endswith(b"}") or octets + len(line) > MOST_OPEN or depth + depth_of(line):
+            return []
+        with suppress(ValueError):  # a part of a line only
+            value = json.loads(b"".join(self.parts) + line)
+            self.parts = []
+            return [value]
+        return []
+
 
 class Watch(Protocol):
     """One open watch. `heard` is when its last word came: a whole line, before the first the answer's head, before that the
@@ -78,9 +91,11 @@
             if headless and self.answer.status:
                 self.heard = self.follower.now()
             for line in lines:
-                for value in () if self.over else self.words.feed(line.strip()):
-                    self.heard = self.follower.now()
-                    self.follower.word(self, value)
+                self.take(() if self.over else self.words.feed(line.strip()))
+            whole = () if self.over else self.words.rest(self.answer.line.strip())
+            if whole:
+                self.answer.line = b""
+                self.take(whole)
             if self.stage is Call.TAKEN and self.version >= 0 and (self.answer.line or self.words.parts):
                 self.reach(Call.BEGUN)
         except (BadMessage, BadEntry, ValueError, RecursionError) as error:
@@ -88,6 +103,11 @@
         if self.answer.ended:
             self.end("the watch ended")
 
+    def take(self, values: Sequence[Any]) -> None:
+        for value in values:
+            self.heard = self.follower.now()
+            self.follower.word(self, value)
+
     def connectionLost(self, reason: Any = None) -> None:
         self.end("the connection ended")
 
--- a/tests/discovery_rig.py
+++ b/tests/discovery_rig.py
@@ -24,9 +24,9 @@
     return b"%x\r\n%s\r\n" % (len(text), text)
 
 
-def said(version, state, indent=None):
+def said(version, state, indent=None, end=b"\n"):
     line = {"version": version, "full": True, "servers": [shared.NODE | {"state": state}]}
-    return chunk(json.dumps(line, indent=indent).encode() + b"\n")
+    return chunk(json.dumps(line, indent=indent).encode() + end)
 
 
 class Connector:
@@ -44,7 +44,7 @@
         self.reactor, self.ways, self.takes, self.seen, self.calls = reactor, list(ways), takes, len(reactor.tcpClients), []
         self.watches, self.drips, self.version, self.state, self.free = [], [], 4, "active", 0.0
         self.bears, self.patient, self.bad, self.back, self.indent = bears, patient, "good", 0.0, None
-        self.wires = []
+        self.wires, self.end = [], b"\n"
 
     def look(self):
         now = self.reactor.seconds()
@@ -84,7 +84,7 @@
     def answer(self, way, protocol, wire):
         if wire.aborted:
             return
-        text = said(self.version, self.state, self.indent)
+        text = said(self.version, self.state, self.indent, self.end)
         if way in ("503", "late 503"):
             protocol.dataReceived(BUSY)
         elif way in ("head", "half", "torn", "drip"):
--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -60,6 +60,27 @@
             self.reset(end)
             self.until(self.failed)
 
+    def test_a_list_without_a_line_end_is_told_at_once_and_what_is_no_whole_one_is_not(self):
+        for indent, version in ((None, 9), (1, 10)):
+            whole = {"version": version, "full": True, "servers": [NODE, NODE | {"id": "} ] }", "zone": "{"}]}
+            text = json.dumps(whole, indent=indent).encode()
+            self.told.clear()
+            self.follower.ask()
+            end, _ = self.taken()
+            end.sendall(HEAD)
+            for place in range(len(text)):
+                self.assertEqual(self.told, [], text[:place])
+                end.sendall(b"1\r\n%s\r\n" % text[place:place + 1])
+                self.turn()
+            self.until(lambda: self.told)
+            self.go(2 * LOOK)
+            end.sendall(BEAT)  # its line end
+            end.sendall(said(version + 1, state="leaving"))
+            self.until(lambda: len(self.told) > 1)
+            self.assertEqual(self.told, [(News.WHOLE, "ready", "ready"), (News.CHANGES, "draining")], indent)
+            self.reset(end)
+            self.until(self.failed)
+
     def test_half_a_line_then_silence_on_a_watch_that_stands_opens_another_in_time(self):
         old = self.standing()
         old.sendall(said(8)[:40])
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -108,6 +108,16 @@
             self.assertLess(self.play(service, 20, self.drains), 0.3, (mode, indent))
             self.assertEqual((len(service.calls), len(service.watches)), (1, 1))
 
+    def test_a_list_without_a_line_end_does_not_wait_for_the_beat(self):
+        for mode, indent in product(("pushed", "on_request"), (None, 1)):
+            service = self.begin(0, mode)
+            service.change()
+            service.indent, service.end = indent, b""
+            self.gateway.start()
+            self.assertLess(self.play(service, 20, self.drains), 0.3, (mode, indent))
+            self.play(service, 10)  # the beat ends its line
+            self.assertEqual((len(service.calls), len(service.open())), (1, 1))
+
     def test_a_first_call_that_is_turned_away_is_followed_by_a_pause_drawn_by_chance(self):
         for mode in ("pushed", "on_request"):
             pauses = []
