Discovery tests: a known list out of date at the start, and a descriptor at discovery's return

Need: that a start whose known list is out of date holds the six seconds whatever becomes of its first call was played on the simulated clock alone (`Outage.started`), and that discovery's call gets a descriptor only for SIGHUP, not for its return under idle clients.

Change. tests/test_crossings_beside.py, `Started`: a whole gateway over loopback sockets, first call 503, reset, never answered, half a line, refused for 3 s before; lists asked for and pushed. tests/test_crossings_descriptors.py: idle clients up to their share and a hundred more at the door, discovery down for six seconds, the process's descriptors counted each second, the call there once the address is back (2.0 s, pushed 0.6 s).

Seen on the way, left as it is: a connection that only ever asked for health counts as one on which nothing came, and makes way after 0.05 s where descriptors are short.

--- a/tests/test_crossings_beside.py
+++ b/tests/test_crossings_beside.py
@@ -5,7 +5,7 @@
 from milletsill.interface import News
 from milletsill.platform.decide import BESIDE, BESIDE_MOVED, BESIDE_MUTE, DIAL, FIRST_WORD, MARGIN, TOLD_MOVED, Call
 from tests.discovery_door import HEAD, LOOK, Held, said
-from tests.platform_rig import SETTINGS, Loopback
+from tests.platform_rig import SETTINGS, Loopback, reset
 
 GRACE = 8_000  # to stop sending, where lists are pushed
 
@@ -154,5 +154,55 @@
         back.accept()[0].close()
 
 
+class Started(Loopback):
+    """A whole gateway whose list, as it was known at the start, is out of date: its node drains by now."""
+
+    BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+
+    def drains(self):
+        return any(node.health.name == "BARRED" for node in self.gateway.host.module.nodes.values())
+
+    def calls(self):
+        while True:
+            try:
+                one = self.listener.accept()[0]
+            except BlockingIOError:
+                return
+            self.sockets.append(one)
+            yield one
+
+    def waited(self, first):
+        """Seconds from when discovery could be reached to the module's knowing; the first call is met as told."""
+        self.listener.setblocking(False)
+        began, ways = self.time, [first]
+        while not self.drains() and self.time < began + 10:
+            self.pass_time(0.04)
+            for one in self.calls():
+                way = ways.pop(0) if ways else HEAD + said(5, True, state="leaving")
+                if way == "reset":
+                    reset(one)
+                else:
+                    one.sendall(way)
+        return self.time - began
+
+    def test_what_the_known_list_lacks_is_in_whatever_becomes_of_the_first_call(self):
+        for mode, first, most in (("on_request", self.BUSY, 2.0), ("on_request", "reset", 2.0), ("on_request", b"", 4.5),
+                                  ("on_request", HEAD + said(5)[:30], 4.5), ("on_request", "refused", 2.0), ("pushed", self.BUSY, 0.8),
+                                  ("pushed", "reset", 0.8), ("pushed", b"", 3.0), ("pushed", HEAD + said(5)[:30], 0.8),
+                                  ("pushed", "refused", 0.8)):
+            self.changed = {"settings": SETTINGS | {"membership_mode": mode}}
+            self.again()
+            self.assertFalse(self.drains())
+            if first == "refused":
+                address = self.listener.getsockname()
+                self.listener.close()
+                self.gateway.follower.watch.end("not reached")
+                self.pass_time(3.0)
+                self.listener = socket.create_server(address)
+                self.sockets.append(self.listener)
+                first = HEAD + said(5, True, state="leaving")
+            self.assertLess(self.waited(first), most, (mode, first))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_crossings_descriptors.py
+++ b/tests/test_crossings_descriptors.py
@@ -12,7 +12,7 @@
 from contextlib import suppress
 from dataclasses import replace
 
-from milletsill.platform.decide import OVER
+from milletsill.platform.decide import OVER, Stage
 from tests.platform_rig import GIVEN, NODE, TXN, Loopback, ask, node_stand_in
 
 READY = b"GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -171,6 +171,38 @@
         self.pass_time(4.0)
         self.assertIn(b" 200 ", self.got(late)[0])
 
+    def test_idle_clients_up_to_the_share_leave_a_descriptor_for_the_call_at_discoverys_return(self):
+        """They ask now and then, so none makes way. Each call that fails gives its descriptor back, and the next gets one."""
+        for mode, within in (("on_request", 2.0), ("pushed", 0.6)):
+            self.changed = Share.changed | {"settings": GIVEN["settings"] | {"membership_mode": mode}}
+            self.shut()
+            others = len(os.listdir("/proc/self/fd"))
+            self.setUp()
+            address = self.listener.getsockname()
+            self.listener.close()
+            self.gateway.follower.watch.end("down")
+            resting = [self.client(LIVE) for _ in range(self.gateway.clients.most)]
+            self.turn(5)
+            for each in self.gateway.clients.open:
+                each.stage = Stage.WAITING  # as behind a transfer; one that only asked for health makes way as a silent one does
+            self.burst(100)
+            held = []
+            for _ in range(6):
+                self.pass_time(1.0)
+                self.assertTrue(self.gateway.clients.paused, mode)
+                mine = sum(each.fileno() >= 0 for each in self.sockets)
+                held.append(len(os.listdir("/proc/self/fd")) - others - mine)
+                for each in resting:
+                    self.assertIn(b" 200 ", self.got(each)[0], mode)
+                    each.sendall(LIVE)
+            self.assertGreaterEqual(min(held), self.gateway.clients.most, mode)
+            self.assertLessEqual(max(held), self.gateway.deployment.sockets - 4, mode)  # two calls, the old watch, the file
+            back = socket.create_server(address)
+            self.sockets.append(back)
+            back.setblocking(False)
+            self.pass_time(within)
+            back.accept()[0].close()
+
     def test_too_many_and_too_late_are_told_when_to_come_back(self):
         one = self.client(ask(X_Remaining_Ms="3"))
         self.until(lambda: self.gateway.tally["answer", "too late or too many"])
