A word between gateways ends when its client's patience does, however long it lay on its way

What a client still waited (`left`) was counted by the keeper from when it READ the word. A word that lay unread while the keeper was stopped, or in a stream that a cut or a lossy network held, got that time on top, and the keeper let it go after its client was told `aborted` and had given up.

Change: words carry what their teller's clock reads. Who forwards says until when on the keeper's own clock, from the best reading heard of it, less what rates may differ by (drift_permille); a keeper that cannot tell until when asks to be told once more. No clock is set by another. A gateway of an earlier version tells no clock and is heard as before.

--- a/Makefile
+++ b/Makefile
@@ -20,4 +20,4 @@
 
 proto: setup
 	$(VENV)/bin/pip -q install grpcio-tools==1.66.2
-	$(RUN) -m grpc_tools.protoc -I. --python_out=. milletsill/settings/milletsill.proto milletsill/planner/plan.proto milletsill/fleet/frames/fleet.proto milletsill/fleet/channels/registers/registers.proto
+	$(RUN) -m grpc_tools.protoc -I. --python_out=. milletsill/settings/milletsill.proto milletsill/planner/plan.proto milletsill/fleet/frames/fleet.proto milletsill/fleet/channels/registers/registers.proto milletsill/fleet/channels/contracts/record.proto
--- a/milletsill/fleet/channels/contracts/ways.py
+++ b/milletsill/fleet/channels/contracts/ways.py
@@ -10,8 +10,9 @@
 from milletsill.files import extensions
 from milletsill.files.extensions import bare
 from milletsill.files.wire import Malformed
+from milletsill.fleet.channels.contracts.clocks import Clocks
 from milletsill.fleet.channels.contracts.codec import put_envelope, read_envelope
-from milletsill.fleet.channels.contracts.record_pb2 import Ask, Envelope, Reply
+from milletsill.fleet.channels.contracts.record_pb2 import Ask, Clock, Envelope, Reply
 from milletsill.fleet.channels.contracts.words import Elsewhere, Look, Open, Say, Transfer, Word, put_word, read_word
 from milletsill.fleet.plane import Kind, Plane
 
@@ -19,6 +20,7 @@
 MOST_ON_HAND = 5000  # words of others that are not answered yet
 SILENT_CALLS = 2     # calls without a sign of life until the keeper counts as away
 MOST_HOPS = 3
+MOST_AT_ONCE = 3     # times that a word is told once more at once, as the other asked; then at the next call
 AWAY = 30_000        # tenths of a millisecond for which one that could not be reached is not asked again, unless it says something
 MARGIN = 100         # tenths of a millisecond that the way back may take
 
@@ -26,13 +28,14 @@
 class Forward:
     """A word that another gateway has, or may have."""
 
-    __slots__ = ("id", "word", "to", "heard", "hops", "alarm", "held")
+    __slots__ = ("id", "word", "to", "heard", "hops", "alarm", "held", "asked")
 
     def __init__(self, id: int, word: Word, to: str, now: int, hops: int) -> None:
         self.id, self.word, self.to, self.hops = id, word, to, hops
         self.heard = now
         self.alarm: Any = None
         self.held = False  # the other has said that it is on it
+        self.asked = 0  # how often it asked to be told once more
 
 
 def doubted(answered: Callable[[Any], None]) -> Callable[[Any], None]:
@@ -48,11 +51,12 @@
 
 class Ways:
     """`own` handles another gateway's word here, `keep` one of ours that this gateway is to keep itself; `call` is how long a sign of
-    life may take, in tenths of a millisecond. `volume` finds a volume by name."""
+    life may take, in tenths of a millisecond. `volume` finds a volume by name; `drift` as the registers have it."""
 
     def __init__(self, reactor: Any, now: Callable[[], int], plane: Plane, call: int, own: Callable[[Word, str], None],
-                 keep: Callable[[Word], None], volume: Callable[[str], Any], count: Callable[[str], None]) -> None:
+                 keep: Callable[[Word], None], volume: Callable[[str], Any], count: Callable[[str], None], drift: int = 5) -> None:
         self.reactor, self.now, self.plane, self.call = reactor, now, plane, call
+        self.whose, self.clocks = SystemRandom().getrandbits(64), Clocks(drift)
         self.own, self.keep, self.volume, self.count = own, keep, volume, count
         self.out: dict[int, Forward] = {}
         self.silent: dict[str, int] = {}  # since when a member could not be reached
@@ -90,7 +94,10 @@
         left_ms = max(left // 10, 1)
         ask = (Ask(id=forward.id, volume="", channel="", left=left_ms) if forward.held  # it has the rest
                else put_word(word, forward.id, left_ms, forward.hops))
-        if not self.plane.tell(forward.to, Kind.CHANNEL, put_envelope(Envelope(ask=ask))):
+        there = self.clocks.there(forward.to, word.ends - MARGIN, now)
+        if there is not None:
+            ask.until.whose, ask.until.at = there[0], max(there[1], 0)
+        if not self.plane.tell(forward.to, Kind.CHANNEL, self.said(ask=ask)):
             return self.away(forward)
         forward.alarm = self.reactor.callLater(min(self.call, left) / 10_000, self.again, forward)
 
@@ -102,6 +109,17 @@
             return self.away(forward)
         self.tell(forward)
 
+    def said(self, **what: Any) -> bytes:
+        """What leaves for another gateway, with what this one's clock reads."""
+        return put_envelope(Envelope(clock=Clock(whose=self.whose, at=self.now()), **what))
+
+    def asked_again(self, forward: Forward) -> None:
+        """It was not taken: the other could not tell until when. Its clock has come with that."""
+        forward.asked += 1
+        if forward.asked <= MOST_AT_ONCE and forward.alarm is not None and forward.alarm.active():
+            forward.alarm.cancel()
+            self.tell(forward)
+
     def away(self, forward: Forward) -> None:
         """Its keeper cannot be reached: this gateway tries to be it; the registers say whether it may."""
         self.drop(forward)
@@ -134,6 +152,8 @@
         if reply.held:
             forward.held = True
             return
+        if reply.again:
+            return self.asked_again(forward)
         self.drop(forward)
         if reply.HasField("keeper"):
             if reply.keeper == self.plane.name:
@@ -155,6 +175,8 @@
         self.silent.pop(member, None)
         if envelope is None:
             return
+        if envelope.HasField("clock") and envelope.clock.IsInitialized():
+            self.clocks.heard(member, envelope.clock.whose, envelope.clock.at, self.now())
         if envelope.HasField("reply") and envelope.reply.IsInitialized():
             return self.reply(member, envelope.reply)
         if not envelope.HasField("ask") or not envelope.ask.IsInitialized():
@@ -166,13 +188,16 @@
         volume = self.volume(ask.volume)
         if volume is None:
             return
+        ends = self.ends_of(envelope)
+        if ends is None:
+            return self.say(member, self.said(reply=Reply(id=ask.id, again=True)))
         try:
-            word = read_word(ask, volume, f"{member}.{run}.{ask.id}", self.now(), lambda packet: self.answered(key, packet))
+            word = read_word(ask, volume, f"{member}.{run}.{ask.id}", ends, lambda packet: self.answered(key, packet))
         except Malformed:
             return
         if self.on_hand >= MOST_ON_HAND:
-            return self.say(member, put_envelope(Envelope(reply=Reply(id=ask.id, answer=bare(
-                wire.put_sign(0, "declined", "declined: its keeper has all the words that it may", None, self.call))))))
+            return self.say(member, self.said(reply=Reply(id=ask.id, answer=bare(
+                wire.put_sign(0, "declined", "declined: its keeper has all the words that it may", None, self.call)))))
         self.on_hand += 1
         self.others[key] = None
         while len(self.others) > MOST_HEARD:
@@ -180,18 +205,27 @@
         self.say(member, self.still(ask.id))
         self.own(word, member)
 
+    def ends_of(self, envelope: Envelope) -> int | None:
+        """When another gateway's word is over, on this clock; None where nobody can tell. Guards rule 1 against a word that lay in a
+        cut network, or unread while this process stood: what its client still waited when it was told says nothing of now. Harm: a
+        round trip more for the first word in a while between two gateways. One of an earlier version tells no clock: its words count
+        from when they are read, as they did."""
+        ask, left = envelope.ask, self.now() + envelope.ask.left * 10
+        if ask.HasField("until") and ask.until.IsInitialized() and ask.until.whose == self.whose:
+            return min(ask.until.at, left)
+        return None if envelope.HasField("clock") else left
+
     def answered(self, key: tuple[str, int, int], packet: Any) -> None:
         self.on_hand -= 1
         member, _, id = key
-        envelope = Envelope(reply=Reply(id=id, keeper=packet.who, pause=packet.pause) if isinstance(packet, Elsewhere)
-                            else Reply(id=id, answer=bare(packet)))
-        body = put_envelope(envelope)
+        body = self.said(reply=Reply(id=id, keeper=packet.who, pause=packet.pause) if isinstance(packet, Elsewhere)
+                         else Reply(id=id, answer=bare(packet)))
         if key in self.others:
             self.others[key] = body
         self.say(member, body)
 
     def still(self, id: int) -> bytes:
-        return put_envelope(Envelope(reply=Reply(id=id, held=True)))
+        return self.said(reply=Reply(id=id, held=True))
 
     def say(self, member: str, body: bytes) -> None:
         self.plane.tell(member, Kind.CHANNEL, body)
--- a/milletsill/fleet/channels/contracts/words.py
+++ b/milletsill/fleet/channels/contracts/words.py
@@ -93,8 +93,8 @@
     return ask
 
 
-def read_word(ask: Ask, volume: Any, token: str, now: int, answered: Callable[[Any], None]) -> Word:
-    """A word from another gateway; Malformed where its command is none."""
+def read_word(ask: Ask, volume: Any, token: str, ends: int, answered: Callable[[Any], None]) -> Word:
+    """A word from another gateway, over at `ends`; Malformed where its command is none."""
     what: What
     if ask.HasField("open"):
         what = Open(ask.open.contract, ask.open.version, ask.open.first)
@@ -106,4 +106,4 @@
                         extensions.dressed(sent.command, 0))
     else:
         what = Look(ask.look.number)
-    return Word(volume, ask.channel, now + ask.left * 10, what, token, answered)
+    return Word(volume, ask.channel, ends, what, token, answered)
