Channels: every word has its answer by its client's patience; a stop before a read counts

Words that wait for an office, or for the record of their end, had no end of their own at their client's patience; `took` and `wrote` answered them when the registers' call was over (300 ms). And once a gateway that was stopped between the socket's being ready and its being read took what had lain there for 1.5 s as new: a stop was seen only at the next beat. Ruled out: those gateways' processor (no wait for a core noted there, no collector's pause in their logs).

Change: a word at the door has one timer 30 ms before its client's patience ends (half the margin of the file), after all other last words; what comes later is dropped. At each read the door asks whether the last beat is overdue.

Without the mends: tests.test_channels waits in vain for the answer (a time-out 0.25 s past patience); tests.test_end_to_end prints that the packet at hand came now instead of when the process began to stand.

--- a/milletsill/edge/channels.py
+++ b/milletsill/edge/channels.py
@@ -64,12 +64,13 @@
 class Standing:
     """A client's word that is not answered yet, as its connection knows commands."""
 
-    __slots__ = ("command", "volume", "category", "octets", "final", "began", "answered")
+    __slots__ = ("command", "volume", "category", "octets", "final", "began", "answered", "late")
 
     def __init__(self, command: Any, volume: Any, category: int, octets: int, began: int) -> None:
         self.command, self.volume, self.category, self.octets, self.began = command, volume, category, octets, began
         self.final = "abandoned"
         self.answered: Callable[[Any], None] = lambda packet: None
+        self.late: Any = None
 
     def abandon(self) -> None:
         """Its client has left; what was let go goes on, its answer is remembered."""
@@ -87,11 +88,12 @@
                              registry=registry)
         self.kept = Gauge("milletsill_channels_kept", "Channels in this gateway's memory as their keeper", registry=registry)
         self.held = 0
+        self.standing: set[Standing] = set()
         self.book = book_of(edge.file)
         self.keeper = Keeper(plane.name, edge.reactor, edge.now, offices, self.book, edge.host.facts["key_rest"],
                              keeping.most_channels, self, edge.remark, self.count)
         self.ways = Ways(edge.reactor, edge.now, plane, round(keeping.call_ms * 10), self.forwarded, self.keeper.word,
-                         self.volume, self.count)
+                         self.volume, self.count, keeping.drift_permille)
         # Handles and the marks of words begin by chance. Guards against a gateway that starts again under a run that it had before:
         # its OPEN would pass for an earlier one. Harm: none.
         self.handles = SystemRandom().getrandbits(62)
@@ -124,6 +126,9 @@
         for call in self.look_calls:
             if call.active():
                 call.cancel()
+        for standing in self.standing:
+            standing.late.cancel()
+        self.standing.clear()
         for each in list(self.ways.out.values()):
             self.ways.drop(each)
         for held in list(self.keeper.kept.values()):
@@ -216,6 +221,11 @@
         self.held += 1
 
         def told(answer: Any) -> None:
+            if standing not in self.standing:
+                return  # the one answer was given
+            self.standing.remove(standing)
+            if standing.late.active():
+                standing.late.cancel()
             self.held -= 1
             edge.emptied()
             standing.answered(self.opened(client, volume, name, what, answer))
@@ -225,6 +235,10 @@
             client.answer(standing, packets.with_id(answer, packet.id))
 
         standing.answered = answered
+        # Guards rule 1 against a word that waits for what has no end at its client's patience: an office that is taken, a record that
+        # is written, before a keeper's own timers even know of it. Harm: none, it comes after all their last words.
+        standing.late = edge.reactor.callLater(max(ends + edge.margin // 2 - edge.now(), 1) / 10_000, self.overdue, what, told)
+        self.standing.add(standing)
         self.handles += 1
         token = f"{self.plane.name}.{self.plane.run}.{self.handles}"
         word = Word(volume, name, ends, what, token, lambda answer: None)
@@ -232,6 +246,13 @@
         self.place(word)
         return None
 
+    def overdue(self, what: Any, told: Callable[[Any], None]) -> None:
+        """Patience is over, and nobody has said what became of a word."""
+        self.count("overdue")
+        if isinstance(what, (Transfer, Say)):
+            return told(wire.put_sign(0, "aborted", "aborted: no answer in time"))
+        told(wire.put_sign(0, "declined", "declined: no answer in time", None, PAUSE))
+
     def opened(self, client: Any, volume: Any, name: str, what: Any, answer: Any) -> Any:
         """An OPEN that was answered gets a handle of this connection."""
         if not isinstance(what, Open) or not isinstance(answer, packets.ExtendedReply):
--- a/milletsill/edge/door.py
+++ b/milletsill/edge/door.py
@@ -278,7 +278,7 @@
 
     def came(self) -> int:
         """When the packet at hand may have come: it lay unread while this door was full or the process stood."""
-        known = [each for each in (self.full_since, self.edge.stood_since) if each is not None]
+        known = [each for each in (self.full_since, self.edge.unread_since()) if each is not None]
         return min(known, default=self.edge.now())
 
     def answer(self, running: Running, packet: Any) -> None:
--- a/milletsill/edge/seam.py
+++ b/milletsill/edge/seam.py
@@ -19,7 +19,6 @@
     parts: Any
     channels: Any
     extensions: tuple[str, ...]  # of the door, beside those that always stand
-    stood_since: int | None
     now: Callable[[], int]
 
     def connected(self, client: Any) -> bool:
@@ -27,6 +26,9 @@
 
     def disconnected(self, client: Any) -> None: ...
 
+    def unread_since(self) -> int | None:
+        """Since when what is read now may have lain unread; None where it is as new as it looks."""
+
     def refusal(self, ends: int) -> str:
         """Why a command cannot be taken now; '' for none."""
 
--- a/milletsill/edge/service.py
+++ b/milletsill/edge/service.py
@@ -153,6 +153,12 @@
         self.last_beat = now
         self.beat_call = self.reactor.callLater(BEAT / 10_000, self.beat)
 
+    def unread_since(self) -> int | None:
+        """Since when what is read now may have lain unread; None where it is as new as it looks. Asked at each read: a process that
+        stood between a socket's being ready and its being read has had no beat yet."""
+        since = taken_since(self.now(), self.last_beat + BEAT, self.last_beat)
+        return self.stood_since if since is None else min(since, since if self.stood_since is None else self.stood_since)
+
     def caught_up(self) -> None:
         self.stood_since = None
 
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -3,7 +3,7 @@
 
 import time
 
-from twisted.internet import defer
+from twisted.internet import defer, reactor
 from twisted.trial.unittest import TestCase
 
 from milletsill.files import channels as wire
@@ -163,6 +163,24 @@
         self.assertIn(sign(await lost), ("aborted", "claim-lost", "declined", packets.OK))
         self.assertEqual(rig.traces(), [])
 
+    async def test_a_word_that_waits_for_an_office_is_answered_in_time(self):
+        """Registers that say nothing at all: an office that is never had, and a record that never stands."""
+        rig = Fleet(self)
+        edges = await rig.gateways()
+        boat = await Boat.open(rig, edges[0])
+        for each in edges:
+            each.channels.offices.take = lambda key, got: None
+            each.channels.offices.write = lambda term, value, wrote: None
+        began = time.monotonic()
+        write = packets.Write(0, boat.file, 8, b"00000001")
+        put = boat.client.command(wire.put_numbered(0, wire.Numbered(boat.opened.handle, 1, 0, False, Terms(600), write)))
+        other = await rig.client(edges[1])
+        opened = other.command(wire.put_channel(0, wire.Opening("/h", "another", "")))
+        for asked, word, patience in ((put, "aborted", 0.6), (opened, "declined", 3.0)):
+            asked.addTimeout(began + patience + 0.25 - time.monotonic(), reactor)  # a quarter of a second for a machine that is busy
+            self.assertEqual(sign(await asked), word)
+        self.assertEqual((sum(each.channels.held for each in edges), rig.effects, rig.traces()), (0, [], []))
+
     async def test_batches_and_what_a_contract_does_not_allow(self):
         rig = Fleet(self)
         edges = await rig.gateways()
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -295,6 +295,21 @@
             await later(0.005)
         self.assertLess(time.monotonic() - began, 0.9)
 
+    async def test_patience_runs_where_the_process_stood_before_it_read_what_was_ready(self):
+        rig = Rig(self)
+        edge = await rig.edge()
+        client = await rig.client(edge)
+        door = next(iter(edge.clients))
+        edge.beat_call.cancel()  # it stands between a beat and the read, 0.6 s long
+        stood = edge.last_beat = edge.now() - 6000
+        self.assertEqual(door.came(), stood)
+        edge.beat()
+        self.assertEqual(door.came(), stood)  # all that is read in this turn
+        while door.came() == stood:
+            await later(0.005)
+        self.assertLess(edge.now() - door.came(), 3000)
+        self.assertTrue(client.transport.connected)
+
     async def test_term_in_a_surge_answers_all_that_is_held_and_ends(self):
         rig = Rig(self)
         edge = await rig.edge()
