Stand-in boxes: a ticket has one effect also where two of its dispatches are there at once

The stand-in looked at the ticket when a dispatch came only, when neither had been done. Ruled out: the gateway; a ticketed transfer may be sent again within its group and window, which is what tickets are for.

Change: the stand-in looks at the ticket once more when the work is done: the second is answered with what the first came to, and has no effect. Without the mend tests.test_lab prints 3 effects where 2 are.

--- a/milletsill/lab/box.py
+++ b/milletsill/lab/box.py
@@ -86,9 +86,9 @@
         if self.down:
             return
         self.finish(self.engine.advance(now))
-        held = self.tickets.get(order.ticket)
-        if held is not None and now - held[0] <= self.kind.ticket_s:
-            return gate.answer(id, held[1], order)
+        held = self.remembered(order.ticket)
+        if held is not None:
+            return gate.answer(id, held, order)
         if self.draining:
             return gate.answer(id, Verdict(DRAINING), order)
         mean, cv = self.work.get(order.category, (META_WORK, 0.2))
@@ -105,6 +105,11 @@
             self.jobs[self.key(order)] = job
         self.schedule()
 
+    def remembered(self, ticket: str) -> Verdict | None:
+        """What was done under a ticket, for as long as it is remembered."""
+        held = self.tickets.get(ticket)
+        return held[1] if held is not None and self.clock() - held[0] <= self.kind.ticket_s else None
+
     def fall(self) -> None:
         """Pushed over while cold: down for good."""
         self.down = True
@@ -142,6 +147,11 @@
             self.jobs.pop(self.key(order), None)
             if self.silent:
                 continue
+            known = self.remembered(order.ticket)
+            if known is not None:  # two dispatches under one ticket were here at once, and the other was first: one effect
+                if not job.gone:
+                    gate.answer(id, known, order)
+                continue
             if self.chance.random() < self.kind.error_rate:
                 gate.answer(id, Verdict(ERROR, "a fault of the box"), order)
                 continue
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -4,13 +4,17 @@
 import tempfile
 import unittest
 from random import Random
+from types import SimpleNamespace
 
 from click.testing import CliRunner
 from google.protobuf import text_format
+from twisted.internet.task import Clock
 
 from milletsill.cli.main import main
-from milletsill.files import packets
+from milletsill.files import extensions, packets
+from milletsill.files.extensions import Order, Verdict
 from milletsill.files.wire import Attrs
+from milletsill.lab.box import Box
 from milletsill.lab.engine import Engine, Speed
 from milletsill.lab.files import Files
 from milletsill.lab.run import Run, broken, report
@@ -79,6 +83,20 @@
         self.assertGreater(result["commands"], 150)
 
 
+class Boxes(unittest.TestCase):
+    def test_two_dispatches_under_one_ticket_at_once_have_one_effect_and_an_answer_each(self):
+        clock, answers, effects = Clock(), [], []
+        box = Box(clock, 0, 0, 0, BoxKind(name="k", cores=2), NodeRules(), Files(), {}, 1, None, clock.seconds)
+        box.files.run = lambda command: effects.append(command) or Verdict(extensions.DONE, "", answer=packets.Status(0, packets.OK))
+        gate = SimpleNamespace(answer=lambda id, verdict, order: answers.append((id, verdict.answer)))
+        for id, (ticket, number) in enumerate((("t", 0), ("t", 1), ("u", 0))):
+            box.order(gate, id, Order("g", 1, 7, number, 1.0, 5, 100, ticket, 1, 1, "write", "m", packets.Write(0, b"/a/f", 0, b"x")))
+        clock.pump([0.001] * 100)
+        self.assertEqual((sorted(answers), len(effects)), ([(id, packets.Status(0, packets.OK)) for id in range(3)], 2))
+        box.order(gate, 9, Order("g", 1, 7, 2, 1.0, 5, 100, "t", 1, 1, "write", "m", packets.Write(0, b"/a/f", 0, b"x")))
+        self.assertEqual((answers[-1][0], len(effects)), (9, 2))
+
+
 class Engines(unittest.TestCase):
     def engine(self, cold=False, **figures):
         kind = BoxKind(name="k", **{"cores": 1, "slots": 2, "queue": 2, "cold_s": 10, **figures})
