Registers: what a record says of times counts from its making, not from its coming

A keeper tries an unsure number again within the ticket's window from its first dispatch; how long ago that was it adds up from the record (from the dispatch to the writing) and the registers (since the writing). Registers counted from when the write CAME. One that lay on its way, in a network that held it or at a register that stood, made all that was out in it younger by that much. Shown by itself: a write made at 1.5 s that reached one register at 8 s had the next keeper believe that a number let go at 1.0 s was let go at 7.5 s. The model's check (not younger than when it first counted) did not ask for this.

Change: registers tell what their clocks read with their answers; keepers say when each new value was made, on each register's clock, at the earliest (`clocks.py`, as for words between gateways). A register counts from then; where nobody can tell, the age is unknown and what is out stays unsure. A keeper of an earlier version dates nothing and is heard as before. The model asks that no value is taken for younger than its making; every second keeper in it is of the earlier version, so that "all know the age" stays needed.

--- a/milletsill/fleet/channels/contracts/clocks.py
+++ b/milletsill/fleet/channels/clocks.py
@@ -38,13 +38,14 @@
             self.known.popitem(last=False)
 
     def least(self, held: Reading, at: int) -> int:
-        """What that clock reads at the least when this one reads `at`, which is not before the reading was heard."""
-        return held.read + (at - held.here) * (1000 - self.drift) // (1000 + self.drift)
+        """What that clock reads at the least when this one reads `at`, before or after the reading was heard."""
+        slow, fast = 1000 - self.drift, 1000 + self.drift
+        return held.read + ((at - held.here) * slow // fast if at >= held.here else -(-((at - held.here) * fast) // slow) - 1)
 
     def there(self, member: str, at: int, now: int) -> tuple[int, int] | None:
-        """(whose, what it reads at the least) at a time of ours that is to come; None where too little is known of that clock.
-        Guards against an end that another gateway would keep too late. Harm: it is kept too early, by as long as the reading was on
-        its way and by what the rates may differ by."""
+        """(whose, what it reads at the least) at a time of ours; None where too little is known of that clock. Guards against a time
+        that another gateway would take for later than it is. Harm: it is taken for earlier, by as long as the reading was on its way
+        and by what the rates may differ by."""
         held = self.known.get(member)
         if held is None or (now - held.here) * 2 * self.drift // 1000 > LOOSE:
             return None
--- a/milletsill/fleet/channels/contracts/ways.py
+++ b/milletsill/fleet/channels/contracts/ways.py
@@ -10,7 +10,7 @@
 from milletsill.files import extensions
 from milletsill.files.extensions import bare
 from milletsill.files.wire import Malformed
-from milletsill.fleet.channels.contracts.clocks import Clocks
+from milletsill.fleet.channels.clocks import Clocks
 from milletsill.fleet.channels.contracts.codec import put_envelope, read_envelope
 from milletsill.fleet.channels.contracts.record_pb2 import Ask, Clock, Envelope, Reply
 from milletsill.fleet.channels.contracts.words import Elsewhere, Look, Open, Say, Transfer, Word, put_word, read_word
--- a/milletsill/fleet/channels/mutants.py
+++ b/milletsill/fleet/channels/mutants.py
@@ -126,9 +126,14 @@
     return best.stamp == decide.UNWRITTEN or sum(each.stamp == best.stamp for each in answers) >= seat.majority(registers)
 
 
-def _young_again(self: Any, value: bytes, now: int, fresh: bool = True) -> None:
+def _young_again(self: Any, value: bytes, now: int, born: int, fresh: bool = True) -> None:
     """What is written again is as young as if it were new."""
-    _send(self, value, now)
+    _send(self, value, now, born)
+
+
+def _unborn(self: Any, value: bytes, now: int, born: int, fresh: bool = True) -> None:
+    """What a value says of times counts from when it came."""
+    _send(self, value, now, decide.JUST_NOW, fresh)
 
 
 def _some_age(answers: Any, value: bytes) -> int | None:
@@ -159,6 +164,7 @@
     "the rest before catching up": (Span, "rest", _no_rest),
     "what others tell is taken": (standing, "merged", _nothing_merged),
     "what is written again is not new": (seat.Seat, "send", _young_again),
+    "a value is as old as its making": (seat.Seat, "send", _unborn),
     "all know the age": (seat, "aged", _some_age),
     "floors hold for what is told": (standing, "fenced", _no_fence),
     "promises are told too": (standing, "merged", _promise_left),
@@ -170,6 +176,7 @@
     "no ballot twice": 0, "starts differ": 4, "the floor of what is forgotten": 0, "others' word of later things": 0,
     "others are asked first": 63, "enough others tell": 0, "the rest before catching up": 112,
     "what others tell is taken": 8, "what is written again is not new": 49, "all know the age": 27,
+    "a value is as old as its making": 0,
     "floors hold for what is told": 0, "promises are told too": 0}
 
 
--- a/milletsill/fleet/channels/registers/codec.py
+++ b/milletsill/fleet/channels/registers/codec.py
@@ -1,14 +1,14 @@
 """Bodies between keepers and registers: the byte "R" and one protobuf Frame; to and from what the deciding files speak of."""
 from __future__ import annotations
 
-from typing import Any, Iterable
+from typing import Any, Callable, Iterable
 
 import xxhash
 from google.protobuf.message import DecodeError
 
 from milletsill.fleet.channels.registers import registers_pb2 as wire
-from milletsill.fleet.channels.registers.decide import (MOST_NAME, MOST_VALUE, Answer, Ask, Ballot, Call, Record, Say, Span, Stamp, UNKNOWN,
-                                                        UNWRITTEN)
+from milletsill.fleet.channels.registers.decide import (JUST_NOW, MOST_NAME, MOST_VALUE, UNKNOWN, UNWRITTEN, Answer, Ask, Ballot, Call,
+                                                        Record, Say, Span, Stamp)
 from milletsill.fleet.channels.registers.standing import Identity, Page
 from milletsill.fleet.frames.codec import Unreadable
 
@@ -80,18 +80,40 @@
     return Ballot(number(ballot.round), ballot.name, ballot.nonce)
 
 
-def put_call(call: Call) -> wire.Call:
+def put_call(call: Call, born: int | None = None) -> wire.Call:
+    """`born` on the clock of the register, where that is known."""
     made = wire.Call(ask=call.ask.value, channel=call.channel, round=call.ballot.round, nonce=call.ballot.nonce, index=call.index)
     if call.ask is Ask.ACCEPT:
         made.value, made.fresh = call.value, call.fresh
+        if born is not None:
+            made.born = max(born, 0)
     return made
 
 
-def get_call(sender: str, call: Any) -> Call | None:
-    """None where it asks for what a later version may know."""
+def get_call(sender: str, call: Any, born: int = JUST_NOW) -> Call | None:
+    """None where it asks for what a later version may know. `born` where the call itself does not say."""
     ask = ASKS.get(call.ask)
     return None if ask is None else Call(ask, name(call.channel), Ballot(number(call.round), sender, call.nonce), number(call.index),
-                                         content(call.value), call.fresh)
+                                         content(call.value), call.fresh, number(call.born) if call.HasField("born") else born)
+
+
+def put_calls(calls: Iterable[Call], there: Callable[[int], "tuple[int, int] | None"]) -> tuple[int, list[wire.Call]]:
+    """Whose clock calls to one register are dated by, 0 where too little is known of it, and the calls. `there`: whose, and what it
+    reads at the least at a time of ours."""
+    dated = [(call, there(call.born)) for call in calls]
+    return (next((found[0] for _, found in dated if found is not None), 0),
+            [put_call(call, found[1] if found is not None else None) for call, found in dated])
+
+
+def get_calls(sender: str, told: Any, whose: int) -> list[Call]:
+    """What can be read of a frame's calls. Dates on a clock that is not this one's, `whose`, say nothing; one of an earlier version
+    gives none at all."""
+    found = []
+    for each in told.call[:PER_FRAME]:
+        if told.whose != whose:
+            each.ClearField("born")
+        found.append(get_call(sender, each, UNKNOWN if told.HasField("whose") else JUST_NOW))
+    return [each for each in found if each is not None]
 
 
 def put_answer(answer: Answer) -> wire.Answer:
--- a/milletsill/fleet/channels/registers/decide.py
+++ b/milletsill/fleet/channels/registers/decide.py
@@ -42,14 +42,16 @@
 
 NOBODY = Ballot(0, "", 0)
 UNWRITTEN = Stamp(NOBODY, 0)
-UNKNOWN = -1  # an age that nobody can tell
+UNKNOWN = -1  # an age, or a time, that nobody can tell
+JUST_NOW = 1 << 62  # of a caller of an earlier version, which does not say when its value was made
 Ask = Enum("Ask", "PREPARE ACCEPT RELEASE")
 Say = Enum("Say", "YES LOWER HELD AWAY")
 
 
 class Call(NamedTuple):
     """To each register. `value` is of an ACCEPT, `index` its number under the ballot, `fresh` for one that is new and not only
-    written again. A PREPARE of a ballot that stands is a renewal, and `index` its number."""
+    written again. A PREPARE of a ballot that stands is a renewal, and `index` its number. `born`: when the value was made, at the
+    earliest, on the clock of who has the call."""
 
     ask: Ask
     channel: str
@@ -57,6 +59,7 @@
     index: int = 0
     value: bytes = b""
     fresh: bool = False
+    born: int = JUST_NOW
 
 
 class Answer(NamedTuple):
@@ -198,7 +201,9 @@
         if record is None or record.stamp != stamp or record.told:
             fresh = call.fresh and (record is None or record.value != call.value)
             if record is None or record.value != call.value:  # what was there already is no younger for it
-                since = now if call.fresh else None
+                # Guards a ticket's window against a write that lay on its way: what the value says of times counts from its making,
+                # not from its coming. Harm: where nobody can tell, what is out in it stays unsure.
+                since = min(call.born, now) if call.fresh and call.born != UNKNOWN else None
             record = Record(call.ballot, stamp, call.value, up)
         return Done(record, Office(now + span.refused(), False, since, fresh), Answer(*head, Say.YES))
     if deed is Deed.PROMISE:
--- a/milletsill/fleet/channels/registers/seat.py
+++ b/milletsill/fleet/channels/registers/seat.py
@@ -109,7 +109,7 @@
         self.state, self.ballot, self.index, self.value, self.ends = Seated.OUT, NOBODY, 0, b"", 0
         self.since: int | None = 0
         self.poll: Poll | None = None
-        self.queued: bytes | None = None
+        self.queued: tuple[bytes, int] | None = None  # and when it was made
         self.round, self.tries, self.renewals = used, 0, 0
         self.gone: Call | None = None
         self.refusal: Answer | None = None  # what to tell of a loss
@@ -166,17 +166,17 @@
         """What tells most of why a poll came to nothing."""
         return next((each for say in (Say.HELD, Say.LOWER, Say.AWAY) for each in poll.no.values() if each.say is say), None)
 
-    def step(self, found: Input, now: int, value: bytes = b"") -> list[Effect]:
+    def step(self, found: Input, now: int, value: bytes = b"", born: int | None = None) -> list[Effect]:
         """The short loop around the table: the effect, and what follows from it by itself."""
         self.state, effect = KEEPER.get((self.state, found), (self.state, Effect.NONE))
-        self.act(effect, now, value)
+        self.act(effect, now, value, now if born is None else born)
         effects = [effect] if effect is not Effect.NONE else []
         if self.state is Seated.SEATED and self.queued is not None:
-            following, self.queued = self.queued, None
-            effects += self.step(Input.WRITE, now, following)
+            (following, made), self.queued = self.queued, None
+            effects += self.step(Input.WRITE, now, following, made)
         return effects
 
-    def act(self, effect: Effect, now: int, value: bytes) -> None:
+    def act(self, effect: Effect, now: int, value: bytes, born: int) -> None:
         poll = self.poll
         if effect in (Effect.ASK, Effect.ASK_HIGHER):
             self.tries, self.round, self.refusal = self.tries + 1, self.round + 1, None
@@ -188,17 +188,17 @@
         elif effect is Effect.MEND:
             assert poll is not None
             self.read(poll, now)
-            self.send(self.value, now, False)
+            self.send(self.value, now, now, False)
         elif effect is Effect.WRITE:
-            self.send(value, now)
+            self.send(value, now, born)
         elif effect is Effect.QUEUE:
-            self.queued = value
+            self.queued = value, now
         elif effect in (Effect.SEAT, Effect.EXTEND, Effect.WROTE):
             assert poll is not None
             if effect is Effect.SEAT and poll.call.ask is Ask.PREPARE:
                 self.read(poll, now)
             elif effect is Effect.WROTE:
-                self.value, self.since = poll.call.value, poll.sent
+                self.value, self.since = poll.call.value, min(poll.sent, poll.call.born)
             self.ends, self.poll = max(self.ends, term_end(poll, now, self.span)), None
         elif effect is Effect.KEEP:
             self.poll = None
@@ -214,6 +214,6 @@
         known = aged(answers, self.value)
         self.since = None if known is None else poll.sent - self.span.elsewhere(known + 1) - 1  # clocks are read in whole ticks
 
-    def send(self, value: bytes, now: int, fresh: bool = True) -> None:
+    def send(self, value: bytes, now: int, born: int, fresh: bool = True) -> None:
         self.index += 1
-        self.poll = Poll(Call(Ask.ACCEPT, self.channel, self.ballot, self.index, value, fresh), now)
+        self.poll = Poll(Call(Ask.ACCEPT, self.channel, self.ballot, self.index, value, fresh, born), now)
--- a/milletsill/fleet/channels/registers/service.py
+++ b/milletsill/fleet/channels/registers/service.py
@@ -11,6 +11,7 @@
 
 from milletsill.errors import Fault
 from milletsill.fleet.channels.errors import ChannelFault, NoMajority, NotHeld, NotKeeper, Outvoted, TooMany
+from milletsill.fleet.channels.clocks import Clocks
 from milletsill.fleet.channels.registers import codec, registers_pb2 as wire
 from milletsill.fleet.channels.registers.decide import AGAIN, MOST_NAME, MOST_VALUE, PAUSE, RENEW, Answer, Ask, Ballot, Call, Say, Span
 from milletsill.fleet.channels.registers.desk import Desk
@@ -38,6 +39,7 @@
         self.span, self.most, self.most_value, self.remark = Span(office, call, drift), most, min(most_value, MOST_VALUE), remark
         self.rounds, self.terms = 0, codec.terms(self.names, self.span)
         self.nonce, self.chance = SystemRandom().getrandbits(64), Random(seed)
+        self.whose, self.clocks = SystemRandom().getrandbits(63) + 1, Clocks(drift)
         self.figures = Figures(registry_of_metrics)
         self.places: dict[str, Place] = {}
         self.busy: set[Term] = set()
@@ -217,8 +219,9 @@
             if name == self.plane.name and self.desk is not None:
                 self.desk.calls(name, calls, self.terms)
                 continue
-            for part in codec.parted([codec.put_call(each) for each in calls]):
-                if not self.plane.tell(name, Kind.CHANNEL, codec.encoded(calls=wire.Calls(call=part, terms=self.terms))):
+            whose, made = codec.put_calls(calls, lambda at, name=name: self.clocks.there(name, at, self.now()))
+            for part in codec.parted(made):
+                if not self.plane.tell(name, Kind.CHANNEL, codec.encoded(calls=wire.Calls(call=part, terms=self.terms, whose=whose))):
                     self.figures.unsent.inc(len(part))
                     for each in part:
                         self.away(name, each)
@@ -271,6 +274,8 @@
         what, desk = frame.WhichOneof("what"), self.desk
         if what == "answers" and member in self.names:
             self.learn(member, codec.get_identity(frame.answers.own))
+            if frame.answers.whose:
+                self.clocks.heard(member, frame.answers.whose, frame.answers.read, self.now())
             for each in frame.answers.answer[:codec.PER_FRAME]:
                 if (answer := codec.get_answer(self.plane.name, each)) is not None:
                     self.say(member, answer)
@@ -281,8 +286,7 @@
         elif desk is None:
             return
         elif what == "calls":
-            calls = (codec.get_call(member, each) for each in frame.calls.call[:codec.PER_FRAME])
-            desk.calls(member, [each for each in calls if each is not None], frame.calls.terms)
+            desk.calls(member, codec.get_calls(member, frame.calls, self.whose), frame.calls.terms)
         elif what == "witness":
             desk.witnessed(member, codec.get_identity(frame.witness.known) if frame.witness.HasField("known") else None)
         elif what == "tell" and member in self.names:
@@ -325,7 +329,7 @@
             return
         own = codec.put_identity(desk.own())
         for part in codec.parted([codec.put_answer(each) for each in answers]):
-            self.tell(member, answers=wire.Answers(own=own, answer=part))
+            self.tell(member, answers=wire.Answers(own=own, answer=part, whose=self.whose, read=self.now()))
 
     def hello(self, everybody: bool) -> None:
         for each in self.plane.view.by_name if everybody else self.names:
--- a/milletsill/fleet/channels/world.py
+++ b/milletsill/fleet/channels/world.py
@@ -109,6 +109,8 @@
         self.rates = dict(zip([*self.registers, *self.keepers], rates or [span.drift] * registers + [-span.drift] * keepers))
         self.flying: list[Message] = []
         self.firsts: dict[bytes, int] = {}  # when each value counted first
+        self.made: dict[bytes, int] = {}  # when it was made, by one that says so
+        self.earlier = frozenset(list(self.keepers)[1::2])  # of an earlier version, which does not
         self.settled, self.settled_at, self.silent = b"", 0, 0  # silent: a register forgets a channel after it; 0 for never
         self.wrong: str | None = None
         self.budget = {"double": 1, "restart": 1, "older": 1, "lost": 1, "keeper": 1}
@@ -119,6 +121,7 @@
         made.registers = {name: each.copy() for name, each in self.registers.items()}
         made.keepers = {name: each.copy() for name, each in self.keepers.items()}
         made.flying, made.budget, made.firsts = list(self.flying), dict(self.budget), dict(self.firsts)
+        made.made = dict(self.made)
         return made
 
     def key(self) -> Any:
@@ -145,7 +148,7 @@
                 return
             self.wrong = self.wrong or f"{name} has {value!r}, {self.settled!r} counted"
         first_at = self.firsts.setdefault(value, self.now)
-        first = first_at * (1000 + self.rates[name]) // 1000
+        first = self.made.get(value, first_at) * (1000 + self.rates[name]) // 1000
         if self.silent and self.now - first_at >= self.silent * 9 // 10:
             pass  # those that had it before anybody acted on it may have forgotten it
         elif seated and value and seat.since is not None and seat.since > first:
@@ -174,8 +177,11 @@
     def write(self, name: str) -> None:
         seat = self.keepers[name].seat
         self.written += 1
-        base = seat.queued or (seat.poll.call.value if seat.state is Seated.WRITING and seat.poll else seat.value)
-        self.effects(name, seat.write(base + self.written.to_bytes(2, "big"), self.clock(name)))
+        base = (seat.queued or (b"", 0))[0] or (seat.poll.call.value if seat.state is Seated.WRITING and seat.poll else seat.value)
+        value = base + self.written.to_bytes(2, "big")
+        if name not in self.earlier:
+            self.made[value] = self.now
+        self.effects(name, seat.write(value, self.clock(name)))
 
     def give_up(self, name: str) -> None:
         self.effects(name, self.keepers[name].seat.give_up(self.clock(name)))
@@ -207,6 +213,11 @@
 
     def call(self, register: Register, sender: str, call: Call) -> None:
         now = self.clock(register.name)
+        if sender in self.earlier:
+            call = call._replace(born=decide.JUST_NOW)
+        if call.born != decide.JUST_NOW:  # as the offices date it: on the register's clock, at the earliest
+            made = call.born * 1000 // (1000 + self.rates[sender])
+            call = call._replace(born=made * (1000 + self.rates[register.name]) // 1000)
         if not register.whole():
             answer = Answer(call.ask, C, call.ballot, call.index, decide.Say.AWAY, pause=1)
         else:
--- a/tests/test_registers_plane.py
+++ b/tests/test_registers_plane.py
@@ -119,6 +119,24 @@
         self.addCleanup(lambda: [net.stop(each) for each in list(net.offices)])
         return net
 
+    def test_a_write_that_lay_on_its_way_is_as_old_as_it_is(self):
+        """A network that holds a keeper's streams for six seconds, then brings what was in one of them."""
+        net, held = self.net(), []
+        term = net.take("x")
+        self.assertEqual(net.write("x", term, b"1"), [None])
+        bring, made = net.bring, net.now()
+        net.bring = lambda sender, *rest: held.append((sender, *rest)) if sender == "x" else bring(sender, *rest)
+        self.assertIsInstance(net.write("x", term, b"2")[0], errors.NoMajority)
+        net.go(6)
+        net.bring = bring
+        for each in [each for each in held if each[1] == "r1"]:
+            net.bring(*each)
+        net.go(2.5)
+        later = net.take("y")
+        self.assertEqual(later.value, b"2")
+        self.assertLessEqual(net.now() - made - 5000, later.age)  # it was had half a second ago
+        self.assertLess(later.age, net.now() - made + 2000)
+
     def test_an_office_is_taken_written_under_and_handed_over(self):
         net = self.net()
         term = net.take("x")
