--- a/tests/crossing_guards.py
+++ b/tests/crossing_guards.py
@@ -105,12 +105,31 @@
     "what waits for a link goes with its transfer": lambda: patch.object(Host, "close", close),
     "octets before ours are written are no answer": lambda: patch.object(Link, "dataReceived", received),
     "a link that brought more is not used again": lambda: patch.object(Link, "finish", finish),
+    "what is given up is over at its node at once": lambda: patch.object(Link, "give_up", Link.close),
     "our side alone is closed": lambda: patch.object(Client, "end", end),
     "what lies unread is read before an end": lambda: patch.object(Client, "catch_up", never),
     "what lies unread is read before what is held ends": lambda: patch.multiple(Gateway, step=stepped, end_all=end_all),
     "what lies unread is read before a watch is over": lambda: patch.object(Watch, "catch_up", never),
 }
 
+# The first seed of the game as it is that finds the loss of each.
+FOUND_BY = {
+    "what came is read before anything is begun": 136,
+    "what came is read before a time-out": 2,
+    "what waits at a node that retires is moot": 4,
+    "a client's end is looked for behind its request": 37,
+    "a reset is no end": 6,
+    "a dispatch begins within a dial of its decision": 365,
+    "a link to where the node was is of no use": 23,
+    "what waits for a link goes with its transfer": 28,
+    "octets before ours are written are no answer": 343,
+    "a link that brought more is not used again": 30,
+    "our side alone is closed": 46,
+    "what lies unread is read before an end": 12,
+    "what lies unread is read before what is held ends": 21,
+    "what lies unread is read before a watch is over": 42,
+}
+
 
 @contextmanager
 def without(name):
