serve: take out the end of sending of what is given up: two tests want a reset at its node

tests.test_crossings_leavers (request open and one behind it, three ways) and test_crossings_going (who waits beyond the end) failed with it: behind our FIN the node's read sees an end, no reset.

--- a/milletsill/platform/links.py
+++ b/milletsill/platform/links.py
@@ -2,9 +2,7 @@
 from __future__ import annotations
 
 from collections import deque
-from contextlib import suppress
 from functools import partial
-from socket import SHUT_WR
 from typing import Any, Callable, Sequence
 
 from twisted.internet.error import ConnectionDone
@@ -70,7 +68,7 @@
         """Given up: its connection closes, which tells the node."""
         link, self.over, self.link = self.link, True, None
         if link is not None:
-            link.give_up()
+            link.close()
         elif self in self.node.waiting:
             self.node.waiting.remove(self)
 
@@ -149,13 +147,6 @@
         if sending is not None:
             sending.end(outcome, verdict)
 
-    def give_up(self) -> None:
-        """Cut it under its dispatch. Guards settings that allow no second copy: Twisted cuts in the next turn, and a further
-        dispatch may begin in this one; the end of our sending tells the node before. Harm: one more call of the system."""
-        with suppress(OSError):
-            self.transport.getHandle().shutdown(SHUT_WR)
-        self.close()
-
     def close(self) -> None:
         """Cut it; a dispatch on it is given up by who calls."""
         self.sending = None
