serve: no dispatch begins in the turn in which another is given up

Cause: Twisted closes an aborted connection in the next turn, what is written goes at the end of this one.

Tried and taken out: the end of our sending at once. A node reads that as an end, not as a reset, and two standing tests that ask for the reset failed (test_crossings_leavers, test_crossings_going); they are right and stand as they were.

Change: `Fleet.cut` marks the turn, and `Node.put` leaves what comes in it in line, for the next turn, where the abort goes first. Without it tests/test_crossings_links.py prints "True is not false : beside one that is out".

--- a/milletsill/platform/links.py
+++ b/milletsill/platform/links.py
@@ -69,6 +69,7 @@
         link, self.over, self.link = self.link, True, None
         if link is not None:
             link.close()
+            self.node.fleet.cut()
         elif self in self.node.waiting:
             self.node.waiting.remove(self)
 
@@ -218,11 +219,13 @@
         """Onto a link that is free, else in line for one."""
         if self.retired or len(self.waiting) >= MOST_WAITING:
             return False
-        if self.free and not self.waiting:
+        if self.free and not self.waiting and not self.fleet.cutting:
             self.free.pop().start(sending)
             return True
         self.waiting.append(sending)
         self.dial()
+        if self.free:
+            self.serve_soon()
         return True
 
     def again(self, sending: Sending) -> None:
@@ -313,6 +316,7 @@
         self.nodes = dict[int, Node]()
         self.open = 0
         self.short = False  # somebody waits for a descriptor
+        self.cutting = False  # a link was cut under its dispatch in this turn of the reactor
 
     def listed(self, whole: bool, places: Sequence[Place]) -> None:
         """Nodes as the list has them."""
@@ -332,6 +336,17 @@
         sending = Sending(there, cargo, ends, ended, self.now())
         return sending if there.put(sending) else None
 
+    def cut(self) -> None:
+        """A dispatch was given up. Guards rule 2 where settings allow no second copy: the system closes its connection in the next
+        turn, before any octet of that one goes; a further dispatch that began in this one would be out beside it. Harm: what
+        begins now waits for a turn."""
+        if not self.cutting:
+            self.cutting = True
+            self.reactor.callLater(0, self.have_cut)
+
+    def have_cut(self) -> None:
+        self.cutting = False
+
     def connect(self, host: str, port: int, link: Link, failed: Callable[[], None]) -> None:
         self.reactor.connectTCP(host, port, Dial(link, failed), timeout=max(self.dial_span, 100) / 10_000)
 
--- a/tests/test_crossings_links.py
+++ b/tests/test_crossings_links.py
@@ -64,6 +64,35 @@
         self.assertEqual(self.outcome(len(self.ended) - 1), (Outcome.SATISFIED, b"hi"))
         return sock
 
+    def test_what_is_given_up_is_over_at_its_node_before_another_begins(self):
+        """In one turn a dispatch is given up and a further one is there, with a link that is free; also
+        where the look at those that wait was due before."""
+        for due in (False, True):
+            with self.subTest(due=due):
+                listener, port = self.node()
+                self.listed(port)
+                idle = self.served(listener)
+                first = self.carry()
+                self.loop.read(idle)
+                second = self.carry()
+                out = self.loop.accepted(listener)
+                self.loop.read(out)  # two links, both busy; then the one is free
+                idle.sendall(WHOLE)
+                self.loop.until(lambda: self.fleet.nodes[number_of("s-1")].free)
+                if due:
+                    self.fleet.nodes[number_of("s-1")].turn.ask()
+                second.withdraw(Outcome.TIMED_OUT)
+                further = self.carry()
+                self.assertFalse(further.begun, "beside one that is out")
+                while not further.begun:
+                    self.loop.turn()
+                with self.assertRaises(ConnectionResetError):
+                    out.recv(1)
+                self.assertTrue(first.over)
+                self.assertIn(b"X-Txn", self.loop.read(idle))
+                self.fleet.stop()
+                idle.close()
+
     def test_a_node_that_drains_before_its_link_is_up_gets_nothing(self):
         for state in ("leaving", "left"):
             listener, port = self.node()
