Review case 2: a write that a node has is declined, and its repeat runs too

Cause: the 503 for lack of room behind an open request answers the open request, though a node may have it.

--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -15,7 +15,10 @@
 
 @dataclass(frozen=True)
 class ClientRequest:
-    """One request; `txn` is fresh on every request, a volume has one plan."""
+    """One request; `txn` is fresh on every request, a volume has one plan.
+
+    A write without a `key` has an idempotency key of its own.
+    """
 
     txn: str
     lane: str
@@ -27,6 +30,7 @@
     body: bytes = b""
     resent: bool = False
     hosts: int = 3
+    key: str = ""
 
     def encoded(self) -> bytes:
         """Return the request as the protocol page shows it."""
@@ -42,7 +46,7 @@
             f"hosts={self.hosts}",
         }
         if self.method == "PUT":
-            fields["Idempotency-Key"] = f"key-{self.txn}"
+            fields["Idempotency-Key"] = self.key or f"key-{self.txn}"
         if self.resent:
             fields["X-Resent"] = "1"
         return encode(f"{self.method} /{self.lane} HTTP/1.1", fields, self.body)
--- a/review/standins/gateway.py
+++ b/review/standins/gateway.py
@@ -83,6 +83,12 @@
         self.record.write(self.name, signal.Signals(number).name)
         self.process.send_signal(number)
 
+    def peak_memory_mb(self) -> int:
+        """Return the most memory that the process has held, in MiB."""
+        assert self.process is not None
+        status = Path(f"/proc/{self.process.pid}/status").read_text("utf-8")
+        return int(status.partition("VmHWM:")[2].split()[0]) // 1024
+
     def end(self) -> int | None:
         """End the process; return its status if it had ended by itself."""
         if self.process is None:
