Review: a case ends after 100 s, and a refused connection counts as no answer

Cause: a gateway that ended by itself would have left clients of a case waiting.

Change: a limit for each script, and the stand-in client; the checks are unchanged.

--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -17,6 +17,7 @@
 BROKEN = 1
 CANNOT_RUN = 2
 MAX_SHOWN = 20
+MAX_SECONDS = 100
 
 # Plays a case in a temporary folder, with its disruption or without; returns each way
 # in which the rule was broken.
@@ -25,8 +26,11 @@
 
 def run_case(folder: Path, play: Play) -> NoReturn:
     """Play a case, write its record, and exit with its result."""
-    # A case that is ended from outside still ends the processes that it started.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))
+    # A case that is ended from outside, or takes too long, still ends the processes
+    # that it started.
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, lambda *_: sys.exit(CANNOT_RUN))
+    signal.alarm(MAX_SECONDS)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     record.write("case", f"with its disruption: {trouble}")
--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -94,17 +94,15 @@
         """
         for _ in range(2):
             is_kept = self.stream is not None
-            if self.stream is None:
-                sock = socket.create_connection(("127.0.0.1", self.port), timeout=5)
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                self.stream = MessageStream(sock)
             sent_at = self.record.now()
             status, body = 0, b""
             try:
-                self.stream.sock.settimeout(patience)
-                self.stream.sock.sendall(request.encoded())
+                stream = self.stream or self._connect()
+                sent_at = self.record.now()
+                stream.sock.settimeout(patience)
+                stream.sock.sendall(request.encoded())
                 self.record.write(self.name, f"asks {describe(request)}")
-                first, fields, body = self.stream.read()
+                first, fields, body = stream.read()
                 status = int(first.split(" ")[1])
                 if fields.get("connection") == "close":
                     self.close()
@@ -123,6 +121,12 @@
         )
         return answer
 
+    def _connect(self) -> MessageStream:
+        sock = socket.create_connection(("127.0.0.1", self.port), timeout=5)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.stream = MessageStream(sock)
+        return self.stream
+
     def close(self) -> None:
         """Close the connection."""
         if self.stream is not None:
