--- a/review/common/case.py
+++ b/review/common/case.py
@@ -14,6 +14,7 @@
 import time
 import tomllib
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 from typing import Any, NoReturn
 
@@ -203,8 +204,9 @@
         signal.alarm(0)
         case.note(summary)
         case.close()
-    print(summary)
-    for line in [text for _, text in case.lines if text.startswith("BROKEN")][:3]:
-        print(line[:300])
-    sys.stdout.flush()
+    with suppress(OSError, ValueError):  # a closed output changes no exit status
+        print(summary)
+        for line in [text for _, text in case.lines if text.startswith("BROKEN")][:3]:
+            print(line[:300])
+        sys.stdout.flush()
     os._exit(status)  # without waiting for a thread of a case that took too long
