HTTP: octets of a body keep their order when several reads precede a parse

Cause: MessageReader.feed kept a short read in `pieces`, which are joined first, although the buffer already held earlier octets. detect_client_close reads several times before anything is parsed.

Change: octets always follow a buffer that is not empty. All octets of clients and nodes pass `feed`; the splitters of the other protocols have a single buffer.

Test: test_octets_keep_their_order_when_several_reads_precede_a_parse failed before.

--- a/milletsill/http1/message_reader.py
+++ b/milletsill/http1/message_reader.py
@@ -63,12 +63,19 @@
         return self.message is not None or bool(self.buffer)
 
     def feed(self, data: bytes) -> None:
-        """Add received octets."""
-        if self.missing > len(data):  # pieces of a long body are joined only once
+        """Add received octets behind all that were received before.
+
+        The pieces of a long body are joined only once, so they bypass the buffer. That
+        keeps their order only while the buffer is empty: it may hold octets that were
+        fed since the last call of `next_message`.
+        """
+        if self.buffer:
+            self.buffer += data
+        elif self.missing > len(data):
             self._keep_piece(data)
             self.missing -= len(data)
         else:
-            self.buffer = self.buffer + data if self.buffer else data
+            self.buffer = data
 
     def next_message(self) -> HttpMessage | None:
         """Return the next complete message, or None if more octets are needed.
--- a/tests/http1/test_messages.py
+++ b/tests/http1/test_messages.py
@@ -139,6 +139,26 @@
             [(b"PUT", b"body"), (b"GET", b"")],
         )
 
+    # Guards against a write that a node runs with octets of the next request in its body.
+    def test_octets_keep_their_order_when_several_reads_precede_a_parse(self):
+        """A client's connection reads more before it takes what it has read."""
+        body = bytes(range(256)) * 4
+        head = b"PUT /a HTTP/1.1\r\n" + HOST + b"Content-Length: %d\r\n\r\n" % len(body)
+        following = b"GET /b HTTP/1.1\r\n" + HOST + b"\r\n"
+        data = head + body + following
+        for first in (len(head), len(head) + 10):
+            for second in range(len(head) + len(body) - 20, len(data), 7):
+                for third in (second + 1, second + 12):
+                    reader = RequestReader(MessageLimits())
+                    self.assertEqual(read(reader, data[:first]), [])
+                    reader.feed(data[first:second])
+                    reader.feed(data[second:third])
+                    self.assertEqual(
+                        read(reader, data[third:]),
+                        [(b"PUT", body), (b"GET", b"")],
+                        (first, second, third),
+                    )
+
     def test_an_encoded_request_is_parsed_back(self):
         data = writer.encode_request(
             b"PUT", b"/a?b", b"h:1", [(b"X-Txn", b"1")], b"body"
