HTTP: messages that are refused or cut are freed at once, not at a garbage collection

Cause: a message and its parser referred to each other, and only a complete message dropped its parser. The collector is rare by design (process_setup.py).

Change: the reader owns the parser; a message has it only while its head is read. The same for the lines of a watch. The lines of a head are counted before they are parsed.

test_parser_calls_do_not_depend_on_the_content_of_a_chunk overrode a method that no longer exists and counted nothing; it overrides _make_parser now and checks that calls are counted.

--- a/milletsill/http1/message.py
+++ b/milletsill/http1/message.py
@@ -21,6 +21,9 @@
             close-delimited body, the octets received so far, chunk framing included.
         chunked: whether the body uses the chunked transfer coding.
         until_close: whether the close of the connection ends the body.
+        parser: the parser, only while it reads the head. The parser refers to its
+            message, so a message that kept it would be a reference cycle: refused and
+            incomplete messages would hold their octets until a garbage collection.
     """
 
     __slots__ = (
@@ -31,7 +34,6 @@
         "chunk_remaining",
         "chunked",
         "complete",
-        "field_count",
         "fields",
         "head_complete",
         "keep_alive",
@@ -60,7 +62,6 @@
         self.parser: Parser | None = None
         self.head_complete = False
         self.complete = False
-        self.field_count = 0
         # State of a chunked body: the decoded pieces and their total octets, the chunk
         # size line received so far and whether it is complete, the number of chunks
         # begun, and the octets of the current chunk still to come.
@@ -84,7 +85,6 @@
         """
         if self.head_complete:
             return
-        self.field_count += 1
         name = name.lower()
         if name in self.fields:
             self.repeated.add(name)
--- a/milletsill/http1/message_reader.py
+++ b/milletsill/http1/message_reader.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import re
+from typing import Any
 
 import httptools
 
@@ -40,8 +41,10 @@
         self.limits = limits
         self.buffer = b""
         self.skipped_empty_line = False
-        # The message whose head has been read and whose body is incomplete.
+        # The message whose head has been read and whose body is incomplete, and the
+        # parser of its chunks.
         self.message: HttpMessage | None = None
+        self.parser: Parser | None = None
         # Pieces of a body that has a length or ends at the close of the connection, and
         # their total octets.
         self.pieces: list[bytes] = []
@@ -96,10 +99,13 @@
                 return None
         elif message.length and not self._read_counted_body(message):
             return None
-        self.message = None
-        message.parser = None
+        self._forget_message()
         return message
 
+    def _forget_message(self) -> None:
+        self.message = None
+        self.parser = None
+
     def _keep_piece(self, data: bytes) -> None:
         self.pieces.append(data)
         self.pieces_size += len(data)
@@ -157,6 +163,10 @@
         self.searched = 0
         if AMBIGUOUS.search(head):
             raise MalformedHttpMessageError(400, "a head that can be read in two ways")
+        # Two line ends are those of the first line and of the empty one. The check
+        # precedes the parser, which would make objects of every line.
+        if head.count(b"\r\n") - 2 > self.limits.fields:
+            raise MalformedHttpMessageError(431, "too many lines in a head")
         return self._parse_head(head)
 
     def _check_partial_head(self, start: int) -> None:
@@ -170,19 +180,21 @@
 
     def _parse_head(self, head: bytes) -> HttpMessage:
         message = HttpMessage()
-        message.parser = self._make_parser(message)
+        parser = self._make_parser(message)
+        message.parser = parser
         try:
-            message.parser.feed_data(strip_field_whitespace(head))
+            parser.feed_data(strip_field_whitespace(head))
         except PARSER_ERRORS as error:
             reason = f"a head that cannot be read: {error}"[:200]
             raise MalformedHttpMessageError(400, reason) from error
+        finally:
+            message.parser = None
         self.skipped_empty_line = False
-        if message.field_count > self.limits.fields:
-            raise MalformedHttpMessageError(431, "too many lines in a head")
-        self._apply_head(message)
+        self._apply_head(message, parser)
+        self.parser = parser
         return message
 
-    def _apply_head(self, message: HttpMessage) -> None:
+    def _apply_head(self, message: HttpMessage, parser: Any) -> None:
         """Set the attributes of the message that follow from its head."""
         framing = body_framing(message.fields, message.repeated, self.limits)
         if isinstance(framing, FramingError):
@@ -201,7 +213,7 @@
         """
         buffer = self.buffer
         position = 0
-        assert message.parser is not None
+        assert self.parser is not None
         while not message.complete and position < len(buffer):
             if message.chunk_remaining:
                 cut = min(position + message.chunk_remaining, len(buffer))
@@ -210,7 +222,7 @@
             data = buffer[position:cut]
             position = cut
             try:
-                message.parser.feed_data(data)
+                self.parser.feed_data(data)
             except PARSER_ERRORS as error:
                 reason = f"chunks that cannot be read: {error}"[:200]
                 raise MalformedHttpMessageError(400, reason) from error
@@ -238,12 +250,11 @@
     def _make_parser(self, message: HttpMessage) -> Parser:
         return httptools.HttpRequestParser(message)
 
-    def _apply_head(self, message: HttpMessage) -> None:
-        super()._apply_head(message)
-        assert isinstance(message.parser, httptools.HttpRequestParser)
-        message.method = message.parser.get_method()
+    def _apply_head(self, message: HttpMessage, parser: Any) -> None:
+        super()._apply_head(message, parser)
+        message.method = parser.get_method()
         message.length = max(message.length, 0)
-        version = message.parser.get_http_version()
+        version = parser.get_http_version()
         if version not in ("1.1", "1.0"):
             raise MalformedHttpMessageError(505, "not HTTP/1.1")
         missing_host = version == "1.1" and b"host" not in message.fields
@@ -266,10 +277,9 @@
     def _make_parser(self, message: HttpMessage) -> Parser:
         return httptools.HttpResponseParser(message)
 
-    def _apply_head(self, message: HttpMessage) -> None:
-        super()._apply_head(message)
-        assert isinstance(message.parser, httptools.HttpResponseParser)
-        message.status = message.parser.get_status_code()
+    def _apply_head(self, message: HttpMessage, parser: Any) -> None:
+        super()._apply_head(message, parser)
+        message.status = parser.get_status_code()
         if 100 <= message.status < 200 or message.status in (NO_CONTENT, NOT_MODIFIED):
             message.length = 0
             message.chunked = False
@@ -295,9 +305,8 @@
         if message is None or not message.until_close:
             return None
         message.body = self._join_pieces()
-        message.parser = None
         message.keep_alive = False
-        self.message = None
+        self._forget_message()
         return message
 
     def next_message(self) -> HttpMessage | None:
--- a/milletsill/http_gateway/endpoint_watch.py
+++ b/milletsill/http_gateway/endpoint_watch.py
@@ -134,7 +134,7 @@
         if not self.over:
             values = self.decoder.try_unterminated(self.response.line.strip())
             if values:
-                self.response.line = b""
+                self.response.discard_line()
                 self._take(values)
         partial = self.response.line or self.decoder.has_partial_value
         if (
--- a/tests/http1/test_messages.py
+++ b/tests/http1/test_messages.py
@@ -4,7 +4,9 @@
 two HTTP implementations could parse differently.
 """
 
+import gc
 import unittest
+from contextlib import suppress
 from types import SimpleNamespace
 from unittest import mock
 
@@ -214,8 +216,8 @@
         calls = []
 
         class CountingReader(reader_class):
-            def parser(self, message):
-                parser = super().parser(message)
+            def _make_parser(self, message):
+                parser = super()._make_parser(message)
                 return SimpleNamespace(
                     feed_data=lambda data: (
                         calls.append(len(data)),
@@ -247,6 +249,7 @@
                     *[data[at : at + size] for at in range(0, len(data), size)],
                 )
                 self.assertEqual(bodies, [body])
+                self.assertGreater(calls, 1, "the calls were not counted")
                 self.assertLess(calls, 10 + 2 * len(data) / size)
 
     def test_a_head_that_arrives_octet_by_octet_is_searched_once(self):
@@ -301,6 +304,63 @@
                 )
                 self.assertEqual(reader.buffered, 500)
 
+    # Guards against a gateway whose memory fills with what refused clients have sent.
+    def test_messages_that_never_end_are_freed_without_the_garbage_collector(self):
+        """The gateway collects rarely, so a reference cycle would hold many bodies."""
+        put = b"PUT /a HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n\r\n"
+        ok = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        unfinished = b"64\r\n" + b"x" * 100 + b"\r\n"
+        for make_reader, data in (
+            (lambda: RequestReader(MessageLimits()), put + unfinished),
+            (lambda: RequestReader(MessageLimits()), put + b"fffff\r\n"),
+            (lambda: RequestReader(MessageLimits()), put + b"zz\r\n"),
+            (lambda: RequestReader(MessageLimits()), put[:-2] + b"A\r\n\r\n"),
+            (lambda: RequestReader(MessageLimits()), put[:-2] + b"A:\r\n" * 99),
+            (lambda: ResponseReader(MessageLimits()), ok + unfinished),
+            (lambda: ResponseReader(MessageLimits()), ok + b"fffff\r\n"),
+            (lambda: ResponseLineReader(1000), ok + unfinished),
+            (lambda: ResponseLineReader(10), ok + unfinished),
+        ):
+            with self.subTest(data[-20:]):
+                gc.collect()
+                gc.disable()
+                try:
+                    for _ in range(10):
+                        reader = make_reader()
+                        with suppress(MalformedHttpMessageError):
+                            reader.feed(data)
+                            if not isinstance(reader, ResponseLineReader):
+                                reader.next_message()
+                    del reader
+                    self.assertLess(gc.collect(), 10)
+                finally:
+                    gc.enable()
+
+    def test_a_head_with_too_many_lines_is_refused_before_it_is_parsed(self):
+        """Each line would become two objects of many times its size."""
+        parsers = []
+
+        class CountingReader(RequestReader):
+            def _make_parser(self, message):
+                parsers.append(message)
+                return super()._make_parser(message)
+
+        head = b"GET /a HTTP/1.1\r\n" + HOST
+        fields = MessageLimits().fields
+        self.assertEqual(
+            read(
+                CountingReader(MessageLimits()),
+                head + b"A:\r\n" * (fields - 1) + b"\r\n",
+            ),
+            [(b"GET", b"")],
+        )
+        with self.assertRaises(MalformedHttpMessageError) as caught:
+            read(
+                CountingReader(MessageLimits()),
+                head + b"A:\r\n" * fields + b"\r\n",
+            )
+        self.assertEqual((caught.exception.status, len(parsers)), (431, 1))
+
     def test_too_many_chunks_or_too_long_chunk_size_lines_are_refused(self):
         head = b"PUT /a HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n\r\n"
         for data in (
