HTTP: the parsing of received input has a bounded part of each turn

Cause: the chunk parser ran to the end of what had been read, up to 24,600 calls for one body, for one connection after the other within a turn. Requests that are answered at once were taken without a limit too, and answers of nodes parsed the same way.

Change: InputWork shares the work of a turn among all clients' connections, and another among all nodes' connections. Connections beyond their share wait for a later turn; those that have had none come first. The body of a message that arrives grows in place instead of as a list of pieces, which could take many times its octets.

--- a/milletsill/gateway/stream_transport.py
+++ b/milletsill/gateway/stream_transport.py
@@ -37,6 +37,9 @@
     def pauseProducing(self) -> None:
         """Stop reading until reading is resumed."""
 
+    def resumeProducing(self) -> None:
+        """Read again, unless the connection is being closed."""
+
     def doRead(self) -> Any:
         """Read the bytes waiting in the socket; not None if the connection ended."""
 
--- a/milletsill/http1/message_reader.py
+++ b/milletsill/http1/message_reader.py
@@ -45,37 +45,45 @@
         # parser of its chunks.
         self.message: HttpMessage | None = None
         self.parser: Parser | None = None
-        # Pieces of a body that has a length or ends at the close of the connection, and
-        # their total octets.
-        self.pieces: list[bytes] = []
-        self.pieces_size = 0
+        # Received part of a body that has a length or ends at the close of the
+        # connection. It grows in place: a list would take many times the octets of a
+        # body that arrives in tiny pieces.
+        self.body = bytearray()
         # Octets of a body with a length that are still to come.
         self.missing = 0
         # Octets at the start of the buffer that were searched for the end of a head.
         self.searched = 0
+        # Calls of the parser for chunks that are left until the caller allows more;
+        # None for no limit.
+        self.chunk_calls: int | None = None
 
     @property
     def buffered(self) -> int:
         """Octets that are unparsed or belong to an incomplete message."""
         received = self.message.received if self.message is not None else 0
-        return len(self.buffer) + self.pieces_size + received
+        return len(self.buffer) + len(self.body) + received
 
     @property
     def has_partial_message(self) -> bool:
         """Whether part of a message has arrived."""
         return self.message is not None or bool(self.buffer)
 
+    @property
+    def is_suspended(self) -> bool:
+        """Whether chunks that have arrived wait until `chunk_calls` is raised."""
+        return self.chunk_calls == 0 and self.message is not None and bool(self.buffer)
+
     def feed(self, data: bytes) -> None:
         """Add received octets behind all that were received before.
 
-        The pieces of a long body are joined only once, so they bypass the buffer. That
-        keeps their order only while the buffer is empty: it may hold octets that were
-        fed since the last call of `next_message`.
+        The octets of a long body bypass the buffer. That keeps their order only while
+        the buffer is empty: it may hold octets that were fed since the last call of
+        `next_message`.
         """
         if self.buffer:
             self.buffer += data
         elif self.missing > len(data):
-            self._keep_piece(data)
+            self.body += data
             self.missing -= len(data)
         else:
             self.buffer = data
@@ -106,14 +114,9 @@
         self.message = None
         self.parser = None
 
-    def _keep_piece(self, data: bytes) -> None:
-        self.pieces.append(data)
-        self.pieces_size += len(data)
-
-    def _join_pieces(self) -> bytes:
-        body = b"".join(self.pieces)
-        self.pieces = []
-        self.pieces_size = 0
+    def _take_body(self) -> bytes:
+        body = bytes(self.body)
+        self.body = bytearray()
         return body
 
     def _read_until_close(self, message: HttpMessage) -> None:
@@ -121,7 +124,7 @@
         message.length += len(self.buffer)
         if message.length > self.limits.body:
             raise MalformedHttpMessageError(413, "a body over the bound")
-        self._keep_piece(self.buffer)
+        self.body += self.buffer
         self.buffer = b""
 
     def _read_counted_body(self, message: HttpMessage) -> bool:
@@ -129,13 +132,12 @@
         if self.missing == 0:
             self.missing = message.length
         if len(self.buffer) < self.missing:
-            if self.buffer:
-                self._keep_piece(self.buffer)
-                self.missing -= len(self.buffer)
-                self.buffer = b""
+            self.body += self.buffer
+            self.missing -= len(self.buffer)
+            self.buffer = b""
             return False
-        self._keep_piece(self.buffer[: self.missing])
-        message.body = self._join_pieces()
+        self.body += self.buffer[: self.missing]
+        message.body = self._take_body()
         self.buffer = self.buffer[self.missing :]
         self.missing = 0
         return True
@@ -209,12 +211,18 @@
         """Feed a chunked body to the parser; return whether it is complete.
 
         The parser is fed at most one line or the rest of one chunk at a time, so that
-        it consumes no octet after the end of the body.
+        it consumes no octet after the end of the body. Each such call counts against
+        `chunk_calls`, because chunks of one octet cost far more time than their size
+        suggests.
         """
         buffer = self.buffer
         position = 0
         assert self.parser is not None
         while not message.complete and position < len(buffer):
+            if self.chunk_calls is not None:
+                if self.chunk_calls <= 0:
+                    break
+                self.chunk_calls -= 1
             if message.chunk_remaining:
                 cut = min(position + message.chunk_remaining, len(buffer))
             else:
@@ -304,7 +312,7 @@
         message = self.message
         if message is None or not message.until_close:
             return None
-        message.body = self._join_pieces()
+        message.body = self._take_body()
         message.keep_alive = False
         self._forget_message()
         return message
--- a/milletsill/http_gateway/client_connection.py
+++ b/milletsill/http_gateway/client_connection.py
@@ -14,8 +14,6 @@
 from milletsill.gateway.stream_transport import StreamTransport
 from milletsill.http1.errors import MalformedHttpMessageError
 from milletsill.http1.message import HttpMessage
-from milletsill.http1.message_limits import MessageLimits
-from milletsill.http1.message_reader import RequestReader
 from milletsill.http1.writer import encode_response
 from milletsill.http_gateway.client_connection_state import (
     CANCELLING_EFFECTS,
@@ -33,11 +31,11 @@
     next_state,
     time_event,
 )
+from milletsill.http_gateway.client_input import MAX_HELD, ClientInput
 from milletsill.http_gateway.client_memory import ClientMemory
+from milletsill.http_gateway.input_work import WORK_PER_TURN, InputWork
 from milletsill.http_gateway.node_exchange import HttpNodeReply
-from milletsill.http_gateway.resource_limits import MAX_BODY, SHORT_BODY, BufferBudget
-
-LIMITS = MessageLimits(body=MAX_BODY)
+from milletsill.http_gateway.resource_limits import SHORT_BODY, BufferBudget
 
 
 class ClientGateway(TypingProtocol):
@@ -45,6 +43,7 @@
 
     Attributes:
         buffers: the memory budget for long messages.
+        client_work: the processor time for the input of all clients.
         keep_alive: whether connections stay open after an answer.
         retry_after: the Retry-After time sent with a rejection, 0 for none.
         count: counts an event by its name and a value.
@@ -52,6 +51,7 @@
 
     reactor: Any
     buffers: BufferBudget
+    client_work: InputWork
     keep_alive: bool
     retry_after: int
     now: Callable[[], int]
@@ -80,14 +80,15 @@
         discarded: octets that were read and discarded.
         client_closed: whether the client has closed its side.
         sent: whether the kernel has accepted everything that was written.
-        next_request: a complete request that waits until the last answer is read.
+        input: what the client has sent and the connection has not taken.
+        memory: the client's part of the memory budget.
     """
 
     transport: StreamTransport  # type: ignore[assignment]
 
     def __init__(self, gateway: ClientGateway) -> None:
         self.gateway = gateway
-        self.reader = RequestReader(LIMITS)
+        self.input = ClientInput()
         self.state = ClientState.NEW
         self.since = gateway.now()
         self.request_id: int | None = None
@@ -96,14 +97,13 @@
         self.discarded = 0
         self.client_closed = False
         self.sent = False
-        self.next_request: HttpMessage | None = None
         self._taking_requests = False
         self.memory = ClientMemory(gateway.buffers)
 
     @property
     def has_partial_request(self) -> bool:
         """Whether part of a request has arrived."""
-        return self.next_request is not None or self.reader.has_partial_message
+        return self.input.has_partial_request
 
     # Called by Twisted.
 
@@ -138,7 +138,7 @@
             if self.state is ClientState.NEW:
                 now = min(now, self.since + LATEST_REQUEST_START)
             self.since = now
-        self.reader.feed(data)
+        self.input.feed(data)
         self._take_requests()
 
     def readConnectionLost(self) -> None:
@@ -160,23 +160,58 @@
     # Requests.
 
     def _take_requests(self) -> None:
-        """Take requests, each once the previous one is answered.
+        """Take requests from what was just read, or wait behind other clients.
 
         Not reentrant: what `detect_client_close` reads waits for the next iteration.
         """
         if self._taking_requests:
             return
+        if self.input.is_waiting:
+            self._pause_reading()
+            self._check_room()
+            return
+        self._take_for(self.gateway.client_work.first_share(), False)
+
+    def continue_input(self, work: int) -> None:
+        """Take requests again, after other clients have had their turn."""
+        if not self.input.is_waiting:
+            return
+        self.input.is_waiting = False
+        self._take_for(work, True)
+        if not self.input.is_waiting:
+            self.transport.resumeProducing()
+
+    def _take_for(self, work: int, has_had_share: bool) -> None:
+        """Take requests, each once the previous one is answered, for some work."""
+        self.input.work = work
         self._taking_requests = True
         try:
-            while self._read_ahead() and self._ready and self.next_request is not None:
-                message = self.next_request
-                self.next_request = None
+            while self._may_take() and (message := self.input.take()) is not None:
                 self.memory.release_pending()
                 if self._read_ahead():
                     self.keep_alive = message.keep_alive
                     self._take_request(message)
         finally:
             self._taking_requests = False
+            self.gateway.client_work.spend(work - self.input.work)
+        if self.state not in ENDED_STATES and self.input.needs_work(self._ready):
+            self.input.is_waiting = True
+            self._pause_reading()
+            self.gateway.client_work.wait(self, has_had_share or work > 0)
+
+    def _may_take(self) -> bool:
+        """Read one request ahead; whether it may be taken now."""
+        if self._ready and self.input.work <= 0:
+            return False
+        return self._read_ahead() and self._ready and self.input.work > 0
+
+    def _pause_reading(self) -> None:
+        """Stop reading while the connection waits for its share of work.
+
+        A client with an open request is read on, because its close must be noticed.
+        """
+        if self._ready:
+            self.transport.pauseProducing()
 
     def _take_request(self, message: HttpMessage) -> None:
         """Pass one request to the gateway.
@@ -206,29 +241,25 @@
         if self.state in ENDED_STATES:
             return False
         try:
-            if self.next_request is None:
-                self.next_request = self.reader.next_message()
+            self.input.read_ahead()
         except MalformedHttpMessageError as error:
             self.refuse(error.status, error.reason)
             return False
-        if not self._ready and self.next_request is not None:
-            busy = self.state is ClientState.BUSY
-            if self.reader.buffered > (MAX_PIPELINED if busy else MAX_USUAL_REQUEST):
-                self.refuse(400, "too much ahead of an answer")
-                return False
-        return self._reserve_pending()
-
-    def _reserve_pending(self) -> bool:
-        """Reserve memory for pipelined data or for a long request that is arriving.
-
-        Pipelined data is at most one complete request and `MAX_PIPELINED` octets. Short
-        requests are not counted. Returns False after a refusal.
+        return self._check_room()
+
+    def _check_room(self) -> bool:
+        """Refuse a client that sends too much ahead; False after a refusal.
+
+        Pipelined data is at most one request and `MAX_PIPELINED` octets. Memory is
+        reserved for it and for a long request that is arriving; short requests are not
+        counted.
         """
-        held = self.reader.buffered
-        if self.next_request is not None:
-            held += len(self.next_request.body)
+        busy = self.state is ClientState.BUSY
+        if not self._ready and self.input.is_too_much(busy):
+            self.refuse(400, "too much ahead of an answer")
+            return False
         usual = MAX_USUAL_REQUEST if self._ready else MAX_PIPELINED
-        if self.memory.reserve_pending(held, usual):
+        if self.memory.reserve_pending(self.input.held, usual):
             return True
         self.refuse(503, "no room for a request that is long or ahead of an answer")
         return False
@@ -241,18 +272,22 @@
         stalled or while the request waited in the kernel's buffer. The check costs one
         more read for each request, and one for each piece of pipelined data.
         """
+        reader = self.input.reader
         before = -1
         # A connection with more pipelined data is refused anyway.
-        while before < self.reader.buffered <= MAX_BODY + MAX_USUAL_REQUEST:
-            before = self.reader.buffered
+        while before < reader.buffered <= MAX_HELD:
+            before = reader.buffered
             if self.transport.doRead() is not None:
                 self._on_event(ClientEvent.CLIENT_CLOSED)
                 return True
         return False
 
     def _stop_reading(self) -> None:
-        self.reader = RequestReader(LIMITS)
-        self.next_request = None
+        """Discard what is unparsed; what arrives from now on is read and discarded."""
+        if self.input.is_waiting:
+            self.input.is_waiting = False
+            self.transport.resumeProducing()
+        self.input.clear()
         self.memory.release_pending()
         self.memory.release_body()
 
@@ -292,7 +327,7 @@
         self.memory.release_body()
         # A request that was read completely is answered even during shutdown.
         keep = self.keep_alive and (
-            self.gateway.keep_alive or self.next_request is not None
+            self.gateway.keep_alive or self.input.next_request is not None
         )
         if self.state is ClientState.CLOSED:
             return
@@ -367,6 +402,8 @@
     def begin_shutdown(self) -> None:
         """Shut down: reject a partial request, or close a connection without one."""
         self.read_pending()
+        if self.input.is_waiting:
+            self.continue_input(WORK_PER_TURN)
         if self.has_partial_request and self.state in OPEN_STATES:
             self.gateway.count("refused", "half a request at the end")
             self.keep_alive = False
--- a/milletsill/http_gateway/gateway.py
+++ b/milletsill/http_gateway/gateway.py
@@ -21,6 +21,7 @@
 from milletsill.http_gateway.endpoint_watcher import EndpointWatcher, WatcherConfig
 from milletsill.http_gateway.endpoints import NodeEndpoint
 from milletsill.http_gateway.gateway_report import EventLog, GatewayReport
+from milletsill.http_gateway.input_work import InputWork
 from milletsill.http_gateway.node_exchange import HttpExchange
 from milletsill.http_gateway.node_pools import (
     DEFAULT_CONNECT_TIMEOUT,
@@ -98,6 +99,7 @@
         self.request_parser = RequestParser(config)
         self.recent_ids = RecentRequestIds()
         self.buffers = BufferBudget(configuration.memory_mb)
+        self.client_work = InputWork(reactor)
         descriptors = divide_descriptors(configuration.sockets)
         self.listener = ClientListener(self, descriptors.clients)
         self.node_pools = HttpNodePools(
--- a/milletsill/http_gateway/node_connection.py
+++ b/milletsill/http_gateway/node_connection.py
@@ -17,6 +17,7 @@
 from milletsill.http1.message_limits import MessageLimits
 from milletsill.http1.message_reader import ResponseReader
 from milletsill.http1.writer import encode_request
+from milletsill.http_gateway.input_work import InputWork
 from milletsill.http_gateway.node_exchange import (
     HttpExchange,
     HttpNodeReply,
@@ -35,6 +36,7 @@
     address: tuple[str, int]
     host_field: bytes
     buffers: BufferBudget
+    input_work: InputWork
     count: Callable[..., None]
     now: Callable[[], int]
 
@@ -63,6 +65,7 @@
         uses: number of attempts that it has carried.
         idle_since: the time since which it has been idle.
         reserved: octets of the memory budget reserved for a long response.
+        is_waiting: whether octets that have arrived wait for a share of work.
     """
 
     transport: StreamTransport  # type: ignore[assignment]
@@ -77,6 +80,7 @@
         self.uses = 0
         self.idle_since = 0
         self.reserved = 0
+        self.is_waiting = False
 
     # Called by Twisted.
 
@@ -102,19 +106,42 @@
             self._resubmit_unwritten(self.exchange)
             return
         self.reader.feed(data)
+        if not self.is_waiting:
+            self._read_response(self.pool.input_work.first_share(), False)
+
+    def continue_input(self, work: int) -> None:
+        """Read on, after other connections have had their turn."""
+        if not self.is_waiting:
+            return
+        self.is_waiting = False
+        self._read_response(work, True)
+        if not (self.is_waiting or self.closed):
+            self.transport.resumeProducing()
+
+    def _read_response(self, work: int, has_had_share: bool) -> None:
+        """Parse the response, and wait if its chunks need more work."""
+        self.reader.chunk_calls = work
         try:
             message = self.reader.next_message()
         except MalformedHttpMessageError as error:
             self.pool.count("spoilt", error.reason)
             self.finish(AttemptOutcome.ERROR, None, False)
             return
-        if message is None:
-            self._reserve_long_response()
+        finally:
+            self.pool.input_work.spend(work - self.reader.chunk_calls)
+        if message is not None:
+            keep = (
+                message.keep_alive
+                and self.written
+                and not self.reader.has_partial_message
+            )
+            self.finish(outcome_of(message), HttpNodeReply(message), keep)
             return
-        keep = (
-            message.keep_alive and self.written and not self.reader.has_partial_message
-        )
-        self.finish(outcome_of(message), HttpNodeReply(message), keep)
+        self._reserve_long_response()
+        if self.reader.is_suspended and not self.closed:
+            self.is_waiting = True
+            self.transport.pauseProducing()
+            self.pool.input_work.wait(self, has_had_share or work > 0)
 
     def connectionLost(self, reason: Failure | None = None) -> None:
         """End the attempt.
@@ -213,5 +240,6 @@
         if self.closed:
             return
         self.closed = True
+        self.is_waiting = False
         self._release()
         self.pool.on_lost(self)
--- a/milletsill/http_gateway/node_pool.py
+++ b/milletsill/http_gateway/node_pool.py
@@ -10,6 +10,7 @@
 from milletsill.gateway.active_requests import AttemptEnded
 from milletsill.gateway.reactor_turn import NextReactorTurn
 from milletsill.http_gateway.endpoints import NodeEndpoint
+from milletsill.http_gateway.input_work import InputWork
 from milletsill.http_gateway.node_connection import HttpNodeConnection
 from milletsill.http_gateway.node_exchange import HttpExchange
 from milletsill.http_gateway.request_parser import ForwardedPayload
@@ -36,6 +37,7 @@
 
     reactor: ReactorTimers
     buffers: BufferBudget
+    input_work: InputWork
     count: Callable[..., None]
     now: Callable[[], int]
     connect_timeout: int
@@ -76,6 +78,7 @@
     def __init__(self, owner: PoolOwner, number: int) -> None:
         self.owner = owner
         self.buffers = owner.buffers
+        self.input_work = owner.input_work
         self.count = owner.count
         self.now = owner.now
         self.number = number
--- a/milletsill/http_gateway/node_pools.py
+++ b/milletsill/http_gateway/node_pools.py
@@ -9,6 +9,7 @@
 from milletsill.gateway.active_requests import AttemptEnded
 from milletsill.http_gateway.connector import SingleConnector
 from milletsill.http_gateway.endpoints import NodeEndpoint
+from milletsill.http_gateway.input_work import InputWork
 from milletsill.http_gateway.node_connection import HttpNodeConnection
 from milletsill.http_gateway.node_exchange import HttpExchange
 from milletsill.http_gateway.node_pool import HttpNodePool
@@ -64,6 +65,7 @@
         self.connect_timeout = config.connect_timeout
         self.idle_timeout = int(config.idle_timeout * IDLE_TIMEOUT_FRACTION)
         self.buffers = buffers
+        self.input_work = InputWork(reactor)
         self.count = count
         self.pools: dict[int, HttpNodePool] = {}
         self.open_connections = 0
--- a/tests/http_gateway/test_races_descriptors.py
+++ b/tests/http_gateway/test_races_descriptors.py
@@ -107,7 +107,7 @@
         new_clients = [
             each
             for each in self.gateway.listener.connections
-            if not each.reader.has_partial_message and each.state.name == "NEW"
+            if not each.has_partial_request and each.state.name == "NEW"
         ]
         self.time += 0.06
         self.turn()
--- a/tests/http_gateway/test_races_pipelined_requests.py
+++ b/tests/http_gateway/test_races_pipelined_requests.py
@@ -271,7 +271,7 @@
         self.until(lambda: protocol.blocked, "the whole answer was written")
         client.sendall(req(TXN + 1))
         self.turn(5)
-        self.assertTrue(protocol.next_request)
+        self.assertTrue(protocol.input.next_request)
         self.terminate()
         self.advance_to(shutdown_schedule(10_000)[1][0] / 10_000 + 0.01)
         data, how = self.read_all(client)  # the clock does not advance
--- a/tests/support/race_guards.py
+++ b/tests/support/race_guards.py
@@ -78,7 +78,7 @@
 
 def close_both_sides(self):
     self.since = self.gateway.now()
-    self.reader = type(self.reader)(self.reader.limits)
+    self.input.clear()
     self.transport.unregisterProducer()
     self.transport.loseConnection()
 
