HTTP: a client's time runs from its request's arrival, and none waits unread for long

Cause: the listener paused for as long as connections stayed, and a client's time ran from the reading of its request, wherever it had waited unread.

Change: ClientInput dates octets by the earliest time at which they may have come: since when the accept queue was not empty, since a stall, since the connection was not read. StallWatch moved to the package that both gateways share. The reading of a client's requests is a class of its own (client_reader.py).

Evidence: 9 of the 11 tests of test_arrival_times failed before.

--- a/milletsill/http_gateway/client_connection.py
+++ b/milletsill/http_gateway/client_connection.py
@@ -2,17 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import Any
-from typing import Protocol as TypingProtocol
-
 from twisted.internet.interfaces import IHalfCloseableProtocol
-from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
-from milletsill.gateway.stream_transport import StreamTransport
-from milletsill.http1.errors import MalformedHttpMessageError
 from milletsill.http1.message import HttpMessage
 from milletsill.http1.writer import encode_response
 from milletsill.http_gateway.client_connection_state import (
@@ -22,8 +15,6 @@
     ENDED_STATES,
     LATEST_REQUEST_START,
     MAX_DISCARDED,
-    MAX_PIPELINED,
-    MAX_USUAL_REQUEST,
     OPEN_STATES,
     ClientEffect,
     ClientEvent,
@@ -31,79 +22,34 @@
     next_state,
     time_event,
 )
-from milletsill.http_gateway.client_input import MAX_HELD, ClientInput
-from milletsill.http_gateway.client_memory import ClientMemory
-from milletsill.http_gateway.input_work import WORK_PER_TURN, InputWork
+from milletsill.http_gateway.client_gateway import ClientGateway
+from milletsill.http_gateway.client_reader import ClientReader
+from milletsill.http_gateway.input_work import WORK_PER_TURN
 from milletsill.http_gateway.node_exchange import HttpNodeReply
-from milletsill.http_gateway.resource_limits import SHORT_BODY, BufferBudget
-
-
-class ClientGateway(TypingProtocol):
-    """What a client connection needs of the gateway. Times: tenths of a millisecond.
-
-    Attributes:
-        buffers: the memory budget for long messages.
-        client_work: the processor time for the input of all clients.
-        keep_alive: whether connections stay open after an answer.
-        retry_after: the Retry-After time sent with a rejection, 0 for none.
-        count: counts an event by its name and a value.
-    """
-
-    reactor: Any
-    buffers: BufferBudget
-    client_work: InputWork
-    keep_alive: bool
-    retry_after: int
-    now: Callable[[], int]
-    count: Callable[..., None]
-
-    def on_request(self, client: ClientConnection, message: HttpMessage, /) -> None:
-        """Handle a complete request of a client."""
-
-    def on_request_cancelled(self, request_id: int, /) -> None:
-        """Handle the disconnect of a client whose request was open."""
-
-    def on_client_lost(self, client: ClientConnection, /) -> None:
-        """Handle the end of a client's connection."""
 
 
 @implementer(IHalfCloseableProtocol)
-class ClientConnection(Protocol):
+class ClientConnection(ClientReader):
     """One client connection. It is the `ResponseSink` of its open request.
 
     Attributes:
-        state: the state of the connection.
         since: the start of the state or of the next request, for time-outs.
+        last_octet_at: when octets were last read.
         request_id: the id of the open request.
-        keep_alive: whether the client allows another request on this connection.
-        blocked: whether the write buffer is full because the client reads too slowly.
         discarded: octets that were read and discarded.
         client_closed: whether the client has closed its side.
         sent: whether the kernel has accepted everything that was written.
-        input: what the client has sent and the connection has not taken.
-        memory: the client's part of the memory budget.
     """
 
-    transport: StreamTransport  # type: ignore[assignment]
-
-    def __init__(self, gateway: ClientGateway) -> None:
-        self.gateway = gateway
-        self.input = ClientInput()
-        self.state = ClientState.NEW
+    def __init__(self, gateway: ClientGateway, arrived_at: int) -> None:
+        """Create the protocol of a connection that has arrived at `arrived_at`."""
+        super().__init__(gateway, arrived_at)
         self.since = gateway.now()
+        self.last_octet_at = self.since
         self.request_id: int | None = None
-        self.keep_alive = True
-        self.blocked = False
         self.discarded = 0
         self.client_closed = False
         self.sent = False
-        self._taking_requests = False
-        self.memory = ClientMemory(gateway.buffers)
-
-    @property
-    def has_partial_request(self) -> bool:
-        """Whether part of a request has arrived."""
-        return self.input.has_partial_request
 
     # Called by Twisted.
 
@@ -111,6 +57,10 @@
         """Configure the transport."""
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
+        if self.input.may_have_waited(self.since):
+            # Only what is in the socket now has waited in the accept queue.
+            self.read_pending()
+        self.input.unread_since = None
 
     def pauseProducing(self) -> None:
         """Stop taking requests while the write buffer is full."""
@@ -133,12 +83,13 @@
             if self.discarded > MAX_DISCARDED:
                 self.transport.pauseProducing()
             return
+        now = self.gateway.now()
+        self.last_octet_at = now
         if not self.has_partial_request:
-            now = self.gateway.now()
-            if self.state is ClientState.NEW:
-                now = min(now, self.since + LATEST_REQUEST_START)
-            self.since = now
-        self.input.feed(data)
+            latest = self.since + LATEST_REQUEST_START
+            self.since = min(now, latest) if self.state is ClientState.NEW else now
+        stalled_since = self.gateway.unread_since()
+        self.input.feed(data, now if stalled_since is None else stalled_since)
         self._take_requests()
 
     def readConnectionLost(self) -> None:
@@ -157,142 +108,11 @@
         self._stop_reading()
         self.gateway.on_client_lost(self)
 
-    # Requests.
-
-    def _take_requests(self) -> None:
-        """Take requests from what was just read, or wait behind other clients.
-
-        Not reentrant: what `detect_client_close` reads waits for the next iteration.
-        """
-        if self._taking_requests:
-            return
-        if self.input.is_waiting:
-            self._pause_reading()
-            self._check_room()
-            return
-        self._take_for(self.gateway.client_work.first_share(), False)
-
-    def continue_input(self, work: int) -> None:
-        """Take requests again, after other clients have had their turn."""
-        if not self.input.is_waiting:
-            return
-        self.input.is_waiting = False
-        self._take_for(work, True)
-        if not self.input.is_waiting:
-            self.transport.resumeProducing()
-
-    def _take_for(self, work: int, has_had_share: bool) -> None:
-        """Take requests, each once the previous one is answered, for some work."""
-        self.input.work = work
-        self._taking_requests = True
-        try:
-            while self._may_take() and (message := self.input.take()) is not None:
-                self.memory.release_pending()
-                if self._read_ahead():
-                    self.keep_alive = message.keep_alive
-                    self._take_request(message)
-        finally:
-            self._taking_requests = False
-            self.gateway.client_work.spend(work - self.input.work)
-        if self.state not in ENDED_STATES and self.input.needs_work(self._ready):
-            self.input.is_waiting = True
-            self._pause_reading()
-            self.gateway.client_work.wait(self, has_had_share or work > 0)
-
-    def _may_take(self) -> bool:
-        """Read one request ahead; whether it may be taken now."""
-        if self._ready and self.input.work <= 0:
-            return False
-        return self._read_ahead() and self._ready and self.input.work > 0
-
-    def _pause_reading(self) -> None:
-        """Stop reading while the connection waits for its share of work.
-
-        A client with an open request is read on, because its close must be noticed.
-        """
-        if self._ready:
-            self.transport.pauseProducing()
-
-    def _take_request(self, message: HttpMessage) -> None:
-        """Pass one request to the gateway.
+    # Requests and answers.
 
-        A long body is counted twice because the connection to a node holds a copy.
-        """
-        octets = 2 * len(message.body) if len(message.body) > SHORT_BODY else 0
-        if not self.memory.reserve_body(octets):
-            self.gateway.count("refused", "no room for a long request")
-            self.answer_rejected(self.gateway.retry_after)
-            return
+    def _on_request(self, message: HttpMessage) -> None:
         self.gateway.on_request(self, message)
 
-    @property
-    def _ready(self) -> bool:
-        """Whether the connection may take its next request."""
-        return self.state in OPEN_STATES and not self.blocked
-
-    def _read_ahead(self) -> bool:
-        """Read one request ahead, also while one is open; False after a refusal.
-
-        A malformed message is answered as soon as it arrives. Otherwise a node would
-        receive the first part of a body that exceeds its stated length, and the next
-        requests would wait behind unreadable input. The error replaces the answer to
-        the open request: such a client does not distinguish its own requests.
-        """
-        if self.state in ENDED_STATES:
-            return False
-        try:
-            self.input.read_ahead()
-        except MalformedHttpMessageError as error:
-            self.refuse(error.status, error.reason)
-            return False
-        return self._check_room()
-
-    def _check_room(self) -> bool:
-        """Refuse a client that sends too much ahead; False after a refusal.
-
-        Pipelined data is at most one request and `MAX_PIPELINED` octets. Memory is
-        reserved for it and for a long request that is arriving; short requests are not
-        counted.
-        """
-        busy = self.state is ClientState.BUSY
-        if not self._ready and self.input.is_too_much(busy):
-            self.refuse(400, "too much ahead of an answer")
-            return False
-        usual = MAX_USUAL_REQUEST if self._ready else MAX_PIPELINED
-        if self.memory.reserve_pending(self.input.held, usual):
-            return True
-        self.refuse(503, "no room for a request that is long or ahead of an answer")
-        return False
-
-    def detect_client_close(self) -> bool:
-        """Whether the client closed its side after its request; reads pending octets.
-
-        The reactor reads octets one turn before the close that follows them. Without
-        this check a node would work for a client that left while the process was
-        stalled or while the request waited in the kernel's buffer. The check costs one
-        more read for each request, and one for each piece of pipelined data.
-        """
-        reader = self.input.reader
-        before = -1
-        # A connection with more pipelined data is refused anyway.
-        while before < reader.buffered <= MAX_HELD:
-            before = reader.buffered
-            if self.transport.doRead() is not None:
-                self._on_event(ClientEvent.CLIENT_CLOSED)
-                return True
-        return False
-
-    def _stop_reading(self) -> None:
-        """Discard what is unparsed; what arrives from now on is read and discarded."""
-        if self.input.is_waiting:
-            self.input.is_waiting = False
-            self.transport.resumeProducing()
-        self.input.clear()
-        self.memory.release_pending()
-        self.memory.release_body()
-
-    # Answers.
-
     def open_request(self, request_id: int) -> None:
         """Record that a request was handed to the scheduler."""
         self.request_id = request_id
@@ -424,7 +244,12 @@
         sending = not (self.sent or self.client_closed)
         elapsed = now - self.since
         return time_event(
-            self.state, self.has_partial_request, elapsed, descriptors_short, sending
+            self.state,
+            self.has_partial_request,
+            elapsed,
+            descriptors_short,
+            sending,
+            now - self.last_octet_at,
         )
 
     def read_pending(self) -> None:
--- a/milletsill/http_gateway/client_connection_state.py
+++ b/milletsill/http_gateway/client_connection_state.py
@@ -162,12 +162,16 @@
 # check, because thousands of such connections may arrive. A client that was rejected
 # at once and pauses must then open a new connection.
 NEW_TIMEOUT_WHEN_SHORT = 500
+# Time without an octet after which a partial request is refused while descriptors are
+# short.
+REQUEST_PAUSE_WHEN_SHORT = 3_000
 # Interval between checks of all connections while descriptors are short.
 CHECK_INTERVAL_WHEN_SHORT = 200
 # Time-out of a connection between requests while descriptors are short.
 IDLE_TIMEOUT_WHEN_SHORT = 21_000
 # Time after which a connection whose last answer was sent is ended.
 LINGER_TIMEOUT = 10_000
+LINGER_TIMEOUT_WHEN_SHORT = 1_000
 # Octets of pipelined data that may follow the next request while a request is open.
 MAX_PIPELINED = 16_384
 # Octets of a typical request with its head; longer ones count against the memory
@@ -191,6 +195,7 @@
     elapsed: int,
     descriptors_short: bool,
     sending: bool = False,
+    since_octet: int = 0,
 ) -> ClientEvent | None:
     """Return the time-out event that is due on a client connection, if any.
 
@@ -202,15 +207,19 @@
         sending: whether the last answer is still being sent. Ending the connection
             would truncate it, so the longer idle time-out applies; a client that does
             not read holds its descriptor that much longer.
+        since_octet: time since an octet of the partial request was last read.
     """
     idle_timeout = IDLE_TIMEOUT_WHEN_SHORT if descriptors_short else IDLE_TIMEOUT
     if state is ClientState.CLOSING:
-        timeout = idle_timeout if sending else LINGER_TIMEOUT
+        linger = LINGER_TIMEOUT_WHEN_SHORT if descriptors_short else LINGER_TIMEOUT
+        timeout = idle_timeout if sending else linger
         return ClientEvent.LINGER_TIMED_OUT if elapsed >= timeout else None
     if state not in OPEN_STATES:
         return None
     if partial_request:
-        return ClientEvent.REQUEST_TOO_SLOW if elapsed >= REQUEST_TIMEOUT else None
+        stopped = descriptors_short and since_octet >= REQUEST_PAUSE_WHEN_SHORT
+        too_slow = stopped or elapsed >= REQUEST_TIMEOUT
+        return ClientEvent.REQUEST_TOO_SLOW if too_slow else None
     if state is ClientState.NEW:
         timeout = NEW_TIMEOUT_WHEN_SHORT if descriptors_short else NEW_TIMEOUT
     else:
--- a/milletsill/http_gateway/client_input.py
+++ b/milletsill/http_gateway/client_input.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from milletsill.http1.message import HttpMessage
 from milletsill.http1.message_limits import MessageLimits
 from milletsill.http1.message_reader import RequestReader
@@ -13,6 +15,10 @@
 from milletsill.http_gateway.resource_limits import MAX_BODY
 
 LIMITS = MessageLimits(body=MAX_BODY)
+# Octets that the transport reads at once; a shorter read has emptied the socket.
+READ_SIZE = 65_536
+# Reads within this time share one record of their arrival, in tenths of a millisecond.
+ARRIVAL_RESOLUTION = 100
 # Octets beyond which a client with an open request is refused whatever it has sent.
 MAX_HELD = MAX_BODY + MAX_USUAL_REQUEST
 
@@ -22,13 +28,23 @@
 
     Attributes:
         next_request: a complete request that the connection has not taken.
+        arrived_at: the earliest time at which the last octet of the request that was
+            taken last may have arrived, in tenths of a millisecond.
+        unread_since: the time since which octets may wait in the socket; None if the
+            last read has emptied it.
         work: work that may be done until the connection has its next share.
         is_waiting: whether the connection waits for its next share.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, unread_since: int) -> None:
         self.reader = RequestReader(LIMITS)
         self.next_request: HttpMessage | None = None
+        self.arrived_at = unread_since
+        self.unread_since: int | None = unread_since
+        self.next_arrived_at = unread_since
+        self.received = 0
+        # Pairs of the octets received so far and their earliest arrival.
+        self.arrivals: deque[tuple[int, int]] = deque()
         self.work = 0
         self.is_waiting = False
 
@@ -43,9 +59,26 @@
         waiting = len(self.next_request.body) if self.next_request is not None else 0
         return self.reader.buffered + waiting
 
-    def feed(self, data: bytes) -> None:
-        """Add received octets."""
+    def feed(self, data: bytes, now: int) -> None:
+        """Add octets that are read now, and may have arrived since `unread_since`."""
+        arrived_at = now if self.unread_since is None else min(self.unread_since, now)
+        if len(data) < READ_SIZE:
+            self.unread_since = None
         self.reader.feed(data)
+        self.received += len(data)
+        if self.arrivals and arrived_at - self.arrivals[-1][1] < ARRIVAL_RESOLUTION:
+            _, arrived_at = self.arrivals.pop()
+        self.arrivals.append((self.received, arrived_at))
+
+    def may_have_waited(self, now: int) -> bool:
+        """Whether unread octets may have arrived well before now."""
+        since = self.unread_since
+        return since is not None and now - since >= ARRIVAL_RESOLUTION
+
+    def pause(self, now: int) -> None:
+        """Record that the socket is not read from now on."""
+        if self.unread_since is None:
+            self.unread_since = now
 
     def read_ahead(self) -> None:
         """Parse the next request if none waits, as far as the work allows.
@@ -61,6 +94,15 @@
             self.next_request = self.reader.next_message()
         finally:
             self.work -= allowed - self.reader.chunk_calls
+        if self.next_request is not None:
+            self._date_request()
+
+    def _date_request(self) -> None:
+        """Note when the octets arrived that completed the next request."""
+        end = self.received - len(self.reader.buffer)
+        while self.arrivals[0][0] < end:
+            self.arrivals.popleft()
+        _, self.next_arrived_at = self.arrivals[0]
 
     def take(self) -> HttpMessage | None:
         """Return the next request, and count the work of handling it."""
@@ -68,6 +110,7 @@
         self.next_request = None
         if message is not None:
             self.work -= REQUEST_WORK
+            self.arrived_at = self.next_arrived_at
         return message
 
     def is_too_much(self, busy: bool) -> bool:
--- a/milletsill/http_gateway/gateway.py
+++ b/milletsill/http_gateway/gateway.py
@@ -11,9 +11,10 @@
     HostCallbacks,
     SchedulerHost,
 )
+from milletsill.gateway.stall_watch import StallWatch
 from milletsill.http1.message import HttpMessage
 from milletsill.http_gateway.client_connection import ClientConnection
-from milletsill.http_gateway.client_listener import ClientListener
+from milletsill.http_gateway.client_listener import LISTEN_BACKLOG, ClientListener
 from milletsill.http_gateway.configuration import (
     GatewayConfiguration,
     GatewayConfigurationRejectedError,
@@ -49,7 +50,6 @@
 
 CHECK_INTERVAL = 0.1  # seconds
 REPORT_INTERVAL = 5.0  # seconds
-LISTEN_BACKLOG = 512
 MAX_UNANSWERED = 512  # if the settings state no limit
 # An answer is written at least this long before the client's deadline, in tenths of a
 # millisecond.
@@ -100,6 +100,8 @@
         self.recent_ids = RecentRequestIds()
         self.buffers = BufferBudget(configuration.memory_mb)
         self.client_work = InputWork(reactor)
+        self.stall_watch = StallWatch(reactor, now)
+        self.unread_since = self.stall_watch.unread_since
         descriptors = divide_descriptors(configuration.sockets)
         self.listener = ClientListener(self, descriptors.clients)
         self.node_pools = HttpNodePools(
@@ -161,6 +163,7 @@
             address=f"{host}:{self.port.getHost().port}",
             sockets=self.configuration.sockets,
         )
+        self.stall_watch.start()
         self._check(self.now())
         self.log_report()
 
@@ -194,6 +197,7 @@
             self.keep_alive = False
         elif effect is ProcessEffect.STOP_LISTENING:
             self.port.stopListening()  # earlier, it would reset queued connections
+            self.listener.stop()
             self._stop_without_clients()
             for client in list(self.listener.connections):
                 client.begin_shutdown()
@@ -246,6 +250,7 @@
         self.log_report()
         self.log.info("stopped", held=self.host.unanswered)
         self.host.stop()
+        self.stall_watch.stop()
         self.watcher.stop()
         self.node_pools.stop()
         for client in list(self.listener.connections):
@@ -319,7 +324,7 @@
         if self._answer_health_check(client, message):
             return
         try:
-            request = self._parse(message)
+            request = self._parse(message, client.input.arrived_at)
         except InvalidRequestError as error:
             client.refuse(error.status, str(error))
             return
@@ -345,11 +350,12 @@
         client.answer(200 if healthy else 503, b"")
         return True
 
-    def _parse(self, message: HttpMessage) -> Request:
-        now = self.now()
+    def _parse(self, message: HttpMessage, arrived_at: int) -> Request:
+        """Return the request of a message; its time runs from the arrival."""
         request = self.request_parser.parse(
-            message, now, ANSWER_MARGIN, self.latest_deadline
+            message, arrived_at, ANSWER_MARGIN, self.latest_deadline
         )
+        now = self.now()
         if request.id in self.host.active or self.recent_ids.contains(request.id, now):
             raise InvalidRequestError(409, "x-txn is another's open one")
         return request
--- a/milletsill/http_gateway/request_parser.py
+++ b/milletsill/http_gateway/request_parser.py
@@ -98,7 +98,7 @@
     def parse(
         self,
         message: HttpMessage,
-        received_at: int,
+        arrived_at: int,
         margin: int,
         latest_deadline: int | None = None,
     ) -> Request:
@@ -106,7 +106,8 @@
 
         Args:
             message: the complete message.
-            received_at: when its last octet was read, in tenths of a millisecond.
+            arrived_at: the earliest time at which its last octet may have arrived, in
+                tenths of a millisecond.
             margin: the time from the request's deadline to the client's own deadline.
             latest_deadline: the latest allowed deadline, None for no limit.
 
@@ -124,7 +125,7 @@
         if safety is RetrySafety.IDEMPOTENCY_KEYED:
             self._field(message, b"idempotency-key", IDEMPOTENCY_KEY)
         key = self._key(message)
-        deadline = received_at + self._client_timeout(message) - margin
+        deadline = arrived_at + self._client_timeout(message) - margin
         if latest_deadline is not None:
             deadline = min(deadline, latest_deadline)
         size = self._size(message)
--- a/milletsill/sftp_gateway/gateway.py
+++ b/milletsill/sftp_gateway/gateway.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from milletsill.errors import MilletsillError
+from milletsill.gateway.stall_watch import StallWatch
 from milletsill.interface import Endpoint, EndpointUpdateKind, SchedulerFactory
 from milletsill.logs import logger
 from milletsill.registry.registered_node import RegisteredNode
@@ -40,7 +41,6 @@
 from milletsill.sftp_gateway.object_location import LocationCache
 from milletsill.sftp_gateway.routing_table import RoutedVolume, VolumePlacement
 from milletsill.sftp_gateway.sftp_server import SftpClientConnection, SftpClientListener
-from milletsill.sftp_gateway.stall_watch import StallWatch
 
 CHECK_INTERVAL = 1.0  # seconds between checks of idle clients and the loop's lag
 TICKS_PER_SECOND = 10_000
