HTTP: everything that is held for clients counts against the memory budget

Change: all that a client has sent counts from 4 KiB on, where all octets pass; chunked bodies grow in place; arriving requests use three quarters of the budget, which leaves room for the process itself; a request that finds no room first ends partial requests that have paused.

Open: 32 MB is less than the process has before its first client.

--- a/milletsill/http1/message.py
+++ b/milletsill/http1/message.py
@@ -16,6 +16,7 @@
         fields: header fields by lower-case name; of a repeated field, the first value.
         repeated: names of header fields that occur more than once.
         body: the complete body, set once the reader has returned the message.
+        head_size: octets of the head.
         keep_alive: whether the connection may carry another message.
         length: the body length in octets that the head states; for a chunked or
             close-delimited body, the octets received so far, chunk framing included.
@@ -33,15 +34,15 @@
         "chunk_line_complete",
         "chunk_remaining",
         "chunked",
+        "chunked_body",
         "complete",
         "fields",
         "head_complete",
+        "head_size",
         "keep_alive",
         "length",
         "method",
         "parser",
-        "pieces",
-        "received",
         "repeated",
         "status",
         "target",
@@ -61,12 +62,12 @@
         self.until_close = False
         self.parser: Parser | None = None
         self.head_complete = False
+        self.head_size = 0
         self.complete = False
-        # State of a chunked body: the decoded pieces and their total octets, the chunk
-        # size line received so far and whether it is complete, the number of chunks
-        # begun, and the octets of the current chunk still to come.
-        self.pieces: list[bytes] = []
-        self.received = 0
+        # State of a chunked body: the decoded octets, the chunk size line received so
+        # far and whether it is complete, the number of chunks begun, and the octets of
+        # the current chunk still to come.
+        self.chunked_body = bytearray()
         self.chunk_line = b""
         self.chunk_line_complete = False
         self.chunk_count = 0
@@ -97,6 +98,11 @@
         assert self.parser is not None
         self.keep_alive = self.parser.should_keep_alive()
 
+    @property
+    def received(self) -> int:
+        """Octets of a chunked body that were decoded."""
+        return len(self.chunked_body)
+
     def on_chunk_header(self) -> None:
         """Record that a chunk size line is complete."""
         self.chunk_line_complete = True
@@ -104,14 +110,13 @@
 
     def on_body(self, data: bytes) -> None:
         """Append a piece of a chunked body."""
-        self.pieces.append(data)
-        self.received += len(data)
+        self.chunked_body += data
 
     def on_message_complete(self) -> None:
-        """Join the pieces of the body."""
+        """Complete the body; one that is not chunked is set by the reader."""
         self.complete = True
-        self.body = b"".join(self.pieces)
-        self.pieces = []
+        self.body = bytes(self.chunked_body)
+        self.chunked_body = bytearray()
 
     # Called by the reader.
 
--- a/milletsill/http1/message_reader.py
+++ b/milletsill/http1/message_reader.py
@@ -182,6 +182,7 @@
 
     def _parse_head(self, head: bytes) -> HttpMessage:
         message = HttpMessage()
+        message.head_size = len(head)
         parser = self._make_parser(message)
         message.parser = parser
         try:
--- a/milletsill/http_gateway/client_connection_state.py
+++ b/milletsill/http_gateway/client_connection_state.py
@@ -174,8 +174,8 @@
 LINGER_TIMEOUT_WHEN_SHORT = 1_000
 # Octets of pipelined data that may follow the next request while a request is open.
 MAX_PIPELINED = 16_384
-# Octets of a typical request with its head; longer ones count against the memory
-# budget.
+# Octets that may follow the next request while the client does not read its last
+# answer: a typical request with its head.
 MAX_USUAL_REQUEST = 73_728
 # Octets that are read and discarded after a refused request.
 MAX_DISCARDED = 1 << 20
--- a/milletsill/http_gateway/client_input.py
+++ b/milletsill/http_gateway/client_input.py
@@ -19,10 +19,17 @@
 READ_SIZE = 65_536
 # Reads within this time share one record of their arrival, in tenths of a millisecond.
 ARRIVAL_RESOLUTION = 100
+# Octets of memory that a header field takes beside its own.
+FIELD_OVERHEAD = 150
 # Octets beyond which a client with an open request is refused whatever it has sent.
 MAX_HELD = MAX_BODY + MAX_USUAL_REQUEST
 
 
+def head_size(message: HttpMessage) -> int:
+    """Return the octets of memory that the head of a message takes, about."""
+    return message.head_size + len(message.fields) * FIELD_OVERHEAD
+
+
 class ClientInput:
     """Reads requests, at most one ahead of the one that is taken.
 
@@ -55,9 +62,13 @@
 
     @property
     def held(self) -> int:
-        """Octets that are held, those of the next request's body included."""
-        waiting = len(self.next_request.body) if self.next_request is not None else 0
-        return self.reader.buffered + waiting
+        """Octets of memory that are held for what the client has sent."""
+        held = self.reader.buffered
+        if self.reader.message is not None:
+            held += head_size(self.reader.message)
+        if self.next_request is not None:
+            held += head_size(self.next_request) + len(self.next_request.body)
+        return held
 
     def feed(self, data: bytes, now: int) -> None:
         """Add octets that are read now, and may have arrived since `unread_since`."""
--- a/milletsill/http_gateway/client_listener.py
+++ b/milletsill/http_gateway/client_listener.py
@@ -48,6 +48,7 @@
         self.paused = False
         self.check_call: Any = None
         self.queue = AcceptQueueClock(QUEUE_CAPACITY)
+        self.looked_for_memory_at = 0
         self.batch = 0
         self.batch_limit = 0
         self.batch_at = 0
@@ -95,6 +96,20 @@
         for client in list(self.connections):
             client.check(now, descriptors_short)
 
+    def end_stopped_requests(self) -> None:
+        """Refuse partial requests that have paused, since memory is short.
+
+        The clients are looked at only now and then, because many requests may find no
+        room.
+        """
+        now = self.gateway.now()
+        if now - self.looked_for_memory_at < CHECK_INTERVAL_WHEN_SHORT:
+            return
+        self.looked_for_memory_at = now
+        for client in list(self.connections):
+            if client.has_partial_request:
+                client.check(now, True)
+
     def _earliest_arrival(self) -> int:
         """Return the earliest time at which a connection that is accepted now came."""
         now = self.gateway.now()
--- a/milletsill/http_gateway/client_memory.py
+++ b/milletsill/http_gateway/client_memory.py
@@ -1,8 +1,8 @@
-"""The share of the memory budget for long messages that one client holds."""
+"""The part of the memory budget that one client holds."""
 
 from __future__ import annotations
 
-from milletsill.http_gateway.resource_limits import BufferBudget
+from milletsill.http_gateway.resource_limits import SMALL_REQUEST, BufferBudget
 
 
 class ClientMemory:
@@ -21,17 +21,22 @@
         self.body = 0
 
     def reserve_body(self, octets: int) -> bool:
-        """Reserve memory for the open request's body; False if there is not enough."""
-        if octets and not self.budget.reserve(octets):
+        """Reserve memory for the open request's body; False if there is not enough.
+
+        It is counted twice because the connection to a node holds a copy.
+        """
+        if octets <= SMALL_REQUEST:
+            return True
+        if not self.budget.reserve(2 * octets):
             return False
-        self.body = octets
+        self.body = 2 * octets
         return True
 
-    def reserve_pending(self, octets: int, uncounted: int) -> bool:
-        """Reserve memory for pending requests that exceed `uncounted` octets."""
-        if octets <= max(uncounted, self.pending):
+    def reserve_pending(self, octets: int) -> bool:
+        """Reserve memory for pending requests, unless they are small."""
+        if octets <= max(SMALL_REQUEST, self.pending):
             return True
-        if not self.budget.reserve(octets - self.pending):
+        if not self.budget.reserve_arriving(octets - self.pending):
             return False
         self.pending = octets
         return True
--- a/milletsill/http_gateway/client_reader.py
+++ b/milletsill/http_gateway/client_reader.py
@@ -13,8 +13,6 @@
 from milletsill.http1.message import HttpMessage
 from milletsill.http_gateway.client_connection_state import (
     ENDED_STATES,
-    MAX_PIPELINED,
-    MAX_USUAL_REQUEST,
     OPEN_STATES,
     ClientEvent,
     ClientState,
@@ -22,14 +20,14 @@
 from milletsill.http_gateway.client_input import MAX_HELD, ClientInput
 from milletsill.http_gateway.client_memory import ClientMemory
 from milletsill.http_gateway.input_work import InputWork
-from milletsill.http_gateway.resource_limits import SHORT_BODY, BufferBudget
+from milletsill.http_gateway.resource_limits import BufferBudget
 
 
 class ReadingGateway(TypingProtocol):
     """What the reading of requests needs of the gateway. Times: 0.1 ms.
 
     Attributes:
-        buffers: the memory budget for long messages.
+        buffers: the memory budget.
         client_work: the processor time for the input of all clients.
         retry_after: the Retry-After time sent with a rejection, 0 for none.
         count: counts an event by its name and a value.
@@ -123,7 +121,9 @@
         finally:
             self._taking_requests = False
             self.gateway.client_work.spend(work - self.input.work)
-        if self.state not in ENDED_STATES and self.input.needs_work(self._ready):
+        if self.state in ENDED_STATES or not self.input.needs_work(self._ready):
+            return
+        if self._check_room():
             self.input.is_waiting = True
             self._pause_reading()
             self.gateway.client_work.wait(self, has_had_share or work > 0)
@@ -144,12 +144,8 @@
             self.transport.pauseProducing()
 
     def _take_request(self, message: HttpMessage) -> None:
-        """Pass one request to the gateway.
-
-        A long body is counted twice because the connection to a node holds a copy.
-        """
-        octets = 2 * len(message.body) if len(message.body) > SHORT_BODY else 0
-        if not self.memory.reserve_body(octets):
+        """Pass one request to the gateway, if there is room for its body."""
+        if not self.memory.reserve_body(len(message.body)):
             self.gateway.count("refused", "no room for a long request")
             self.answer_rejected(self.gateway.retry_after)
             return
@@ -181,15 +177,13 @@
         """Refuse a client that sends too much ahead; False after a refusal.
 
         Pipelined data is at most one request and `MAX_PIPELINED` octets. Memory is
-        reserved for it and for a long request that is arriving; short requests are not
-        counted.
+        reserved for all that the client has sent, unless it is small.
         """
         busy = self.state is ClientState.BUSY
         if not self._ready and self.input.is_too_much(busy):
             self.refuse(400, "too much ahead of an answer")
             return False
-        usual = MAX_USUAL_REQUEST if self._ready else MAX_PIPELINED
-        if self.memory.reserve_pending(self.input.held, usual):
+        if self.memory.reserve_pending(self.input.held):
             return True
         self.refuse(503, "no room for a request that is long or ahead of an answer")
         return False
--- a/milletsill/http_gateway/gateway.py
+++ b/milletsill/http_gateway/gateway.py
@@ -104,6 +104,7 @@
         self.unread_since = self.stall_watch.unread_since
         descriptors = divide_descriptors(configuration.sockets)
         self.listener = ClientListener(self, descriptors.clients)
+        self.buffers.on_short = self.listener.end_stopped_requests
         self.node_pools = HttpNodePools(
             reactor,
             now,
