--- a/milletsill/http_gateway/client_connection.py
+++ b/milletsill/http_gateway/client_connection.py
@@ -78,6 +78,7 @@
         self.discarded = 0
         self.client_closed = False
         self.sent = False
+        self._reading_on = False
 
     # Called by Twisted.
 
@@ -111,6 +112,7 @@
             if self.discarded > MAX_DISCARDED:
                 self.transport.pauseProducing()
             return
+        was_busy = self.state is ClientState.BUSY
         now = self.gateway.now()
         self.last_octet_at = now
         if not self.has_partial_request:
@@ -119,6 +121,23 @@
         stalled_since = self.gateway.unread_since()
         self.input.feed(data, now if stalled_since is None else stalled_since)
         self._take_requests()
+        if was_busy:
+            self._read_to_the_end()
+
+    def _read_to_the_end(self) -> None:
+        """Read all that has arrived behind an open request, up to the client's close.
+
+        The reactor reads once in a turn. After a stall, the request would be forwarded
+        although its client's close had arrived behind these octets.
+        """
+        if self._reading_on:
+            return
+        self._reading_on = True
+        try:
+            if self.state is ClientState.BUSY:
+                self.detect_client_close()
+        finally:
+            self._reading_on = False
 
     def readConnectionLost(self) -> None:
         """Handle the close of the client's side; it may still read a last answer."""
--- a/milletsill/http_gateway/client_input.py
+++ b/milletsill/http_gateway/client_input.py
@@ -70,6 +70,11 @@
             held += head_size(self.next_request) + len(self.next_request.body)
         return held
 
+    @property
+    def is_full(self) -> bool:
+        """Whether so much is unparsed that no more is read before a request."""
+        return self.reader.buffered > MAX_HELD
+
     def feed(self, data: bytes, now: int) -> None:
         """Add octets that are read now, and may have arrived since `unread_since`."""
         arrived_at = now if self.unread_since is None else min(self.unread_since, now)
--- a/milletsill/http_gateway/client_reader.py
+++ b/milletsill/http_gateway/client_reader.py
@@ -17,11 +17,13 @@
     ClientEvent,
     ClientState,
 )
-from milletsill.http_gateway.client_input import MAX_HELD, ClientInput
+from milletsill.http_gateway.client_input import ClientInput
 from milletsill.http_gateway.client_memory import ClientMemory
 from milletsill.http_gateway.input_work import InputWork
 from milletsill.http_gateway.resource_limits import BufferBudget
 
+TOO_MUCH_AHEAD = "too much ahead of an answer"
+
 
 class ReadingGateway(TypingProtocol):
     """What the reading of requests needs of the gateway. Times: 0.1 ms.
@@ -64,6 +66,7 @@
         self.blocked = False
         self.memory = ClientMemory(gateway.buffers)
         self._taking_requests = False
+        self._paused = False
 
     @property
     def has_partial_request(self) -> bool:
@@ -94,7 +97,7 @@
         if self._taking_requests:
             return
         if self.input.is_waiting:
-            self._pause_reading()
+            self._set_reading()
             self._check_room()
             return
         self._take_for(self.gateway.client_work.first_share(), False)
@@ -105,8 +108,6 @@
             return
         self.input.is_waiting = False
         self._take_for(work, True)
-        if not self.input.is_waiting:
-            self.transport.resumeProducing()
 
     def _take_for(self, work: int, has_had_share: bool) -> None:
         """Take requests, each once the previous one is answered, for some work."""
@@ -121,12 +122,12 @@
         finally:
             self._taking_requests = False
             self.gateway.client_work.spend(work - self.input.work)
-        if self.state in ENDED_STATES or not self.input.needs_work(self._ready):
+        if self.state in ENDED_STATES:
             return
-        if self._check_room():
+        if self.input.needs_work(self._ready) and self._check_room():
             self.input.is_waiting = True
-            self._pause_reading()
             self.gateway.client_work.wait(self, has_had_share or work > 0)
+        self._set_reading()
 
     def _may_take(self) -> bool:
         """Read one request ahead; whether it may be taken now."""
@@ -134,14 +135,20 @@
             return False
         return self._read_ahead() and self._ready and self.input.work > 0
 
-    def _pause_reading(self) -> None:
-        """Stop reading while the connection waits for its share of work.
+    def _set_reading(self) -> None:
+        """Stop reading while the connection waits for its share of work, or go on.
 
-        A client with an open request is read on, because its close must be noticed.
+        A client with an open request is always read, because its close must be noticed.
         """
-        if self._ready:
+        pause = self.input.is_waiting and self._ready
+        if pause == self._paused:
+            return
+        self._paused = pause
+        if pause:
             self.input.pause(self.gateway.now())
             self.transport.pauseProducing()
+        else:
+            self.transport.resumeProducing()
 
     def _take_request(self, message: HttpMessage) -> None:
         """Pass one request to the gateway, if there is room for its body."""
@@ -181,7 +188,7 @@
         """
         busy = self.state is ClientState.BUSY
         if not self._ready and self.input.is_too_much(busy):
-            self.refuse(400, "too much ahead of an answer")
+            self.refuse(400, TOO_MUCH_AHEAD)
             return False
         if self.memory.reserve_pending(self.input.held):
             return True
@@ -189,28 +196,31 @@
         return False
 
     def detect_client_close(self) -> bool:
-        """Whether the client closed its side after its request; reads pending octets.
+        """Whether the client has left after its request; reads pending octets.
 
         The reactor reads octets one turn before the close that follows them. Without
         this check a node would work for a client that left while the process was
         stalled or while the request waited in the kernel's buffer. The check costs one
         more read for each request, and one for each piece of pipelined data.
+
+        A client that has sent so much that a close behind it cannot be seen is refused.
         """
-        reader = self.input.reader
         before = -1
-        # A connection with more pipelined data is refused anyway.
-        while before < reader.buffered <= MAX_HELD:
-            before = reader.buffered
+        while before < self.input.received and not self.input.is_full:
+            before = self.input.received
             if self.transport.doRead() is not None:
+                self.gateway.count("arrival", "its client has left")
                 self._on_event(ClientEvent.CLIENT_CLOSED)
                 return True
+        if self.input.is_full:
+            self.refuse(400, TOO_MUCH_AHEAD)
+            return True
         return False
 
     def _stop_reading(self) -> None:
         """Discard what is unparsed; what arrives from now on is read and discarded."""
-        if self.input.is_waiting:
-            self.input.is_waiting = False
-            self.transport.resumeProducing()
+        self.input.is_waiting = False
+        self._set_reading()
         self.input.clear()
         self.memory.release_pending()
         self.memory.release_body()
--- a/milletsill/http_gateway/gateway.py
+++ b/milletsill/http_gateway/gateway.py
@@ -334,7 +334,6 @@
             client.answer_rejected(self.retry_after)
             return
         if client.detect_client_close():
-            self.count("arrival", "its client has left")
             return
         client.open_request(request.id)
         self.recent_ids.add(request.id, request.deadline, self.now())
--- a/tests/http_gateway/test_endpoint_lists.py
+++ b/tests/http_gateway/test_endpoint_lists.py
@@ -37,7 +37,11 @@
     serving_time_after_term,
     shutdown_schedule,
 )
-from milletsill.http_gateway.recent_request_ids import MAX_IDS, RecentRequestIds
+from milletsill.http_gateway.recent_request_ids import (
+    MAX_IDS,
+    MIN_ID_LIFETIME,
+    RecentRequestIds,
+)
 from milletsill.http_gateway.request_parser import (
     InvalidRequestError,
     RequestParser,
@@ -241,15 +245,19 @@
             steps = [within for within, _ in shutdown_schedule(longest)]
             self.assertEqual((steps, steps[-1] + 900 == kill), (sorted(steps), True))
 
-    def test_ids_are_remembered_until_their_deadline_and_within_a_limit(self):
+    def test_ids_are_remembered_past_their_deadline_and_within_a_limit(self):
         recent = RecentRequestIds()
+        step = MIN_ID_LIFETIME // 1000
         for id in range(3 * MAX_IDS):
-            recent.add(id, id + 1000, id)
+            now = id * step
+            recent.add(id, now + 10, now)
             self.assertEqual(
-                [recent.contains(each, id) for each in (id, id - 999, id - 1000)],
+                [recent.contains(each, now) for each in (id, id - 999, id - 1000)],
                 [True, id >= 999, False],
             )
         self.assertLessEqual(len(recent.until), 1001)
+        recent.add(7, now + 2 * MIN_ID_LIFETIME, now)
+        self.assertTrue(recent.contains(7, now + 2 * MIN_ID_LIFETIME - 1))
         for id in range(3 * MAX_IDS):
             recent.add(id, 1 << 40, 0)
         self.assertEqual(len(recent.until), MAX_IDS)
--- a/tests/http_gateway/test_races_bad_clients.py
+++ b/tests/http_gateway/test_races_bad_clients.py
@@ -9,6 +9,7 @@
 from contextlib import suppress
 
 from milletsill.http_gateway.client_connection_state import IDLE_TIMEOUT
+from milletsill.http_gateway.recent_request_ids import MIN_ID_LIFETIME
 from tests.support.http_gateway_rig import TXN, Loopback, req
 
 READY = b"GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -150,8 +151,11 @@
                 )
                 bad_client.close()
 
-    def test_the_id_of_another_clients_request_is_refused_until_its_deadline(self):
-        """The other request is open, or was just answered, declined or abandoned."""
+    def test_the_id_of_another_clients_request_is_refused_past_its_deadline(self):
+        """The other request is open, or was just answered, declined or abandoned.
+
+        The id is refused for `MIN_ID_LIFETIME`, since a node may have run the request.
+        """
         for fate in ("open", "answered", "declined", "left"):
             with self.subTest(fate):
                 self.restart()
@@ -187,6 +191,9 @@
                 self.assertEqual(self.refused(), {"x-txn is another's open one": 1})
                 if fate != "open":
                     self.pass_time(1.0)
+                    data, ending = self.read_all(self.client(req()))
+                    self.assertEqual((data[:12], ending), (b"HTTP/1.1 409", "ended"))
+                    self.pass_time(MIN_ID_LIFETIME / 10_000)
                     late_client = self.client(req(**elsewhere))
                     self.until(
                         lambda: self.gateway.host.unanswered == 1,
