Gateway: records of requests and volumes stay bounded under ever new names

Cause: timers hold a request's record up to the deadline, for which the client's word was taken up to an hour; records of volumes were kept for 16 client timeouts, however many.

Change: a request's time is at most the longest client timeout of the settings.

Tests: test_records_of_requests_are_held_no_longer_than_the_settings_state and test_many_volumes_are_evicted_once_they_have_no_open_request failed before. Two tests of stalls, whose clients wait for a minute, have settings that allow it.

--- a/milletsill/http_gateway/request_parser.py
+++ b/milletsill/http_gateway/request_parser.py
@@ -94,6 +94,12 @@
             self.writing_classes = {index for index, each in writes if each}
         self.largest = config.largest_request_units or UNBOUNDED
         self.shards = config.shard_count or UNBOUNDED
+        # No client is served for longer than the settings state, however long it says
+        # that it waits: its records would be held for as long.
+        self.longest_timeout = max(
+            (each.client_timeout for each in config.request_classes),
+            default=MAX_CLIENT_TIMEOUT,
+        )
 
     def parse(
         self,
@@ -193,7 +199,7 @@
         left = remaining_ms * TICKS_PER_MS
         if not 0 < left <= MAX_CLIENT_TIMEOUT:
             raise InvalidRequestError(400, "a time that nobody waits")
-        return left
+        return min(left, self.longest_timeout)
 
     def _size(self, message: HttpMessage) -> RequestSize:
         parts = dict(
--- a/milletsill/scheduler/constants.py
+++ b/milletsill/scheduler/constants.py
@@ -88,5 +88,10 @@
 
 # Idle records are evicted after this many of the longest client timeouts.
 IDLE_CLIENT_TIMEOUTS = 16
+# Above this number of volumes, records without an open request are evicted. Without it,
+# requests under ever new volumes would fill the memory.
+MAX_KEPT_VOLUMES = 4_096
+# A volume has no open request after this many of the longest client timeouts.
+OPEN_CLIENT_TIMEOUTS = 2
 # Number of records of each kind that are checked for eviction with each request.
 EVICTION_CHECKS_PER_REQUEST = 2
--- a/milletsill/scheduler/volume_table.py
+++ b/milletsill/scheduler/volume_table.py
@@ -1,6 +1,7 @@
 """The volumes in use, and which requests their reserves cover."""
 
 from milletsill.interface import QuotaKind, Request
+from milletsill.scheduler.constants import MAX_KEPT_VOLUMES, OPEN_CLIENT_TIMEOUTS
 from milletsill.scheduler.quota_shares import QuotaShares
 from milletsill.scheduler.records import QueuedRequest, VolumeState
 from milletsill.scheduler.state import SchedulerState
@@ -55,10 +56,16 @@
     def evict_idle(self, now: int) -> None:
         """Evict the least recently used volume.
 
-        It is kept unless it is idle and a new record of it would allow no more.
+        It is kept unless it is idle and a new record of it would allow no more. While
+        there are many, one without an open request counts as idle.
         """
         volume = next(iter(self.by_id.values()), None)
-        if volume is None or now - volume.used_at <= self._state.idle_timeout:
+        if volume is None:
+            return
+        idle_timeout = self._state.idle_timeout
+        if len(self.by_id) > MAX_KEPT_VOLUMES:
+            idle_timeout = OPEN_CLIENT_TIMEOUTS * self._state.longest_client_timeout
+        if now - volume.used_at <= idle_timeout:
             return
         del self.by_id[volume.id]
         has_share = self._shares.is_granted(QuotaKind.LIMIT, volume.id)
--- a/tests/http_gateway/test_held_memory.py
+++ b/tests/http_gateway/test_held_memory.py
@@ -15,7 +15,7 @@
     BufferBudget,
     buffer_limit,
 )
-from tests.support.http_gateway_rig import TXN, Loopback, req
+from tests.support.http_gateway_rig import CONFIG, TXN, Loopback, req
 
 KEYED = {"method": "PUT", "name": "put", "Idempotency_Key": "k"}
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
@@ -114,6 +114,27 @@
         self.until(lambda: b" 200 " in self.got(client)[0], "no answer")
 
 
+class HeldRecords(Loopback):
+    # Guards against memory that grows without end under requests at full speed.
+    def test_records_of_requests_are_held_no_longer_than_the_settings_state(self):
+        """The client says that it waits for an hour, and each request has new names."""
+        client = self.client(req())
+        node_socket = self.accept()
+        for number in range(200):
+            node_socket.sendall(ANSWER)
+            self.until(lambda: b" 200 " in self.got(client)[0])
+            volume = f"volume={number:016x},units=2,shard=0,hosts=1"
+            hour = {"X_Remaining_Ms": "3600000", "X_IO": volume}
+            client.sendall(req(TXN + 1 + number, **hour))
+            self.until(lambda: b"X-Txn" in self.got(node_socket)[0])
+        node_socket.sendall(ANSWER)
+        longest = max(each["hard_limit_ns"] for each in CONFIG["settings"]["classes"])
+        self.assertGreater(len(self.gateway.host.timers.timers), 200)
+        self.pass_time(longest / 1e9 + 0.1)
+        self.assertEqual(self.gateway.host.timers.timers, [])
+        self.assertEqual(self.gateway.host.active, {})
+
+
 class BufferLimit(unittest.TestCase):
     def test_buffers_leave_room_for_the_process_itself(self):
         self.assertEqual(buffer_limit(192), 48 << 20)
--- a/tests/http_gateway/test_races_descriptors.py
+++ b/tests/http_gateway/test_races_descriptors.py
@@ -22,6 +22,7 @@
 )
 from milletsill.http_gateway.client_listener import QUEUE_TIMEOUT
 from milletsill.http_gateway.resource_limits import SPARE_CLIENTS
+from tests.http_gateway.test_races_shutdown import settings_with_client_timeout
 from tests.support.http_gateway_rig import (
     CONFIG,
     NODE,
@@ -318,6 +319,9 @@
         The request arrives just before the timeout expires; its client waits for longer
         than the stall.
         """
+        settings = settings_with_client_timeout(60.0)
+        self.changed = ClosedForDescriptors.changed | {"settings": settings}
+        self.restart()
         idle, node_socket = self.idle_clients(self.gateway.listener.max_connections)
         self.queued_client()
         idle[0].sendall(req(X_Remaining_Ms="60000"))
--- a/tests/http_gateway/test_races_leaving_clients.py
+++ b/tests/http_gateway/test_races_leaving_clients.py
@@ -15,6 +15,7 @@
 )
 from milletsill.http_gateway.endpoints import parse_node
 from milletsill.interface import EndpointUpdateKind
+from tests.http_gateway.test_races_shutdown import settings_with_client_timeout
 from tests.support.http_gateway_rig import NODE, TXN, Loopback, req, reset
 
 READY = b"GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -271,6 +272,7 @@
         The timers are those of an idle close and of an incomplete request. The client
         waits for longer than the stall; otherwise its request is too late.
         """
+        self.changed = {"settings": settings_with_client_timeout(60.0)}
         request = req(X_Remaining_Ms="60000")
         for first_data, timeout in (
             (READY, IDLE_TIMEOUT),
--- a/tests/scheduler/test_long_running.py
+++ b/tests/scheduler/test_long_running.py
@@ -7,6 +7,7 @@
 import unittest
 
 from milletsill.interface import AttemptOutcome, EndpointUpdateKind, Readiness
+from milletsill.scheduler.constants import MAX_KEPT_VOLUMES, OPEN_CLIENT_TIMEOUTS
 from tests.support.scheduler_builders import (
     attempt_result,
     endpoint,
@@ -51,6 +52,30 @@
         scheduler.on_request(LONG, request(2, volume=2, deadline=LONG + 15_000))
         self.assertIn(1, scheduler.volumes.by_id)
 
+    # Guards against memory that grows without end under ever new volumes.
+    def test_many_volumes_are_evicted_once_they_have_no_open_request(self):
+        scheduler, _ = make_scheduler()
+        timeout = OPEN_CLIENT_TIMEOUTS * scheduler.state.longest_client_timeout
+        gap = timeout // MAX_KEPT_VOLUMES + 1
+        for number in range(1, 3 * MAX_KEPT_VOLUMES):
+            now = number * gap
+            one = request(number, volume=number, deadline=now + 1000)
+            scheduler.on_request(now, one)
+            scheduler.on_client_cancelled(now + 1, number)
+        self.assertLessEqual(len(scheduler.volumes.by_id), MAX_KEPT_VOLUMES + 2)
+
+    def test_of_many_volumes_those_with_an_open_request_or_spent_limit_are_kept(self):
+        scheduler, _ = make_scheduler(plan={"limit_rate": 0.001, "limit_burst": 100.0})
+        for number in range(1, MAX_KEPT_VOLUMES + 10):
+            queued_request(scheduler, number, volume=number)
+        now = scheduler.state.longest_client_timeout
+        spent = scheduler.volumes.by_id[1]
+        scheduler.evict_idle(now)
+        self.assertEqual(len(scheduler.volumes.by_id), MAX_KEPT_VOLUMES + 9)
+        spent.limit.level = 0.0
+        scheduler.evict_idle(OPEN_CLIENT_TIMEOUTS * now + 1)
+        self.assertIn(spent.id, scheduler.volumes.by_id)
+
     def test_an_evicted_volume_does_not_return_with_a_fuller_limit(self):
         scheduler, _ = make_scheduler(plan={"limit_rate": 10.0, "limit_burst": 100.0})
         old = queued_request(scheduler, 1, volume=1).volume
