HTTP: an error for too much behind an open request no longer declines that request

Cause: without room for pipelined data the connection ended with 503, which is also the answer to the open request.

Change: the error is 400 while a request is open.

--- a/milletsill/http_gateway/client_reader.py
+++ b/milletsill/http_gateway/client_reader.py
@@ -23,6 +23,7 @@
 from milletsill.http_gateway.resource_limits import BufferBudget
 
 TOO_MUCH_AHEAD = "too much ahead of an answer"
+NO_ROOM = "no room for a request that is long or ahead of an answer"
 
 
 class ReadingGateway(TypingProtocol):
@@ -192,7 +193,8 @@
             return False
         if self.memory.reserve_pending(self.input.held):
             return True
-        self.refuse(503, "no room for a request that is long or ahead of an answer")
+        # A 503 would promise that the open request has had no effect.
+        self.refuse(400 if busy else 503, NO_ROOM)
         return False
 
     def detect_client_close(self) -> bool:
