HTTP: requests without room are declined in their turn, behind the open one's answer

Change: what comes behind an open request without room is discarded. The open request has its own answer, then comes one 503, and the connection ends.

The test that demanded the 400 now demands 200 and then 503; two more cover a close behind discarded octets and a client that goes on sending.

--- a/milletsill/http_gateway/client_connection.py
+++ b/milletsill/http_gateway/client_connection.py
@@ -26,7 +26,12 @@
     next_state,
     time_event,
 )
-from milletsill.http_gateway.client_reader import ClientReader, ReadingGateway
+from milletsill.http_gateway.client_reader import (
+    NO_ROOM,
+    TOO_MUCH_AHEAD,
+    ClientReader,
+    ReadingGateway,
+)
 from milletsill.http_gateway.input_work import WORK_PER_TURN
 from milletsill.http_gateway.node_exchange import HttpNodeReply
 
@@ -112,6 +117,9 @@
             if self.discarded > MAX_DISCARDED:
                 self.transport.pauseProducing()
             return
+        if self.discards_pipelined:
+            self._discard(data)
+            return
         was_busy = self.state is ClientState.BUSY
         now = self.gateway.now()
         self.last_octet_at = now
@@ -124,6 +132,15 @@
         if was_busy:
             self._read_to_the_end()
 
+    def _discard(self, data: bytes) -> None:
+        """Read on behind an open request without keeping anything."""
+        self.input.discard(data)
+        self.discarded += len(data)
+        if self.discarded > MAX_DISCARDED:
+            self.refuse(400, TOO_MUCH_AHEAD)
+        else:
+            self._read_to_the_end()
+
     def _read_to_the_end(self) -> None:
         """Read all that has arrived behind an open request, up to the client's close.
 
@@ -193,9 +210,8 @@
         self.request_id = None
         self.memory.release_body()
         # A request that was read completely is answered even during shutdown.
-        keep = self.keep_alive and (
-            self.gateway.keep_alive or self.input.next_request is not None
-        )
+        answers_next = self.input.next_request is not None or self.discards_pipelined
+        keep = self.keep_alive and (self.gateway.keep_alive or answers_next)
         if self.state is ClientState.CLOSED:
             return
         self.transport.write(encode_response(status, body, keep, extra))
@@ -203,6 +219,8 @@
             self.memory.hold_answer(len(body))
         self.since = self.gateway.now()
         self._on_event(ClientEvent.ANSWERED if keep else ClientEvent.LAST_ANSWERED)
+        if keep and self.discards_pipelined:
+            self.refuse(503, NO_ROOM)
 
     def refuse(self, status: int, reason: str) -> None:
         """Answer an invalid request with an error and stop reading."""
--- a/milletsill/http_gateway/client_input.py
+++ b/milletsill/http_gateway/client_input.py
@@ -86,6 +86,10 @@
             _, arrived_at = self.arrivals.pop()
         self.arrivals.append((self.received, arrived_at))
 
+    def discard(self, data: bytes) -> None:
+        """Count octets that are not kept."""
+        self.received += len(data)
+
     def may_have_waited(self, now: int) -> bool:
         """Whether unread octets may have arrived well before now."""
         since = self.unread_since
--- a/milletsill/http_gateway/client_reader.py
+++ b/milletsill/http_gateway/client_reader.py
@@ -54,6 +54,8 @@
         blocked: whether the write buffer is full because the client reads too slowly.
         input: what the client has sent and the connection has not taken.
         memory: the client's part of the memory budget.
+        discards_pipelined: whether what follows the open request is discarded, because
+            there was no room for it.
     """
 
     transport: StreamTransport  # type: ignore[assignment]
@@ -66,6 +68,7 @@
         self.keep_alive = True
         self.blocked = False
         self.memory = ClientMemory(gateway.buffers)
+        self.discards_pipelined = False
         self._taking_requests = False
         self._paused = False
 
@@ -193,10 +196,23 @@
             return False
         if self.memory.reserve_pending(self.input.held):
             return True
-        # A 503 would promise that the open request has had no effect.
-        self.refuse(400 if busy else 503, NO_ROOM)
+        if busy:
+            self._discard_pipelined()
+        else:
+            self.refuse(503, NO_ROOM)
         return False
 
+    def _discard_pipelined(self) -> None:
+        """Discard what is behind the open request, and decline it in its turn.
+
+        An error now would be the answer to the open request. As a decline it would
+        promise that the open request has had no effect, but a node may have run it.
+        """
+        self.discards_pipelined = True
+        self.input.is_waiting = False
+        self.input.clear()
+        self.memory.release_pending()
+
     def detect_client_close(self) -> bool:
         """Whether the client has left after its request; reads pending octets.
 
--- a/tests/http_gateway/test_races_pipelined_requests.py
+++ b/tests/http_gateway/test_races_pipelined_requests.py
@@ -138,18 +138,48 @@
 
     # Guards against a decline of a write that a node has, whose repeat runs it again.
     def test_with_full_buffers_only_a_long_pipelined_request_is_refused(self):
-        """The error also answers the open request, so it must not be a decline."""
+        """It is declined in its turn: before it, the open request has its own answer."""
         self.gateway.buffers.held = self.gateway.buffers.limit
-        client, other_client = self.client(req()), self.client(req(TXN + 1))
+        client = self.client(req())
+        node_socket = self.accept()
+        other_client = self.client(req(TXN + 1))
         self.turn(10)
         self.send_all(client, req(TXN + 2, body=BODY, **KEYED))
         self.send_all(other_client, req(TXN + 3))
-        self.assertEqual(self.read_all(client)[0][:12], b"HTTP/1.1 400")
         self.assertEqual(
-            (self.got(other_client), self.gateway.host.unanswered), ((b"", "open"), 1)
+            (self.got(client), self.got(other_client), self.gateway.host.unanswered),
+            ((b"", "open"), (b"", "open"), 2),
         )
+        node_socket.sendall(answer(1))
+        data, how = self.read_all(client)
+        answers = [each[:3] for each in data.split(b"HTTP/1.1 ")[1:]]
+        self.assertEqual((answers, how), ([b"200", b"503"], "ended"))
+        self.assertEqual(self.got(other_client), (b"", "open"))
         self.assertEqual(self.gateway.buffers.held, self.gateway.buffers.limit)
 
+    def test_a_close_behind_discarded_requests_is_noticed(self):
+        for how in ("close", "half", "reset"):
+            with self.subTest(how=how):
+                self.restart()
+                self.gateway.buffers.held = self.gateway.buffers.limit
+                client = self.client(req())
+                node_socket = self.accept()
+                self.send_all(client, req(TXN + 1, body=BODY, **KEYED) * 2)
+                self.turn(5)
+                leave(client, how)
+                self.until(
+                    lambda: self.got(node_socket)[1] == "reset", "no reset at the node"
+                )
+                self.assertEqual(self.forwarded(), 1)
+
+    def test_a_client_that_goes_on_behind_discarded_requests_is_refused(self):
+        self.gateway.buffers.held = self.gateway.buffers.limit
+        client = self.client(req())
+        self.accept()
+        self.send_all(client, req(TXN + 1, body=BODY, **KEYED) * 20)
+        data, how = self.read_all(client)
+        self.assertEqual((data[:12], how), (b"HTTP/1.1 400", "ended"))
+
     def test_malformed_data_right_after_a_request_is_refused_at_once(self):
         """The clock does not advance, so the error does not wait for the open request.
 
