HTTP: node connections rest for 10 ms after a response, so late copies reach nobody

Cause: a connection was used again in the turn after its answer; a second copy that crossed the next request was taken for its response.

Change: a connection rests after a response, and what comes meanwhile ends it. The most recently used connection that has rested is taken; an attempt for which none has rested waits up to 10 ms.

--- a/milletsill/http_gateway/node_pool.py
+++ b/milletsill/http_gateway/node_pool.py
@@ -41,6 +41,7 @@
     count: Callable[..., None]
     now: Callable[[], int]
     connect_timeout: int
+    reuse_delay: int
     open_connections: int
     abort_in_progress: bool
 
@@ -70,7 +71,8 @@
         number, name: the node's number and name.
         address: the node's current address in the endpoint list.
         retired: whether the node drains or is gone, so that no attempt begins.
-        idle: idle connections, the most recently used last.
+        idle: idle connections, the most recently used last. They rest for
+            `reuse_delay` before they carry another attempt.
         waiting: attempts that wait for a connection, in order.
         dials: number of connections that are being opened.
     """
@@ -91,6 +93,7 @@
         self.idle: list[HttpNodeConnection] = []
         self.waiting: deque[HttpExchange] = deque()
         self.dials = 0
+        self.rest_call_scheduled = False
 
     def update(self, node: NodeEndpoint) -> None:
         """Apply the node's entry in the endpoint list."""
@@ -128,9 +131,11 @@
         if self.retired or len(self.waiting) >= MAX_WAITING:
             return None
         exchange = HttpExchange(self, payload, deadline, ended, self.now())
-        if self.idle and not self.waiting and not self.owner.abort_in_progress:
-            self.idle.pop().start(exchange)
-            return exchange
+        if not self.waiting and not self.owner.abort_in_progress:
+            connection = self._take_idle(self.now())
+            if connection is not None:
+                connection.start(exchange)
+                return exchange
         self.waiting.append(exchange)
         self.dial()
         if self.idle:
@@ -213,14 +218,42 @@
     def serve_waiting(self) -> None:
         """Begin waiting attempts; this is the only place that does so."""
         now = self.now()
-        while self.waiting and (self.idle or self._too_late(self.waiting[0], now)):
-            exchange = self.waiting.popleft()
-            if self._too_late(exchange, now):
+        while self.waiting:
+            if self._too_late(self.waiting[0], now):
                 self.count("kept from", "")
-                exchange.end(AttemptOutcome.UNREACHABLE)
-            else:
-                self.idle.pop().start(exchange)
+                self.waiting.popleft().end(AttemptOutcome.UNREACHABLE)
+                continue
+            connection = self._take_idle(now)
+            if connection is None:
+                break
+            connection.start(self.waiting.popleft())
         self.dial()
+        self._serve_after_rest(now)
+
+    def _take_idle(self, now: int) -> HttpNodeConnection | None:
+        """Remove the connection that was used last among those that have rested."""
+        for index in range(len(self.idle) - 1, -1, -1):
+            if self._rest_of(self.idle[index], now) <= 0:
+                return self.idle.pop(index)
+        return None
+
+    def _rest_of(self, connection: HttpNodeConnection, now: int) -> int:
+        """Return how long a connection still has to rest."""
+        if not connection.uses:
+            return 0
+        return connection.idle_since + self.owner.reuse_delay - now
+
+    def _serve_after_rest(self, now: int) -> None:
+        """Serve the waiting attempts once the next connection has rested."""
+        if not (self.waiting and self.idle) or self.rest_call_scheduled:
+            return
+        self.rest_call_scheduled = True
+        rest = min(self._rest_of(each, now) for each in self.idle)
+        self.owner.reactor.callLater(max(rest, 0) / 10_000, self._on_rested)
+
+    def _on_rested(self) -> None:
+        self.rest_call_scheduled = False
+        self.serve_soon()
 
     def _too_late(self, exchange: HttpExchange, now: int) -> bool:
         waited = now - exchange.started_at
--- a/milletsill/http_gateway/node_pools.py
+++ b/milletsill/http_gateway/node_pools.py
@@ -24,6 +24,10 @@
 DEFAULT_CONNECT_TIMEOUT = 10_000
 DEFAULT_IDLE_TIMEOUT = 50_000
 MIN_CONNECT_TIMEOUT = 100
+# Time for which a connection rests after a response. A node may send a response twice,
+# the second time some milliseconds late. It ends a connection that rests; on one in use
+# it would be taken for the response to the next request.
+REUSE_DELAY = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,11 +38,13 @@
         max_connections: maximum number of connections, and so of descriptors.
         connect_timeout: limit for opening a connection, and for an attempt to begin.
         idle_timeout: time after which a node may close an idle connection.
+        reuse_delay: time for which a connection rests after a response.
     """
 
     max_connections: int
     connect_timeout: int
     idle_timeout: int
+    reuse_delay: int = REUSE_DELAY
 
 
 class HttpNodePools:
@@ -63,6 +69,7 @@
         self.now = now
         self.max_connections = config.max_connections
         self.connect_timeout = config.connect_timeout
+        self.reuse_delay = config.reuse_delay
         self.idle_timeout = int(config.idle_timeout * IDLE_TIMEOUT_FRACTION)
         self.buffers = buffers
         self.input_work = InputWork(reactor)
--- a/tests/support/race_scenarios.py
+++ b/tests/support/race_scenarios.py
@@ -139,6 +139,8 @@
             info=lambda event, **values: None, warning=self.on_warning
         )
         self.gateway = HttpGateway(deployment, self.sim.reactor, self.now, 0, logger)
+        if Random(f"{seed} rest").random() < 0.5:
+            self.gateway.node_pools.reuse_delay = 0  # connections are used at once
         self.gateway.on_stopped = lambda: self.sim.reactor.callLater(0, self.sim.exit)
 
     def now(self):
