Tests: flow sums allow for an attempt that timed out during a stall of the process

Traced: undisturbed, the test has 37 attempts and 37 answers. With a stall of 0.26 to 0.28 s of its process while an attempt is at a node (planted, on too), one attempt times out and is repeated: 38 dispatches, 37 satisfied, 1 timed out. The node need not have answered that one.

Change: the dispatches have to be the sum of all outcomes, the answers of nodes between the satisfied attempts and the dispatches, and no other outcome may occur. Without a timed-out attempt that demands equal counts, as before.

--- a/tests/flows/test_flow_export_end_to_end.py
+++ b/tests/flows/test_flow_export_end_to_end.py
@@ -112,9 +112,14 @@
             (sums["client commandDeltaCount"], sums["client satisfiedDeltaCount"]),
             (35, 35),
         )
-        self.assertEqual(
-            sums["box dispatchDeltaCount"], sum(box.answer_count for box in rig.nodes)
-        )
+        attempts = collector.totals.attempts_by_outcome
+        self.assertEqual(sums["box dispatchDeltaCount"], sum(attempts.values()))
+        # A node may have answered an attempt that timed out, as after a stall of the
+        # process, or not. Without such attempts this demands equal counts.
+        answers = sum(box.answer_count for box in rig.nodes)
+        self.assertLessEqual(attempts["satisfied"], answers)
+        self.assertLessEqual(answers, sum(attempts.values()))
+        self.assertEqual(set(attempts) - {"", "satisfied", "timed out"}, set())
         self.assertEqual(
             (collector.unknown_sets, collector.malformed, collector.missing), (0, 0, 0)
         )
